Add the design page and the thin request path as separate processes

Cause: the repository was empty.

Change: docs/design.md states the requirements, the shape of the code, the owner of each piece of state, the messages, the mechanisms and the options that were weighed. The first path is built in that shape: contract, machine, zone, link and fleet hold decisions without I/O; control runs the one control thread; traffic, front, endpointclient and platform/rest carry requests from a caller to an endpoint and back. Configuration is committed by one compare-and-swap of config/head. Stand-ins for the platform and for endpoints run as processes of the same binary.

Ruled out: one log entry per change (a delayed writer can create an entry again after compaction, and so revert a change), and one value for the whole configuration (breaks the 1 MB bound of a value).

Conclusion: a request crosses three processes; an entry instance that is killed does not stop another one; SIGTERM lets a running request finish. The upper limit, freshness, retries and idempotency keys are not enforced yet.

--- /dev/null
+++ b/internal/contract/register.go
@@ -0,0 +1,207 @@
+package contract
+
+import "sort"
+
+// RingSize is the number of recent changes that a Head carries. Sixteen changes
+// of about 1 KB keep one read of the head near 16 KB.
+const RingSize = 16
+
+// Change replaces one configuration object. The commit of a change assigns its
+// revision.
+type Change struct {
+	// ID is unique for each attempt of an operator. It resolves a lost answer.
+	ID string `json:"id" cbor:"id"`
+	// Author is the operator who made the change.
+	Author string `json:"author" cbor:"author"`
+	// Base is the revision of the object that the operator edited, 0 for a new
+	// object.
+	Base uint64 `json:"base" cbor:"base"`
+	// Object is the full new value.
+	Object Object `json:"object" cbor:"object"`
+}
+
+// Head is the value of the platform key that orders all changes. A
+// compare-and-swap of it is the only commit point of configuration.
+//
+// Invariant: Changes holds the revisions Revision-len(Changes)+1 to Revision in
+// order, and Flushed >= Revision-len(Changes).
+type Head struct {
+	// Revision is the number of the last committed change.
+	Revision uint64 `json:"revision" cbor:"revision"`
+	// Flushed is the revision up to which objects were written out one by one.
+	Flushed uint64 `json:"flushed" cbor:"flushed"`
+	// Changes are the most recent changes, oldest first.
+	Changes []Change `json:"changes" cbor:"changes"`
+}
+
+// Find returns the committed change with the given id.
+func (h *Head) Find(id string) (Change, bool) {
+	for _, c := range h.Changes {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+// Oldest returns the revision of the oldest change in the ring, or Revision+1
+// when the ring is empty.
+func (h *Head) Oldest() uint64 { return h.Revision - uint64(len(h.Changes)) + 1 }
+
+// Append returns the head that commits the change as the next revision. The
+// caller must have written out every change that leaves the ring.
+func (h *Head) Append(c Change) Head {
+	next := Head{Revision: h.Revision + 1, Flushed: h.Flushed}
+	c.Object.Revision = next.Revision
+	next.Changes = append(next.Changes, h.Changes...)
+	next.Changes = append(next.Changes, c)
+	if drop := len(next.Changes) - RingSize; drop > 0 {
+		next.Changes = next.Changes[drop:]
+	}
+	return next
+}
+
+// ChangeResult is the outcome of validating or applying a change.
+type ChangeResult string
+
+// Outcomes of a change.
+const (
+	ChangeAccepted ChangeResult = "accepted"
+	// ChangeConflict means that the object changed after the operator read it.
+	ChangeConflict ChangeResult = "conflict"
+	// ChangeInvalid means that a field is outside its bounds or refers to a
+	// missing object.
+	ChangeInvalid ChangeResult = "invalid"
+	// ChangeOld means that the register already holds the revision.
+	ChangeOld ChangeResult = "old"
+	// ChangeGap means that an earlier revision is missing.
+	ChangeGap ChangeResult = "gap"
+)
+
+// Register is the configuration as one process knows it. It is owned by the
+// control thread. Its revision never goes down.
+type Register struct {
+	revision uint64
+	objects  map[Ref]Object
+}
+
+// NewRegister returns an empty register at revision 0.
+func NewRegister() *Register { return &Register{objects: make(map[Ref]Object)} }
+
+// Revision returns the highest revision up to which all changes are applied.
+func (r *Register) Revision() uint64 { return r.revision }
+
+// Get returns the live object with the given reference.
+func (r *Register) Get(ref Ref) (Object, bool) {
+	o, ok := r.objects[ref]
+	if !ok || o.Deleted {
+		return Object{}, false
+	}
+	return o, true
+}
+
+// List returns the live objects of one kind, ordered by name.
+func (r *Register) List(kind Kind) []Object {
+	var list []Object
+	for ref, o := range r.objects {
+		if ref.Kind == kind && !o.Deleted {
+			list = append(list, o)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Ref.Name < list[j].Ref.Name })
+	return list
+}
+
+// Objects returns all objects, deleted ones included, in no order.
+func (r *Register) Objects() []Object {
+	list := make([]Object, 0, len(r.objects))
+	for _, o := range r.objects {
+		list = append(list, o)
+	}
+	return list
+}
+
+// Validate reports whether the change may be committed on top of the register.
+// The error names the field when the result is ChangeInvalid.
+func (r *Register) Validate(c Change) (ChangeResult, error) {
+	if err := c.Object.Check(); err != nil {
+		return ChangeInvalid, err
+	}
+	if r.objects[c.Object.Ref].Revision != c.Base {
+		return ChangeConflict, nil
+	}
+	if err := r.checkReferences(c.Object); err != nil {
+		return ChangeInvalid, err
+	}
+	return ChangeAccepted, nil
+}
+
+func (r *Register) checkReferences(o Object) error {
+	if o.Deleted {
+		return nil
+	}
+	team := ""
+	field := ""
+	switch {
+	case o.Document != nil:
+		team, field = o.Document.Team, "document.team"
+	case o.Key != nil:
+		team, field = o.Key.Team, "key.team"
+	default:
+		return nil
+	}
+	if _, ok := r.Get(Ref{Kind: KindTeam, Name: team}); !ok {
+		return &FieldError{Field: field, Value: team, Accepted: "the name of an existing team"}
+	}
+	return nil
+}
+
+// Load merges objects that were written out up to revision flushed. An object
+// at a lower revision than the known one is ignored.
+func (r *Register) Load(flushed uint64, objects []Object) {
+	for _, o := range objects {
+		r.put(o)
+	}
+	if flushed > r.revision {
+		r.revision = flushed
+	}
+}
+
+// Apply applies the next committed change. Only the revision that follows the
+// register's own is applied.
+func (r *Register) Apply(c Change) ChangeResult {
+	if c.Object.Revision <= r.revision {
+		return ChangeOld
+	}
+	if c.Object.Revision > r.revision+1 {
+		return ChangeGap
+	}
+	r.put(c.Object)
+	r.revision = c.Object.Revision
+	return ChangeAccepted
+}
+
+// ApplyHead applies the changes of the head's ring that the register lacks. It
+// returns ChangeGap when the ring starts after the register's next revision.
+func (r *Register) ApplyHead(h Head) ChangeResult {
+	result := ChangeOld
+	for _, c := range h.Changes {
+		switch r.Apply(c) {
+		case ChangeGap:
+			return ChangeGap
+		case ChangeAccepted:
+			result = ChangeAccepted
+		}
+	}
+	if r.revision < h.Revision {
+		return ChangeGap
+	}
+	return result
+}
+
+func (r *Register) put(o Object) {
+	if known, ok := r.objects[o.Ref]; ok && known.Revision >= o.Revision {
+		return
+	}
+	r.objects[o.Ref] = o
+}
--- /dev/null
+++ b/internal/control/runner.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+)
+
+// Keys and prefixes in the platform's key-value service.
+const (
+	HeadKey      = "config/head"
+	ObjectPrefix = "config/object/"
+)
+
+// WatchWait is how long one watch waits before it answers without a change. A
+// watch answer also proves that the configuration is fresh, so the wait must
+// stay well below the freshness horizon of 4 s.
+const WatchWait = time.Second
+
+// PlatformRunner performs actions against the platform.
+type PlatformRunner struct {
+	platform platform.Platform
+	log      *logrus.Entry
+	clock    func() time.Time
+}
+
+// NewPlatformRunner returns a runner for p.
+func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
+	return &PlatformRunner{platform: p, log: log, clock: clock}
+}
+
+// Run implements Runner.
+func (r *PlatformRunner) Run(ctx context.Context, a fleet.Action) fleet.Event {
+	switch a := a.(type) {
+	case fleet.LoadConfig:
+		return r.loadConfig(ctx, a)
+	case fleet.WatchHead:
+		return r.watchHead(ctx, a)
+	case fleet.WatchEndpoints:
+		return r.watchEndpoints(ctx, a)
+	default:
+		r.log.Errorf("control: no runner for action %T", a)
+		return nil
+	}
+}
+
+// pause waits for d and reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *PlatformRunner) loadConfig(ctx context.Context, a fleet.LoadConfig) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	loaded, err := r.readConfig(ctx)
+	if err != nil {
+		r.log.WithError(err).Warn("config: load failed")
+		return fleet.ConfigFailed{}
+	}
+	return loaded
+}
+
+func (r *PlatformRunner) readConfig(ctx context.Context) (fleet.ConfigLoaded, error) {
+	var loaded fleet.ConfigLoaded
+	before, _, err := ReadHead(ctx, r.platform)
+	if err != nil {
+		return loaded, err
+	}
+	records, err := r.platform.List(ctx, ObjectPrefix)
+	if err != nil {
+		return loaded, errors.Wrap(err, "list objects")
+	}
+	for _, record := range records {
+		var object contract.Object
+		if err := json.Unmarshal(record.Value, &object); err != nil {
+			return loaded, errors.Wrapf(err, "decode %s", record.Key)
+		}
+		loaded.Objects = append(loaded.Objects, object)
+	}
+	loaded.SentAt = r.clock()
+	loaded.Before = before
+	loaded.After, loaded.Version, err = readHeadVersion(ctx, r.platform)
+	return loaded, err
+}
+
+func readHeadVersion(ctx context.Context, s platform.Store) (contract.Head, uint64, error) {
+	head, version, err := ReadHead(ctx, s)
+	return head, uint64(version), err
+}
+
+// ReadHead returns the configuration head, an empty one when none was ever
+// committed, with its platform version.
+func ReadHead(ctx context.Context, s platform.Store) (contract.Head, platform.Version, error) {
+	var head contract.Head
+	record, err := s.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head, 0, nil
+	}
+	if err != nil {
+		return head, 0, errors.Wrap(err, "read head")
+	}
+	if err := json.Unmarshal(record.Value, &head); err != nil {
+		return head, 0, errors.Wrap(err, "decode head")
+	}
+	return head, record.Version, nil
+}
+
+func (r *PlatformRunner) watchHead(ctx context.Context, a fleet.WatchHead) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	sent := r.clock()
+	record, err := r.platform.Watch(ctx, HeadKey, platform.Version(a.After), WatchWait)
+	if err != nil {
+		r.log.WithError(err).Debug("config: watch failed")
+		return fleet.ConfigFailed{After: a.After}
+	}
+	seen := fleet.HeadSeen{Version: uint64(record.Version), SentAt: sent}
+	if record.Version == 0 {
+		return seen
+	}
+	if err := json.Unmarshal(record.Value, &seen.Head); err != nil {
+		r.log.WithError(err).Error("config: head cannot be decoded")
+		return fleet.ConfigFailed{After: a.After}
+	}
+	return seen
+}
+
+func (r *PlatformRunner) watchEndpoints(ctx context.Context, a fleet.WatchEndpoints) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	list, err := r.platform.WatchInstances(ctx, a.After, WatchWait)
+	if err != nil {
+		return fleet.EndpointsFailed{After: a.After}
+	}
+	seen := fleet.EndpointsSeen{Version: list.Version}
+	for _, i := range list.Instances {
+		seen.Endpoints = append(seen.Endpoints, endpointOf(i))
+	}
+	return seen
+}
+
+func endpointOf(i platform.Instance) machine.Endpoint {
+	phase := machine.EndpointLive
+	if i.Leaving {
+		phase = machine.EndpointLeaving
+	}
+	return machine.Endpoint{
+		ID: i.ID, Service: i.Service, DataCentre: i.DataCentre, Address: i.Address, Phase: phase,
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,69 @@
+// Package entry assembles the parts of one entry instance.
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/endpointclient"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/settings"
+	"github.com/crocusjunction/crocusjunction/internal/traffic"
+)
+
+// shutdownTimeout bounds a planned stop. It exceeds the longest deadline of a
+// request, so that no request is cut.
+const shutdownTimeout = front.MaxDeadline + 5*time.Second
+
+// Run serves as an entry instance until ctx ends, then stops gracefully.
+func Run(ctx context.Context, s settings.Entry, p platform.Platform, log *logrus.Entry) error {
+	listener, err := net.Listen("tcp", s.HTTP)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	self := link.Member{
+		ID:          s.ID,
+		Incarnation: uint64(time.Now().UnixNano()),
+		DataCentre:  s.DataCentre,
+		Address:     s.Peer,
+	}
+	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
+	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
+	server := front.NewServer(front.Parts{
+		Loop:      loop,
+		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
+		Committer: control.NewCommitter(p),
+		Log:       log,
+		Clock:     time.Now,
+	})
+	return serve(ctx, loop, server, listener, log)
+}
+
+// serve runs the loop and the server. The loop ends after the server, so that
+// running requests can release their slots.
+func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, log *logrus.Entry) error {
+	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoop()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return loop.Run(loopCtx) })
+	group.Go(func() error { return server.Serve(l) })
+	group.Go(func() error {
+		defer stopLoop()
+		<-groupCtx.Done()
+		log.Info("front: stopping")
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		return server.Shutdown(limited)
+	})
+	log.Infof("front: listening on %s", l.Addr())
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,106 @@
+// Package fleet holds the root object of the control state. A Fleet is owned by
+// the control thread of one process: it takes typed events, decides, and
+// returns typed actions. It imports no codec, no network package, no logger
+// and no clock.
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// Event is one input of the control thread. Apply changes the fleet and
+// returns the actions that follow. It must not block.
+type Event interface {
+	Apply(f *Fleet, now time.Time) []Action
+}
+
+// Action is an effect outside the fleet that the control thread asks for. It
+// is a plain value; package control runs it and feeds the result back as an
+// event.
+type Action interface{ isAction() }
+
+// Options are the fixed parameters of a fleet.
+type Options struct {
+	Self link.Member
+	// DataCentres maps each data centre of the fleet to its region.
+	DataCentres map[string]string
+}
+
+// Fleet is the control state of one entry instance.
+type Fleet struct {
+	self     link.Member
+	register *contract.Register
+	centres  map[string]*zone.DataCentre
+	config   configState
+	dirty    bool
+}
+
+// New returns a fleet that knows no configuration and no machines.
+func New(o Options) *Fleet {
+	f := &Fleet{
+		self:     o.Self,
+		register: contract.NewRegister(),
+		centres:  make(map[string]*zone.DataCentre),
+		dirty:    true,
+	}
+	for name, region := range o.DataCentres {
+		f.centres[name] = zone.NewDataCentre(name, region)
+	}
+	return f
+}
+
+// Start returns the first actions of the process.
+func (f *Fleet) Start(now time.Time) []Action {
+	return []Action{LoadConfig{}, WatchEndpoints{}}
+}
+
+// Tick runs what is due at now. The control thread calls it at NextWake.
+func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
+
+// NextWake returns the time of the next due Tick; the zero time means none.
+func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
+
+// EndpointsSeen is the platform's list of endpoints, which lags.
+type EndpointsSeen struct {
+	Endpoints []machine.Endpoint
+	// Version is the platform's version of the list.
+	Version uint64
+}
+
+// Apply implements Event.
+func (e EndpointsSeen) Apply(f *Fleet, now time.Time) []Action {
+	byCentre := make(map[string][]machine.Endpoint)
+	for _, endpoint := range e.Endpoints {
+		byCentre[endpoint.DataCentre] = append(byCentre[endpoint.DataCentre], endpoint)
+	}
+	for name, centre := range f.centres {
+		centre.SetEndpoints(byCentre[name])
+	}
+	f.dirty = true
+	return []Action{WatchEndpoints{After: e.Version}}
+}
+
+// EndpointsFailed reports that the list of endpoints could not be read.
+type EndpointsFailed struct{ After uint64 }
+
+// Apply implements Event. The known list stays in use.
+func (e EndpointsFailed) Apply(f *Fleet, now time.Time) []Action {
+	return []Action{WatchEndpoints{After: e.After, Delay: RetryDelay}}
+}
+
+// RetryDelay is the pause before a failed read of the platform is repeated.
+const RetryDelay = 500 * time.Millisecond
+
+// WatchEndpoints waits until the platform's list of endpoints has a version
+// above After and returns it as EndpointsSeen.
+type WatchEndpoints struct {
+	After uint64
+	Delay time.Duration
+}
+
+func (WatchEndpoints) isAction() {}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/platform/rest"
+)
+
+// Paths of the stand-in besides those of the platform's protocol.
+const (
+	PathFaults         = "/standin/faults"
+	PathCalls          = "/standin/calls"
+	PathUpdateInstance = "/standin/instance"
+	PathLapseLeases    = "/standin/lapse"
+)
+
+// PlatformServer serves a Store over the protocol of package rest.
+type PlatformServer struct {
+	store *Store
+	http  *fasthttp.Server
+}
+
+// NewPlatformServer returns a server that is not yet listening.
+func NewPlatformServer(s *Store) *PlatformServer {
+	p := &PlatformServer{store: s}
+	p.http = &fasthttp.Server{Handler: p.serve, MaxRequestBodySize: 2 * platform.MaxValueSize, CloseOnShutdown: true}
+	return p
+}
+
+// Serve accepts connections until Shutdown.
+func (p *PlatformServer) Serve(l net.Listener) error { return p.http.Serve(l) }
+
+// Shutdown stops the server.
+func (p *PlatformServer) Shutdown(ctx context.Context) error { return p.http.ShutdownWithContext(ctx) }
+
+func (p *PlatformServer) serve(ctx *fasthttp.RequestCtx) {
+	if p.control(ctx) {
+		return
+	}
+	var call rest.Call
+	if err := json.Unmarshal(ctx.PostBody(), &call); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	answer, err := p.answer(ctx, string(ctx.Path()), call)
+	if err == platform.ErrUnknown {
+		// The answer is lost: close the connection without a response.
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {})
+		return
+	}
+	if err != nil {
+		answer = rest.Answer{Error: rest.ErrorName(err)}
+	}
+	writeJSON(ctx, answer)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// control serves the paths that tests use, and reports whether it did.
+func (p *PlatformServer) control(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case PathFaults:
+		var f Faults
+		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return true
+		}
+		p.store.SetFaults(f)
+	case PathCalls:
+		writeJSON(ctx, p.store.Calls())
+	case PathUpdateInstance:
+		var i platform.Instance
+		if err := json.Unmarshal(ctx.PostBody(), &i); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return true
+		}
+		p.store.UpdateInstance(i)
+	case PathLapseLeases:
+		p.store.LapseLeases()
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *PlatformServer) answer(ctx *fasthttp.RequestCtx, path string, call rest.Call) (rest.Answer, error) {
+	wait := time.Duration(call.WaitMS) * time.Millisecond
+	switch path {
+	case rest.PathGet:
+		record, err := p.store.Get(ctx, call.Key)
+		return rest.Answer{Records: []platform.Record{record}}, err
+	case rest.PathList:
+		records, err := p.store.List(ctx, call.Prefix)
+		return rest.Answer{Records: records}, err
+	case rest.PathSwap:
+		version, err := p.store.Swap(ctx, call.Key, call.Expect, call.Value, call.Lease)
+		return rest.Answer{Version: version}, err
+	case rest.PathDelete:
+		return rest.Answer{}, p.store.Delete(ctx, call.Key, call.Expect)
+	case rest.PathWatch:
+		record, err := p.store.Watch(ctx, call.Key, platform.Version(call.After), wait)
+		return rest.Answer{Records: []platform.Record{record}}, err
+	case rest.PathGrant:
+		id, err := p.store.Grant(ctx, time.Duration(call.TTLMS)*time.Millisecond)
+		return rest.Answer{Lease: id}, err
+	case rest.PathKeepAlive:
+		return rest.Answer{}, p.store.KeepAlive(ctx, call.Lease)
+	case rest.PathRevoke:
+		return rest.Answer{}, p.store.Revoke(ctx, call.Lease)
+	case rest.PathInstances:
+		list, err := p.store.WatchInstances(ctx, call.After, wait)
+		return rest.Answer{Instances: &list}, err
+	default:
+		return rest.Answer{}, platform.ErrNotFound
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,359 @@
+// Package standin holds small stand-ins for the outside systems, the platform
+// and the endpoints, for tests and for the demo. Tests switch faults on in
+// them. It is not a simulator of a fleet.
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+)
+
+// Faults are what a test can switch on in the platform stand-in. The zero value
+// means that everything works.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage"`
+	// DelayMS delays every call, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseAnswers is the number of following writes that take effect while
+	// their answer is lost.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseWrites is the number of following writes that are lost before they
+	// take effect, with no answer.
+	LoseWrites int `json:"lose_writes"`
+}
+
+// Calls counts the calls that the platform stand-in took.
+type Calls struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+}
+
+type entry struct {
+	value   []byte
+	version platform.Version
+	lease   platform.LeaseID
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Store is an in-memory platform. It is safe for concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	clock     func() time.Time
+	entries   map[string]entry
+	leases    map[platform.LeaseID]lease
+	version   platform.Version
+	nextLease platform.LeaseID
+	changed   chan struct{}
+	faults    Faults
+	calls     Calls
+	instances platform.InstanceList
+}
+
+var _ platform.Platform = (*Store)(nil)
+
+// NewStore returns an empty store that measures leases with clock.
+func NewStore(clock func() time.Time) *Store {
+	return &Store{
+		clock:   clock,
+		entries: make(map[string]entry),
+		leases:  make(map[platform.LeaseID]lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetInstances replaces the list of instances.
+func (s *Store) SetInstances(list []platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances.Version++
+	s.instances.Instances = list
+	s.wake()
+}
+
+// UpdateInstance adds or replaces one instance of the list.
+func (s *Store) UpdateInstance(i platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := []platform.Instance{i}
+	for _, known := range s.instances.Instances {
+		if known.ID != i.ID {
+			next = append(next, known)
+		}
+	}
+	s.instances = platform.InstanceList{Version: s.instances.Version + 1, Instances: next}
+	s.wake()
+}
+
+// begin applies the delay and the outage, and locks the store on success.
+func (s *Store) begin(ctx context.Context, count func(*Calls)) error {
+	s.mu.Lock()
+	count(&s.calls)
+	faults := s.faults
+	if faults.DelayMS > 0 {
+		s.mu.Unlock()
+		if err := sleep(ctx, time.Duration(faults.DelayMS)*time.Millisecond); err != nil {
+			return platform.ErrUnknown
+		}
+		s.mu.Lock()
+	}
+	if s.faults.Outage || ctx.Err() != nil {
+		s.mu.Unlock()
+		return platform.ErrUnavailable
+	}
+	s.expire()
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func countRead(c *Calls)  { c.Reads++ }
+func countWrite(c *Calls) { c.Writes++ }
+func countWatch(c *Calls) { c.Watches++ }
+
+// expire ends lapsed leases. The lock is held.
+func (s *Store) expire() {
+	now := s.clock()
+	for id, l := range s.leases {
+		if !now.Before(l.until) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id platform.LeaseID) {
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.lease == id {
+			delete(s.entries, key)
+			s.version++
+			s.wake()
+		}
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// finishWrite turns an effective write into a lost answer when a test asked for
+// it. The lock is held.
+func (s *Store) finishWrite() error {
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+// loseWrite reports whether the write is lost before it takes effect.
+func (s *Store) loseWrite() bool {
+	if s.faults.LoseWrites > 0 {
+		s.faults.LoseWrites--
+		return true
+	}
+	return false
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Record, error) {
+	if err := s.begin(ctx, countRead); err != nil {
+		return platform.Record{}, err
+	}
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok {
+		return platform.Record{}, platform.ErrNotFound
+	}
+	return platform.Record{Key: key, Value: e.value, Version: e.version}, nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+	if err := s.begin(ctx, countRead); err != nil {
+		return nil, err
+	}
+	defer s.mu.Unlock()
+	var list []platform.Record
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, platform.Record{Key: key, Value: e.value, Version: e.version})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list, nil
+}
+
+// Swap implements platform.Store.
+func (s *Store) Swap(ctx context.Context, key string, expect platform.Version, value []byte, id platform.LeaseID) (platform.Version, error) {
+	if err := s.begin(ctx, countWrite); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	if len(value) > platform.MaxValueSize {
+		return 0, platform.ErrTooLarge
+	}
+	if s.loseWrite() {
+		return 0, platform.ErrUnknown
+	}
+	if s.entries[key].version != expect {
+		return 0, platform.ErrConflict
+	}
+	if _, ok := s.leases[id]; id != 0 && !ok {
+		return 0, platform.ErrLeaseLost
+	}
+	s.version++
+	s.entries[key] = entry{value: append([]byte(nil), value...), version: s.version, lease: id}
+	s.wake()
+	return s.version, s.finishWrite()
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+	if err := s.begin(ctx, countWrite); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	if s.loseWrite() {
+		return platform.ErrUnknown
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	if e.version != expect {
+		return platform.ErrConflict
+	}
+	delete(s.entries, key)
+	s.version++
+	s.wake()
+	return s.finishWrite()
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Record, error) {
+	var record platform.Record
+	err := s.await(ctx, wait, func() bool {
+		e := s.entries[key]
+		record = platform.Record{Key: key, Value: e.value, Version: e.version}
+		return e.version != after
+	})
+	return record, err
+}
+
+// WatchInstances implements platform.Directory.
+func (s *Store) WatchInstances(ctx context.Context, after uint64, wait time.Duration) (platform.InstanceList, error) {
+	var list platform.InstanceList
+	err := s.await(ctx, wait, func() bool {
+		list = s.instances
+		return list.Version != after
+	})
+	return list, err
+}
+
+// await calls read under the lock until it reports a change or wait has passed.
+func (s *Store) await(ctx context.Context, wait time.Duration, read func() bool) error {
+	if err := s.begin(ctx, countWatch); err != nil {
+		return err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		done := read()
+		changed, outage := s.changed, s.faults.Outage
+		s.mu.Unlock()
+		if outage {
+			return platform.ErrUnavailable
+		}
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return platform.ErrUnknown
+		}
+		s.mu.Lock()
+	}
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := s.begin(ctx, countWrite); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = lease{ttl: ttl, until: s.clock().Add(ttl)}
+	return s.nextLease, s.finishWrite()
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	if err := s.begin(ctx, countWrite); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return platform.ErrLeaseLost
+	}
+	l.until = s.clock().Add(l.ttl)
+	s.leases[id] = l
+	return s.finishWrite()
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	if err := s.begin(ctx, countWrite); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	s.endLease(id)
+	return s.finishWrite()
+}
+
+// LapseLeases ends every lease at once, as if all holders had been paused.
+func (s *Store) LapseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
