Keep explanations of decisions and put documents from the command line

Cause: operators need to see which decision was taken, when and why, and to edit documents without writing HTTP requests.

Operator commands share one HTTP client with a table and a JSON output; document put is the first one that writes.

Ruled out: writing explanations to the platform, which would cost a write for each decision.

Measured: nothing yet.

Conclusion: parts record decisions with Fleet.Explain.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -31,6 +31,8 @@
 			entryCommand(),
 			standinCommand(),
 			settingsCommand(),
+			explainCommand(),
+			documentCommand(),
 		},
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	register *contract.Register
 	centres  map[string]*zone.DataCentre
 	config   configState
+	journal  journal
 	dirty    bool
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -57,6 +57,7 @@
 	s := &Server{parts: p}
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
+	s.routes = append(s.routes, s.explainRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
