Serve metrics with a request histogram for each team

Cause: operators must see latency and outcomes for each team.

The request histogram is labelled by team and outcome, refusals by team and code. The team label is set only after authentication, so that callers cannot create label values.

Ruled out: a label for each key or endpoint, whose number is not bounded.

Measured: nothing before.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -58,6 +58,9 @@
 // Snapshot returns the newest published view. It is never nil.
 func (l *Loop) Snapshot() *fleet.Snapshot { return l.snapshot.Load() }
 
+// QueueLengths returns the number of waiting control and traffic events.
+func (l *Loop) QueueLengths() (control, traffic int) { return len(l.control), len(l.traffic) }
+
 // Send queues an event from peers, operators or the platform.
 func (l *Loop) Send(ctx context.Context, e fleet.Event) error {
 	return l.enqueue(ctx, l.control, e)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,8 +38,13 @@
 	}
 	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
 	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
+	metrics, err := newMetrics(loop)
+	if err != nil {
+		return err
+	}
 	server := front.NewServer(front.Parts{
 		Loop:      loop,
+		Metrics:   metrics,
 		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
 		Committer: control.NewCommitter(p),
 		Log:       log,
--- /dev/null
+++ b/internal/front/metrics.go
@@ -0,0 +1,16 @@
+package front
+
+import (
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// metricsRoutes serves the metrics in the Prometheus text format.
+func (s *Server) metricsRoutes() []route {
+	handler := fasthttpadaptor.NewFastHTTPHandler(s.parts.Metrics.Handler())
+	return []route{{
+		method: fasthttp.MethodGet,
+		prefix: "/metrics",
+		handle: func(ctx *fasthttp.RequestCtx, _ string) { handler(ctx) },
+	}}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
 
@@ -32,6 +33,7 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
+	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
 	Clock     func() time.Time
 }
@@ -58,6 +60,7 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -50,7 +50,19 @@
 		NonIdempotent:  string(ctx.Request.Header.Peek(HeaderIdempotent)) == "false",
 	}
 	ctx.Response.Header.Set(HeaderRequestID, r.ID)
-	writeOutcome(ctx, s.parts.Traffic.Serve(ctx, r))
+	started := s.parts.Clock()
+	outcome := s.parts.Traffic.Serve(ctx, r)
+	s.record(outcome, s.parts.Clock().Sub(started))
+	writeOutcome(ctx, outcome)
+}
+
+// record adds the outcome to the metrics of its team.
+func (s *Server) record(o traffic.Outcome, d time.Duration) {
+	code := ""
+	if o.Refusal != nil {
+		code = o.Refusal.Code
+	}
+	s.parts.Metrics.Request(o.Team, string(o.Kind), code, d)
 }
 
 func (s *Server) deadline(ctx *fasthttp.RequestCtx) (time.Time, bool) {
