Add a demo of the main tasks on loopback

Cause: a newcomer needs one command that shows what the system does.

Change: the command demo runs a platform stand-in, two data centres with endpoints and two entry instances in one process, performs the main tasks and checks each claim. It exits with 0 only when every claim held.

Ruled out: child processes, since a process of the system starts no others.

--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,21 @@
+package command
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/crocusjunction/crocusjunction/internal/demo"
+	"github.com/crocusjunction/crocusjunction/internal/telemetry"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a small fleet on loopback and show the main tasks",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the logs: debug, info, warn or error", Value: "error"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo.Run(ctx, c.Root().Writer, telemetry.NewLog(c.String("log-level")))
+		},
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,227 @@
+// Package demo runs a small fleet inside one process on loopback: a platform
+// stand-in, two data centres with endpoint stand-ins, and two entry instances.
+// It performs the operators' main tasks and checks what each one claims.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusjunction/crocusjunction/internal/entry"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/platform/rest"
+	"github.com/crocusjunction/crocusjunction/internal/settings"
+	"github.com/crocusjunction/crocusjunction/internal/standin"
+)
+
+// Names of the demo's fleet.
+const (
+	centreNorth = "north"
+	centreSouth = "south"
+	service     = "deposits"
+	team        = "depots"
+	keyID       = "depots-1"
+	secret      = "demo-secret"
+)
+
+// Times of the demo.
+const (
+	workTime    = time.Millisecond
+	stepTimeout = 10 * time.Second
+	stepPause   = 50 * time.Millisecond
+	stopTimeout = 10 * time.Second
+)
+
+// ErrStepFailed means that a step did not do what it claims.
+var ErrStepFailed = errors.New("a step did not do what it claims")
+
+// fleet is the running system of the demo.
+type fleet struct {
+	store     *standin.Store
+	endpoints map[string]*standin.Endpoint
+	// entries maps a data centre to the HTTP address of its entry instance.
+	entries map[string]string
+}
+
+// step is one task with the claim that it checks.
+type step struct {
+	name string
+	// run returns what was seen.
+	run func(ctx context.Context, f *fleet) (string, error)
+}
+
+// Run performs all steps and writes one table row for each to out. It returns
+// ErrStepFailed when a claim did not hold.
+func Run(ctx context.Context, out io.Writer, log *logrus.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	group, groupCtx := errgroup.WithContext(ctx)
+	f, err := start(groupCtx, group, log)
+	if err != nil {
+		cancel()
+		_ = group.Wait()
+		return err
+	}
+	err = runSteps(groupCtx, f, out)
+	cancel()
+	if waitErr := group.Wait(); err == nil {
+		err = waitErr
+	}
+	return err
+}
+
+func runSteps(ctx context.Context, f *fleet, out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "STEP\tSEEN\tTIME\tRESULT")
+	failed := false
+	for _, s := range steps() {
+		started := time.Now()
+		seen, err := s.run(ctx, f)
+		result := "ok"
+		if err != nil {
+			failed = true
+			result = "FAILED: " + err.Error()
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", s.name, seen, time.Since(started).Round(time.Millisecond), result)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	if failed {
+		return ErrStepFailed
+	}
+	return nil
+}
+
+// start brings the fleet up on free loopback ports.
+func start(ctx context.Context, group *errgroup.Group, log *logrus.Logger) (*fleet, error) {
+	f := &fleet{
+		store:     standin.NewStore(time.Now),
+		endpoints: make(map[string]*standin.Endpoint),
+		entries:   make(map[string]string),
+	}
+	address, err := serve(ctx, group, standin.NewPlatformServer(f.store))
+	if err != nil {
+		return nil, err
+	}
+	for _, centre := range []string{centreNorth, centreSouth} {
+		if err := f.startEndpoint(ctx, group, centre); err != nil {
+			return nil, err
+		}
+	}
+	for _, centre := range []string{centreNorth, centreSouth} {
+		if err := f.startEntry(ctx, group, centre, address, log); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startEndpoint(ctx context.Context, group *errgroup.Group, centre string) error {
+	endpoint := standin.NewEndpoint(workTime)
+	address, err := serve(ctx, group, endpoint)
+	if err != nil {
+		return err
+	}
+	f.endpoints[centre] = endpoint
+	f.store.UpdateInstance(platform.Instance{
+		ID: "endpoint-" + centre, Service: service, DataCentre: centre, Address: address,
+	})
+	return nil
+}
+
+func (f *fleet) startEntry(ctx context.Context, group *errgroup.Group, centre, platformAddress string, log *logrus.Logger) error {
+	httpAddress, err := freeAddress("tcp")
+	if err != nil {
+		return err
+	}
+	peerAddress, err := freeAddress("udp")
+	if err != nil {
+		return err
+	}
+	s := settings.Entry{
+		ID: "entry-" + centre, DataCentre: centre, HTTP: httpAddress, Peer: peerAddress, Platform: platformAddress,
+		DataCentres: map[string]string{centreNorth: "west", centreSouth: "west"},
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	f.entries[centre] = httpAddress
+	group.Go(func() error {
+		return entry.Run(ctx, s, rest.NewClient(platformAddress), log.WithField("instance", s.ID))
+	})
+	return awaitListener(ctx, httpAddress)
+}
+
+// server is what both stand-ins provide.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+}
+
+func serve(ctx context.Context, group *errgroup.Group, s server) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	group.Go(func() error { return s.Serve(l) })
+	group.Go(func() error {
+		<-ctx.Done()
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		return s.Shutdown(limited)
+	})
+	return l.Addr().String(), nil
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", errors.Wrap(err, "find a free port")
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	l, err := net.Listen(network, "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func awaitListener(ctx context.Context, address string) error {
+	return eventually(ctx, func() error {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
+
+// eventually calls check until it succeeds or stepTimeout has passed.
+func eventually(ctx context.Context, check func() error) error {
+	limited, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return err
+		case <-time.After(stepPause):
+		}
+	}
+}
