Add workers, tasks, shares and the placement plan of a data centre

Cause: the scheduler needs decisions that can be tested without I/O.

Change: machine.Worker, machine.Task and machine.Estimate; contract.Divide computes weighted max-min shares by dominant resource; zone.DataCentre.Place turns the state of a data centre into a plan of typed steps. The platform interface gains Workers, with an adapter in platform/rest and a stand-in with worker faults.

Ruled out: weighted slots as the measure of a share. A team of large tasks would take several times its share of cores.

Measured: nothing yet. The properties of Divide hold over 100 rapid cases each.

Conclusion: the decisions compile against the import rules; nothing calls them yet.

--- /dev/null
+++ b/internal/contract/share_test.go
@@ -0,0 +1,98 @@
+package contract
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawDemands(t *rapid.T) []Demand {
+	n := rapid.IntRange(1, 140).Draw(t, "teams")
+	demands := make([]Demand, n)
+	for i := range demands {
+		c := &demands[i]
+		c.Team = fmt.Sprintf("team-%03d", i)
+		c.Weight = rapid.IntRange(1, 20).Draw(t, "weight")
+		for d := range c.Use {
+			c.Use[d] = rapid.Float64Range(0, 1/float64(n)).Draw(t, "use")
+			c.Queued[d] = rapid.Float64Range(0, 2).Draw(t, "queued")
+		}
+	}
+	return demands
+}
+
+// TestDivideFillsOneDimension guards against shares that leave capacity unused
+// while a team wants more, or that promise more than there is.
+func TestDivideFillsOneDimension(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := drawDemands(t)
+		byTeam := make(map[string]Demand)
+		for _, c := range demands {
+			byTeam[c.Team] = c
+		}
+		var used Amounts
+		satisfied := true
+		for _, s := range Divide(demands) {
+			if s.Fair > s.Demand+1e-9 {
+				t.Fatalf("%s: fair %v above demand %v", s.Team, s.Fair, s.Demand)
+			}
+			satisfied = satisfied && s.Fair > s.Demand-1e-9
+			c := byTeam[s.Team]
+			for d := range used {
+				if s.Demand > 0 {
+					used[d] += (c.Use[d] + c.Queued[d]) * s.Fair / s.Demand
+				}
+			}
+		}
+		most, _ := used.Dominant()
+		if most > 1+1e-6 {
+			t.Fatalf("shares use %v of a dimension", most)
+		}
+		if !satisfied && most < 1-1e-6 {
+			t.Fatalf("a team is below its demand while only %v is divided", most)
+		}
+	})
+}
+
+// TestDivideIsMaxMin guards against a large team that gets more for its weight
+// than a team that still wants more in the same dimensions.
+func TestDivideIsMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := drawDemands(t)
+		for i := range demands {
+			for d := range demands[i].Queued {
+				demands[i].Queued[d] += 1e-3
+			}
+		}
+		shares := Divide(demands)
+		for _, poor := range shares {
+			if poor.Fair > poor.Demand-1e-9 {
+				continue
+			}
+			for _, rich := range shares {
+				if rich.Fair/float64(rich.Weight) > poor.Fair/float64(poor.Weight)+1e-9 {
+					t.Fatalf("%+v gets more for its weight than %+v, which wants more", rich, poor)
+				}
+			}
+		}
+	})
+}
+
+// TestDivideFollowsWeights guards against shares that ignore weights or give
+// the unused part of one team to nobody.
+func TestDivideFollowsWeights(t *testing.T) {
+	full := Amounts{1, 0.1, 0, 0.5}
+	shares := Divide([]Demand{
+		{Team: "large", Weight: 3, Queued: full},
+		{Team: "small", Weight: 1, Queued: full},
+		{Team: "idle", Weight: 6, Queued: Amounts{0.2, 0.02, 0, 0.1}},
+	})
+	want := map[string]float64{"large": 0.6, "small": 0.2, "idle": 0.2}
+	for _, s := range shares {
+		if math.Abs(s.Fair-want[s.Team]) > 1e-9 {
+			t.Errorf("%s: fair %v, want %v", s.Team, s.Fair, want[s.Team])
+		}
+	}
+}
--- /dev/null
+++ b/internal/machine/resources.go
@@ -0,0 +1,30 @@
+package machine
+
+// Resources is an amount of what a worker has and a task uses.
+type Resources struct {
+	// MilliCores are thousandths of a processor core.
+	MilliCores int64 `json:"millicores"`
+	// MemoryMB is in units of 2^20 bytes.
+	MemoryMB     int64 `json:"memory_mb"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference; fields may become negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Max returns the larger value of each field.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCores, o.MilliCores), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
+// FitsIn reports whether no field is larger than in o.
+func (r Resources) FitsIn(o Resources) bool {
+	return r.MilliCores <= o.MilliCores && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
+}
--- a/internal/platform/rest/protocol.go
+++ b/internal/platform/rest/protocol.go
@@ -29,6 +29,8 @@
 	// WaitMS and TTLMS are in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
 	TTLMS  int64 `json:"ttl_ms,omitempty"`
+	// Worker is set on the paths about workers.
+	Worker *WorkerCall `json:"worker,omitempty"`
 }
 
 // Answer is the response body of every path.
@@ -39,6 +41,8 @@
 	Version   platform.Version       `json:"version,omitempty"`
 	Lease     platform.LeaseID       `json:"lease,omitempty"`
 	Instances *platform.InstanceList `json:"instances,omitempty"`
+	// Worker is set on the paths about workers.
+	Worker *WorkerAnswer `json:"worker,omitempty"`
 }
 
 // Values of Answer.Error.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -93,7 +93,7 @@
 	case PathLapseLeases:
 		p.store.LapseLeases()
 	default:
-		return false
+		return p.controlWorkers(ctx)
 	}
 	return true
 }
@@ -126,6 +126,6 @@
 		list, err := p.store.WatchInstances(ctx, call.After, wait)
 		return rest.Answer{Instances: &list}, err
 	default:
-		return rest.Answer{}, platform.ErrNotFound
+		return p.answerWorkers(ctx, path, call)
 	}
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -58,6 +58,7 @@
 	faults    Faults
 	calls     Calls
 	instances platform.InstanceList
+	*Workers
 }
 
 var _ platform.Platform = (*Store)(nil)
@@ -69,6 +70,7 @@
 		entries: make(map[string]entry),
 		leases:  make(map[platform.LeaseID]lease),
 		changed: make(chan struct{}),
+		Workers: NewWorkers(clock),
 	}
 }
 
--- a/internal/zone/datacentre.go
+++ b/internal/zone/datacentre.go
@@ -14,13 +14,15 @@
 	Name   string
 	Region string
 	// Out is true while operators have taken the data centre out.
-	Out       bool
+	Out bool
+	// Workers run the tasks of the data centre.
+	Workers   *WorkerSet
 	endpoints map[string]*machine.Endpoint
 }
 
 // NewDataCentre returns a data centre without machines.
 func NewDataCentre(name, region string) *DataCentre {
-	return &DataCentre{Name: name, Region: region, endpoints: make(map[string]*machine.Endpoint)}
+	return &DataCentre{Name: name, Region: region, Workers: NewWorkerSet(), endpoints: make(map[string]*machine.Endpoint)}
 }
 
 // SetEndpoints replaces the endpoints by the listed ones. An endpoint that
