Queue tasks durably and run them from a scheduler in each data centre

Cause: accepted tasks must survive the loss of the instance that accepted them, and a non-idempotent task must start at most once.

The holder of lease/scheduler/<data centre> reads the segments, plans rounds with DataCentre.Place and is the only writer of a segment afterwards, by compare-and-swap. A non-idempotent start is stored before it is sent; after a lost answer the same id goes to the same worker again, which starts an id once. Cancellations are segments too, so that a batch is one event. Routes under /v1/task, /v1/worker and /v1/share, and the commands task, worker and share.

Ruled out: a head key for each queue that the scheduler watches. It costs a second write for each group; watching the next number costs none.

Measured: test/e2e -run 'Task|LostStart' passes: 40 tasks survive a kill right after they were accepted, 24 a kill while they run, and 12 lost starts or answers start nothing twice.

Conclusion: the path works as separate processes.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -21,7 +21,9 @@
 type client struct {
 	address string
 	asJSON  bool
-	out     io.Writer
+	// key is sent with calls for a team, empty for none.
+	key string
+	out io.Writer
 }
 
 // entryFlags are the flags of every operator command.
@@ -57,6 +59,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + c.address + path)
 	req.SetBody(body)
+	if c.key != "" {
+		req.Header.Set(front.HeaderKey, c.key)
+	}
 	if err := fasthttp.DoTimeout(req, resp, clientTimeout); err != nil {
 		return cli.Exit(fmt.Sprintf("entry instance %s: %v", c.address, err), ExitUnknown)
 	}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -34,6 +34,9 @@
 			explainCommand(),
 			documentCommand(),
 			demoCommand(),
+			taskCommand(),
+			workerCommand(),
+			shareCommand(),
 		},
 	}
 }
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -47,8 +47,11 @@
 	case fleet.WatchEndpoints:
 		return r.watchEndpoints(ctx, a)
 	default:
-		r.log.Errorf("control: no runner for action %T", a)
-		return nil
+		e, known := r.runTasks(ctx, a)
+		if !known {
+			r.log.Errorf("control: no runner for action %T", a)
+		}
+		return e
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,7 +36,7 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Peer,
 	}
-	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
+	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres, HTTPAddress: s.HTTP})
 	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
 	metrics, err := newMetrics(loop)
 	if err != nil {
@@ -47,6 +47,7 @@
 		Metrics:   metrics,
 		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
 		Committer: control.NewCommitter(p),
+		Tasks:     control.NewTaskReader(p),
 		Log:       log,
 		Clock:     time.Now,
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// HTTPAddress is the "ip:port" for callers and operators.
+	HTTPAddress string
 }
 
 // Fleet is the control state of one entry instance.
@@ -38,7 +40,11 @@
 	centres  map[string]*zone.DataCentre
 	config   configState
 	journal  journal
+	tasks    taskState
+	schedule scheduleState
 	dirty    bool
+	// httpAddress is where callers and operators reach this process.
+	httpAddress string
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -47,7 +53,11 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
+		tasks:    newTaskState(),
+		schedule: scheduleState{running: make(map[string]int)},
 		dirty:    true,
+
+		httpAddress: o.HTTPAddress,
 	}
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
@@ -57,14 +67,21 @@
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}}
+	return append([]Action{LoadConfig{}, WatchEndpoints{}}, f.startTasks()...)
 }
 
 // Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
+func (f *Fleet) Tick(now time.Time) []Action {
+	actions := f.tickConfig(now)
+	actions = append(actions, f.tickIntakes(now)...)
+	return append(actions, f.tickSchedule(now)...)
+}
 
 // NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
+func (f *Fleet) NextWake() time.Time {
+	wake := earliest(f.config.wakeAt, f.wakeIntakes())
+	return earliest(wake, f.wakeSchedule())
+}
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
 type EndpointsSeen struct {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,6 +33,7 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
+	Tasks     *control.TaskReader
 	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
 	Clock     func() time.Time
@@ -60,6 +61,8 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.taskRoutes()...)
+	s.routes = append(s.routes, s.scheduleRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
--- a/internal/machine/task.go
+++ b/internal/machine/task.go
@@ -89,6 +89,11 @@
 	return true
 }
 
+// Resume takes over an attempt that an earlier scheduler started.
+func (t *Task) Resume(worker string, attempt int) {
+	t.Phase, t.Worker, t.Attempts, t.unsure = TaskRunning, worker, attempt, false
+}
+
 // AnswerLost notes that the start may have reached the worker.
 func (t *Task) AnswerLost() { t.unsure = true }
 
--- a/internal/machine/worker.go
+++ b/internal/machine/worker.go
@@ -184,6 +184,8 @@
 	next := p.Charge
 	if milliCores > 0 {
 		next.MilliCores = min(next.MilliCores, milliCores)
+	} else {
+		next.MilliCores = max(next.MilliCores, p.Peak.MilliCores)
 	}
 	return w.recharge(p, next)
 }
--- a/internal/zone/preemption.go
+++ b/internal/zone/preemption.go
@@ -42,6 +42,7 @@
 		return false
 	}
 	p.preempts++
+	p.asking = task.ID
 	var chosen []victim
 	var on *machine.Worker
 	best := 0.0
@@ -167,7 +168,7 @@
 func (p *planner) giveWay(w *machine.Worker, team *teamPlan, on *machine.Placement, urgent, coresOnly bool) (victim, bool) {
 	task := on.Task
 	v := victim{placement: on, team: team}
-	base := Preemption{Task: task, Worker: w.ID, Use: team.use, Fair: team.share.Fair}
+	base := Preemption{Task: task, Worker: w.ID, For: p.asking, Use: team.use, Fair: team.share.Fair}
 	if coresOnly && urgent && on.Cap == 0 && on.Charge.MilliCores > minThrottle {
 		milliCores := max(on.Charge.MilliCores/throttleDivisor, minThrottle)
 		v.frees, v.lost = machine.Resources{MilliCores: on.Charge.MilliCores - milliCores}, throttleCost
--- /dev/null
+++ b/internal/zone/segment.go
@@ -0,0 +1,138 @@
+package zone
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// SegmentTasks is the largest number of tasks in one segment. Each change of
+// state rewrites a whole segment, so that segments stay near 16 KB.
+const SegmentTasks = 64
+
+// MaxPayload bounds the payload of one task, in bytes: 64 payloads, in base64,
+// stay below half of the platform's largest value.
+const MaxPayload = 4096
+
+// MaxCancels bounds the task ids of one segment.
+const MaxCancels = 4096
+
+// Segment is one group of tasks that an entry instance accepted in one write.
+// Its creation is the only commit point of acceptance. Afterwards only the
+// scheduler of the data centre writes it, by compare-and-swap.
+type Segment struct {
+	// Group identifies the write that created the segment.
+	Group string `json:"group"`
+	// Stamp identifies the last write of a scheduler. It resolves lost answers.
+	Stamp string         `json:"stamp,omitempty"`
+	Tasks []machine.Task `json:"tasks,omitempty"`
+	// Cancels are cancellations in one batch.
+	Cancels []Cancel `json:"cancels,omitempty"`
+	// SealedBy names the scheduler that adopted the queue by creating this
+	// segment: a writer that was away for long cannot add to a queue that
+	// nobody reads.
+	SealedBy string `json:"sealed_by,omitempty"`
+}
+
+// Cancel asks to cancel tasks of one team.
+type Cancel struct {
+	Team string   `json:"team"`
+	IDs  []string `json:"ids"`
+}
+
+// SegmentRef names one segment.
+type SegmentRef struct {
+	DataCentre string
+	// Queue names the queue of one writer. It is never used by another one.
+	Queue  string
+	Number uint64
+}
+
+// Key returns the platform key of the segment.
+func (r SegmentRef) Key() string {
+	return fmt.Sprintf("%s%s/%08d", QueuePrefix(r.DataCentre), r.Queue, r.Number)
+}
+
+// QueuePrefix returns the prefix of the keys of all segments of a data centre.
+func QueuePrefix(dataCentre string) string { return "queue/" + dataCentre + "/" }
+
+// ParseSegmentKey is the reverse of Key.
+func ParseSegmentKey(key string) (SegmentRef, bool) {
+	parts := strings.Split(key, "/")
+	if len(parts) != 4 || parts[0] != "queue" {
+		return SegmentRef{}, false
+	}
+	number, err := strconv.ParseUint(parts[3], 10, 64)
+	return SegmentRef{DataCentre: parts[1], Queue: parts[2], Number: number}, err == nil
+}
+
+// TaskID returns the id of the task at an index of a segment. Any entry
+// instance finds the task by its id with one read.
+func (r SegmentRef) TaskID(index int) string {
+	return fmt.Sprintf("%s/%s/%d/%d", r.DataCentre, r.Queue, r.Number, index)
+}
+
+// ParseTaskID returns the segment and the index of a task.
+func ParseTaskID(id string) (SegmentRef, int, bool) {
+	parts := strings.Split(id, "/")
+	if len(parts) != 4 {
+		return SegmentRef{}, 0, false
+	}
+	number, err := strconv.ParseUint(parts[2], 10, 64)
+	index, errIndex := strconv.Atoi(parts[3])
+	ok := err == nil && errIndex == nil && index >= 0 && parts[0] != "" && parts[1] != ""
+	return SegmentRef{DataCentre: parts[0], Queue: parts[1], Number: number}, index, ok
+}
+
+// StartID returns the id under which the current attempt of a task is started.
+// A worker starts an id once, ever. All starts of a non-idempotent task carry
+// the same id; each attempt of an idempotent one has its own.
+func StartID(t *machine.Task) string {
+	if !t.Idempotent {
+		return t.ID
+	}
+	return t.ID + "#" + strconv.Itoa(t.Attempts)
+}
+
+// ParseStartID returns the task id and the attempt, 0 for a non-idempotent
+// task.
+func ParseStartID(id string) (task string, attempt int) {
+	task, text, found := strings.Cut(id, "#")
+	if !found {
+		return id, 0
+	}
+	attempt, err := strconv.Atoi(text)
+	if err != nil {
+		return id, 0
+	}
+	return task, attempt
+}
+
+// final reports whether nothing of the segment will change any more, and since
+// when.
+func (s *Segment) final() (since time.Time, ok bool) {
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		if !t.Final() {
+			return since, false
+		}
+		if t.EndedAt.After(since) {
+			since = t.EndedAt
+		}
+	}
+	return since, true
+}
+
+// Clone returns a copy that shares no memory that a scheduler changes.
+func (s *Segment) Clone() Segment {
+	c := *s
+	c.Tasks = make([]machine.Task, len(s.Tasks))
+	for i := range s.Tasks {
+		c.Tasks[i] = s.Tasks[i]
+		c.Tasks[i].FailedOn = append([]string(nil), s.Tasks[i].FailedOn...)
+	}
+	return c
+}
--- a/internal/zone/workerset.go
+++ b/internal/zone/workerset.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// Reset forgets workers and tasks at the start of a scheduler's term. What was
+// learned about sizes stays.
+func (s *WorkerSet) Reset() {
+	learned := s.estimates
+	*s = *NewWorkerSet()
+	s.estimates = learned
+}
+
 // Backlog returns the queued tasks.
 func (s *WorkerSet) Backlog() *Backlog { return s.backlog }
 
--- /dev/null
+++ b/test/e2e/task_test.go
@@ -0,0 +1,177 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/standin"
+	"github.com/crocusjunction/crocusjunction/internal/traffic"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// taskFleet is one platform with four workers and entry instances of one data
+// centre, all with a team, a document and a key.
+type taskFleet struct {
+	platform string
+	first    *entryProcess
+	second   *entryProcess
+}
+
+func startTaskFleet(t *testing.T, taskMS int64) *taskFleet {
+	t.Helper()
+	binary := build(t)
+	f := &taskFleet{platform: freeAddress(t)}
+	start(t, binary, "standin", "platform", "--listen", f.platform)
+	waitListening(t, f.platform)
+	postJSON(t, url(f.platform, standin.PathTaskTime), standin.TaskTime{MS: taskMS})
+	for i := range 4 {
+		postJSON(t, url(f.platform, standin.PathUpdateWorker), platform.Worker{
+			ID: fmt.Sprintf("w%d", i), DataCentre: "north", Rack: fmt.Sprintf("r%d", i/2), MilliCores: 32_000, MemoryMB: 65_536,
+		})
+	}
+	f.first = startEntry(t, binary, "entry-1", "north", f.platform)
+	change(t, f.first.address, "t1", contract.Object{
+		Ref:  contract.Ref{Kind: contract.KindTeam, Name: "depots"},
+		Team: &contract.Team{Name: "depots", UpperLimit: 64, Share: 1},
+	})
+	change(t, f.first.address, "t2", contract.Object{
+		Ref:      contract.Ref{Kind: contract.KindDocument, Name: "records"},
+		Document: &contract.Document{Service: "records", Team: "depots", Pool: "main", MinAvailable: 1, Idempotent: true},
+	})
+	change(t, f.first.address, "t3", contract.Object{
+		Ref: contract.Ref{Kind: contract.KindKey, Name: "k1"},
+		Key: &contract.Key{ID: "k1", Team: "depots", Hash: traffic.HashSecret(secret)},
+	})
+	eventually(t, "the first entry instance is the scheduler", func() bool { return f.schedules(t, f.first) })
+	f.second = startEntry(t, binary, "entry-2", "north", f.platform)
+	return f
+}
+
+// schedules reports whether an entry instance is the scheduler.
+func (f *taskFleet) schedules(t *testing.T, e *entryProcess) bool {
+	t.Helper()
+	var view struct {
+		Here bool `json:"here"`
+	}
+	return getJSON(t, url(e.address, "/v1/share"), &view) == fasthttp.StatusOK && view.Here
+}
+
+// submit hands in n tasks of which every second one is idempotent.
+func (f *taskFleet) submit(t *testing.T, e *entryProcess, n int) []string {
+	t.Helper()
+	var body front.TaskSubmission
+	for i := range n {
+		body.Tasks = append(body.Tasks, front.TaskSpec{MilliCores: 500, MemoryMB: 256, Idempotent: i%2 == 0})
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := post(t, url(e.address, "/v1/task/submit/records"), data, "Crocus-Key", secret)
+	if err != nil || r.status != fasthttp.StatusAccepted {
+		t.Fatalf("submit: status %d, error %v: %s", r.status, err, r.body)
+	}
+	var answer front.TaskAnswer
+	if err := json.Unmarshal(r.body, &answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer.IDs
+}
+
+// task reads the state of a task at an entry instance.
+func (f *taskFleet) task(t *testing.T, e *entryProcess, id string) machine.Task {
+	t.Helper()
+	var task machine.Task
+	getJSON(t, url(e.address, "/v1/task/show/%s", id), &task)
+	return task
+}
+
+// starts counts the starts of each task by its id.
+func (f *taskFleet) starts(t *testing.T) map[string]int {
+	t.Helper()
+	var records []standin.StartRecord
+	r, err := post(t, url(f.platform, standin.PathStarts), nil)
+	if err != nil || json.Unmarshal(r.body, &records) != nil {
+		t.Fatalf("starts: %q, error %v", r.body, err)
+	}
+	counts := make(map[string]int)
+	for _, s := range records {
+		id, _ := zone.ParseStartID(s.Task)
+		counts[id]++
+	}
+	return counts
+}
+
+func getJSON(t *testing.T, url string, answer any) int {
+	t.Helper()
+	status, body, err := fasthttp.GetTimeout(nil, url, callTimeout)
+	if err != nil {
+		return 0
+	}
+	if status == fasthttp.StatusOK {
+		if err := json.Unmarshal(body, answer); err != nil {
+			t.Fatalf("decode %s: %v", body, err)
+		}
+	}
+	return status
+}
+
+// checkDone fails unless all tasks are done and every non-idempotent one was
+// started exactly once.
+func (f *taskFleet) checkDone(t *testing.T, e *entryProcess, ids []string) {
+	t.Helper()
+	eventually(t, "all tasks are done", func() bool {
+		for _, id := range ids {
+			if f.task(t, e, id).Phase != machine.TaskDone {
+				return false
+			}
+		}
+		return true
+	})
+	counts := f.starts(t)
+	for _, id := range ids {
+		if n := counts[id]; n != 1 && !f.task(t, e, id).Idempotent || n == 0 {
+			t.Errorf("task %s was started %d times", id, n)
+		}
+	}
+}
+
+// TestTasksOutliveTheInstanceThatAcceptedThem guards against accepted tasks
+// that are lost, or non-idempotent ones that run twice, when the instance that
+// accepted and schedules them is killed.
+func TestTasksOutliveTheInstanceThatAcceptedThem(t *testing.T) {
+	f := startTaskFleet(t, 300)
+	ids := f.submit(t, f.first, 40)
+	f.first.kill()
+	f.checkDone(t, f.second, ids)
+}
+
+// TestTasksOutliveAKillWhileTheyRun guards against a new scheduler that starts
+// running tasks again instead of taking them over.
+func TestTasksOutliveAKillWhileTheyRun(t *testing.T) {
+	f := startTaskFleet(t, 4000)
+	ids := f.submit(t, f.second, 24)
+	eventually(t, "all tasks run", func() bool { return len(f.starts(t)) == len(ids) })
+	f.first.kill()
+	f.checkDone(t, f.second, ids)
+	for id, n := range f.starts(t) {
+		if n != 1 {
+			t.Errorf("task %s was started %d times", id, n)
+		}
+	}
+}
+
+// TestLostStartAnswersStartNothingTwice guards against a second start after the
+// answer of the first one was lost.
+func TestLostStartAnswersStartNothingTwice(t *testing.T) {
+	f := startTaskFleet(t, 300)
+	postJSON(t, url(f.platform, standin.PathWorkerFaults), standin.WorkerFaults{LoseStartAnswers: 8, LoseStarts: 4})
+	f.checkDone(t, f.second, f.submit(t, f.second, 40))
+}
