Carry messages between entry instances over QUIC with mutual TLS

Cause: configuration changes, probes, loans and forwarded work need a transport between entry instances, and several parts need due times of their own on the one timer of the control thread.

Change: package peer with a node for each entry instance (one stream for each exchange, CBOR envelope of at most 1 MiB with version and sender, a certificate that must name the sender, keys re-read when the files change, connections reused and replaced after an exchange without a reply, byte counters). Fleet parts register due times in wake.go.

Ruled out: returning stream credit one by one. Host name checks of crypto/tls: members are dialled by address, so the certificate is compared with the sender id.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"text/tabwriter"
 	"time"
 
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/entry"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/platform/rest"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
@@ -38,6 +40,8 @@
 	stepTimeout = 10 * time.Second
 	stepPause   = 50 * time.Millisecond
 	stopTimeout = 10 * time.Second
+	// certificateValidity is longer than any run of the demo.
+	certificateValidity = time.Hour
 )
 
 // ErrStepFailed means that a step did not do what it claims.
@@ -49,6 +53,8 @@
 	endpoints map[string]*standin.Endpoint
 	// entries maps a data centre to the HTTP address of its entry instance.
 	entries map[string]string
+	// certificates is the directory of the entry instances' test certificates.
+	certificates string
 }
 
 // step is one task with the claim that it checks.
@@ -61,9 +67,14 @@
 // Run performs all steps and writes one table row for each to out. It returns
 // ErrStepFailed when a claim did not hold.
 func Run(ctx context.Context, out io.Writer, log *logrus.Logger) error {
+	certificates, err := os.MkdirTemp("", "crocusjunction-demo")
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	defer func() { _ = os.RemoveAll(certificates) }()
 	ctx, cancel := context.WithCancel(ctx)
 	group, groupCtx := errgroup.WithContext(ctx)
-	f, err := start(groupCtx, group, log)
+	f, err := start(groupCtx, group, certificates, log)
 	if err != nil {
 		cancel()
 		_ = group.Wait()
@@ -101,11 +112,16 @@
 }
 
 // start brings the fleet up on free loopback ports.
-func start(ctx context.Context, group *errgroup.Group, log *logrus.Logger) (*fleet, error) {
+func start(ctx context.Context, group *errgroup.Group, certificates string, log *logrus.Logger) (*fleet, error) {
 	f := &fleet{
-		store:     standin.NewStore(time.Now),
-		endpoints: make(map[string]*standin.Endpoint),
-		entries:   make(map[string]string),
+		store:        standin.NewStore(time.Now),
+		endpoints:    make(map[string]*standin.Endpoint),
+		entries:      make(map[string]string),
+		certificates: certificates,
+	}
+	members := []string{entryID(centreNorth), entryID(centreSouth)}
+	if err := peer.WriteTestCertificates(certificates, members, time.Now(), certificateValidity); err != nil {
+		return nil, err
 	}
 	address, err := serve(ctx, group, standin.NewPlatformServer(f.store))
 	if err != nil {
@@ -124,6 +140,8 @@
 	return f, nil
 }
 
+func entryID(centre string) string { return "entry-" + centre }
+
 func (f *fleet) startEndpoint(ctx context.Context, group *errgroup.Group, centre string) error {
 	endpoint := standin.NewEndpoint(workTime)
 	address, err := serve(ctx, group, endpoint)
@@ -147,9 +165,11 @@
 		return err
 	}
 	s := settings.Entry{
-		ID: "entry-" + centre, DataCentre: centre, HTTP: httpAddress, Peer: peerAddress, Platform: platformAddress,
+		ID: entryID(centre), DataCentre: centre, HTTP: httpAddress, Peer: peerAddress, Platform: platformAddress,
 		DataCentres: map[string]string{centreNorth: "west", centreSouth: "west"},
 	}
+	files := peer.FilesIn(f.certificates, s.ID)
+	s.TLS = settings.TLS{CA: files.CA, Certificate: files.Certificate, Key: files.Key}
 	if err := s.Check(); err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
@@ -42,6 +43,14 @@
 	if err != nil {
 		return err
 	}
+	node, err := peer.NewNode(peer.Options{
+		Self:  self,
+		Files: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		Log:   log,
+	})
+	if err != nil {
+		return err
+	}
 	server := front.NewServer(front.Parts{
 		Loop:      loop,
 		Metrics:   metrics,
@@ -50,18 +59,20 @@
 		Log:       log,
 		Clock:     time.Now,
 	})
-	return serve(ctx, loop, server, listener, log)
+	return serve(ctx, loop, node, server, listener, log)
 }
 
-// serve runs the loop and the server. The loop ends after the server, so that
-// running requests can release their slots.
-func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, log *logrus.Entry) error {
+// serve runs the loop, the peer node and the server. The loop and the node end
+// after the server, so that running requests can release their slots.
+func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, log *logrus.Entry) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loop.Run(loopCtx) })
+	group.Go(func() error { return node.Serve(loopCtx) })
 	group.Go(func() error { return server.Serve(l) })
 	group.Go(func() error {
+		defer func() { _ = node.Close() }()
 		defer stopLoop()
 		<-groupCtx.Done()
 		log.Info("front: stopping")
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -9,7 +9,6 @@
 // configState is the progress of the configuration of this process.
 type configState struct {
 	loaded bool
-	wakeAt time.Time
 }
 
 // LoadConfig reads the head, the written-out objects and the head again. The
@@ -95,8 +94,6 @@
 	return nil
 }
 
-func (f *Fleet) tickConfig(now time.Time) []Action { return nil }
-
 // configChanged derives the state of other objects from the register.
 func (f *Fleet) configChanged() {
 	for name, centre := range f.centres {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,7 @@
 	centres  map[string]*zone.DataCentre
 	config   configState
 	journal  journal
+	wakes    wakes
 	dirty    bool
 }
 
@@ -60,12 +61,6 @@
 	return []Action{LoadConfig{}, WatchEndpoints{}}
 }
 
-// Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
-
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
-
 // EndpointsSeen is the platform's list of endpoints, which lags.
 type EndpointsSeen struct {
 	Endpoints []machine.Endpoint
--- /dev/null
+++ b/internal/fleet/wake_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// TestTickRunsOnlyDueParts guards against a part that is run early, run twice
+// for one due time, or forgotten because another part was due first.
+func TestTickRunsOnlyDueParts(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := New(Options{})
+	runs := map[string]int{}
+	first := f.wakes.register(func(time.Time) []Action { runs["first"]++; return nil })
+	second := f.wakes.register(func(time.Time) []Action { runs["second"]++; return nil })
+	first.set(start.Add(2 * time.Second))
+	second.set(start.Add(time.Second))
+	second.setEarlier(start.Add(3 * time.Second))
+	if got := f.NextWake(); !got.Equal(start.Add(time.Second)) {
+		t.Fatalf("next wake %v", got)
+	}
+	f.Tick(start.Add(time.Second))
+	f.Tick(start.Add(time.Second))
+	if runs["first"] != 0 || runs["second"] != 1 {
+		t.Errorf("after 1 s: %v", runs)
+	}
+	f.Tick(f.NextWake())
+	if runs["first"] != 1 || runs["second"] != 1 {
+		t.Errorf("after 2 s: %v", runs)
+	}
+	if !f.NextWake().IsZero() {
+		t.Errorf("next wake %v after all parts ran", f.NextWake())
+	}
+}
--- /dev/null
+++ b/internal/peer/authority.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// File names that WriteTestCertificates uses.
+const caName = "ca.pem"
+
+// clockSkew is how long before its issue a certificate is valid already.
+const clockSkew = time.Hour
+
+// FilesIn returns the file names of a member below dir as
+// WriteTestCertificates writes them.
+func FilesIn(dir, member string) Files {
+	return Files{
+		CA:          filepath.Join(dir, caName),
+		Certificate: filepath.Join(dir, member+".pem"),
+		Key:         filepath.Join(dir, member+".key"),
+	}
+}
+
+// WriteTestCertificates writes a new CA and a certificate with its key for each
+// member below dir. The CA's own key is not kept. For tests and demos only.
+func WriteTestCertificates(dir string, members []string, now time.Time, validity time.Duration) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Wrap(err, "certificates")
+	}
+	ca, caKey, err := newAuthority(now, validity)
+	if err != nil {
+		return err
+	}
+	if err := writePEM(filepath.Join(dir, caName), "CERTIFICATE", ca.Raw, 0o644); err != nil {
+		return err
+	}
+	for _, member := range members {
+		if err := writeMember(FilesIn(dir, member), member, ca, caKey, now, validity); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newAuthority(now time.Time, validity time.Duration) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "CA key")
+	}
+	template := &x509.Certificate{
+		SerialNumber:          serialNumber(),
+		Subject:               pkix.Name{CommonName: "crocusjunction test CA"},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(validity),
+		KeyUsage:              x509.KeyUsageCertSign,
+		BasicConstraintsValid: true,
+		IsCA:                  true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "CA certificate")
+	}
+	ca, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "CA certificate")
+	}
+	return ca, key, nil
+}
+
+func writeMember(f Files, member string, ca *x509.Certificate, caKey *ecdsa.PrivateKey, now time.Time, validity time.Duration) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "member key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serialNumber(),
+		Subject:      pkix.Name{CommonName: member},
+		DNSNames:     []string{member},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validity),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca, &key.PublicKey, caKey)
+	if err != nil {
+		return errors.Wrapf(err, "certificate of %s", member)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrapf(err, "key of %s", member)
+	}
+	if err := writePEM(f.Certificate, "CERTIFICATE", der, 0o644); err != nil {
+		return err
+	}
+	return writePEM(f.Key, "PRIVATE KEY", private, 0o600)
+}
+
+func serialNumber() *big.Int {
+	var bytes [16]byte
+	_, _ = rand.Read(bytes[:])
+	return new(big.Int).SetBytes(bytes[:])
+}
+
+func writePEM(path, block string, der []byte, mode os.FileMode) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: block, Bytes: der})
+	if err := os.WriteFile(path, data, mode); err != nil {
+		return errors.Wrap(err, "certificates")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/exchange.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// DefaultTimeout bounds an exchange whose context has no deadline.
+const DefaultTimeout = 2 * time.Second
+
+// Exchange sends one message to the peer at address "ip:port" and returns the
+// body of its reply. The error is ErrNotSent when the peer cannot have got the
+// message, RefusedError when its handler refused it, and ErrNoReply otherwise.
+func (n *Node) Exchange(ctx context.Context, address string, kind Kind, body []byte) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+	}
+	frame, err := Encode(newEnvelope(kind, n.self, body))
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	c, stream, err := n.openStream(ctx, address)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	reply, err := transfer(ctx, stream, frame)
+	n.pool.release(address, c, err != nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrNoReply, err.Error())
+	}
+	if reply.Error != "" {
+		return nil, &RefusedError{Reason: reply.Error}
+	}
+	if !names(c.connection.ConnectionState().TLS, reply.ID) {
+		return nil, errors.Wrapf(ErrNoReply, "certificate does not name member %q", reply.ID)
+	}
+	return reply.Body, nil
+}
+
+// openStream opens a stream on the connection to address. When a connection
+// from an earlier exchange has ended meanwhile, a new one is tried: nothing was
+// sent yet.
+func (n *Node) openStream(ctx context.Context, address string) (*pooled, *quic.Stream, error) {
+	for first := true; ; first = false {
+		c, err := n.pool.acquire(ctx, address)
+		if err != nil {
+			return nil, nil, err
+		}
+		stream, err := c.connection.OpenStreamSync(ctx)
+		if err == nil {
+			return c, stream, nil
+		}
+		n.pool.release(address, c, true)
+		if !first || ctx.Err() != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// transfer writes the request and reads the reply before the deadline of ctx.
+func transfer(ctx context.Context, stream *quic.Stream, frame []byte) (Envelope, error) {
+	deadline, _ := ctx.Deadline()
+	_ = stream.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	reply, err := exchangeOn(stream, frame)
+	if err != nil {
+		stream.CancelWrite(0)
+		stream.CancelRead(0)
+	}
+	return reply, err
+}
+
+func exchangeOn(stream *quic.Stream, frame []byte) (Envelope, error) {
+	if _, err := stream.Write(frame); err != nil {
+		return Envelope{}, err
+	}
+	if err := stream.Close(); err != nil {
+		return Envelope{}, err
+	}
+	return Read(stream)
+}
--- /dev/null
+++ b/internal/peer/node_bench_test.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkExchange measures one exchange on an open connection with the body
+// size of a probe, and the bytes that both nodes put on the wire for it. The
+// pause lets delayed acknowledgements be sent as they are between probes.
+func BenchmarkExchange(b *testing.B) {
+	dir := testKeys(b, "entry-north-1", "entry-south-1")
+	client, server := newTestNode(b, dir, "entry-north-1"), newTestNode(b, dir, "entry-south-1")
+	server.Handle(KindProbe, echo)
+	serveNode(b, server)
+	body := make([]byte, 20)
+	if _, err := client.Exchange(b.Context(), server.Address(), KindProbe, body); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	before := client.Counters()
+	for b.Loop() {
+		if _, err := client.Exchange(b.Context(), server.Address(), KindProbe, body); err != nil {
+			b.Fatal(err)
+		}
+		b.StopTimer()
+		time.Sleep(50 * time.Millisecond)
+		b.StartTimer()
+	}
+	after := client.Counters()
+	exchanges := float64(b.N)
+	b.ReportMetric(float64(after.SentBytes-before.SentBytes)/exchanges, "sent-B/exchange")
+	b.ReportMetric(float64(after.ReceivedBytes-before.ReceivedBytes)/exchanges, "received-B/exchange")
+	b.ReportMetric(float64(after.SentPackets+after.ReceivedPackets-before.SentPackets-before.ReceivedPackets)/exchanges, "packets/exchange")
+}
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -139,6 +139,7 @@
 	path := writeSettings(t, settings.Entry{
 		ID: id, DataCentre: centre, HTTP: address, Peer: freeAddress(t), Platform: platformAddress,
 		DataCentres: map[string]string{"north": "west", "south": "west"},
+		TLS:         certificates(t, id),
 	})
 	p := start(t, binary, "entry", "--settings", path)
 	waitListening(t, address)
