Spread configuration between entry instances and bound its age

Change: link.Membership, link.Link and link.Freshness decide who probes whom and how old the configuration is; fleet/peers.go and fleet/spread.go hold the events and actions; package peer runs them. The answer to a change names the data centres that confirmed it and when the others stop to use the old configuration; GET /v1/config/status shows the same at any time. Changes are validated against the register of the control thread instead of a list of all objects. Object.Check reports every wrong field.

Ruled out: probing every peer of the data centre each second. At 8 instances a data centre and 218 B an exchange that is 11 exchanges sent and 11 received, 4.8 KB a second. Instead all probe the two instances with the lowest ids, in turn, one other data centre in turn, and an instance whose evidence is older than three quarters of the horizon gathers its own.

Conclusion: a lost write answer whose change has left the ring is now reported as unknown; it was reported as a conflict before.

--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"errors"
 	"fmt"
 	"regexp"
 )
@@ -12,9 +13,16 @@
 	MaxShare      = 10_000
 	// MaxStalenessBoundMS is one day.
 	MaxStalenessBoundMS = 24 * 60 * 60 * 1000
+	// MaxAcceptsFrom keeps a head of RingSize changes below the platform's
+	// bound of 1 MB for a value.
+	MaxAcceptsFrom  = 500
+	MaxReasonLength = 1000
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
 
 // FieldError names a configuration field, the rejected value and what is
 // accepted.
@@ -29,102 +37,96 @@
 	return fmt.Sprintf("%s: %q is not accepted; accepted: %s", e.Field, e.Value, e.Accepted)
 }
 
-// Check reports the first field of the object that is outside its bounds.
+// Check reports every field of the object that is outside its bounds. The error
+// joins one FieldError for each.
 func (o *Object) Check() error {
-	if err := checkName("ref.name", o.Ref.Name); err != nil {
-		return err
-	}
+	var c checker
+	c.name("ref.name", o.Ref.Name)
 	if o.Deleted {
-		return nil
+		return c.result()
 	}
 	switch o.Ref.Kind {
 	case KindTeam:
-		return o.checkTeam()
+		c.team(o)
 	case KindDocument:
-		return o.checkDocument()
+		c.document(o)
 	case KindKey:
-		return o.checkKey()
+		c.key(o)
 	case KindDataCentre:
-		return o.checkDataCentre()
+		c.dataCentre(o)
 	default:
-		return &FieldError{Field: "ref.kind", Value: string(o.Ref.Kind), Accepted: "team, document, key or datacentre"}
+		c.add("ref.kind", string(o.Ref.Kind), "team, document, key or datacentre")
 	}
+	return c.result()
 }
 
-func (o *Object) checkTeam() error {
+// checker collects the errors of all fields.
+type checker struct{ errors []error }
+
+func (c *checker) result() error { return errors.Join(c.errors...) }
+
+func (c *checker) add(field, value, accepted string) {
+	c.errors = append(c.errors, &FieldError{Field: field, Value: value, Accepted: accepted})
+}
+
+func (c *checker) team(o *Object) {
 	if o.Team == nil || o.Team.Name != o.Ref.Name {
-		return missing("team.name", o.Ref.Name)
-	}
-	if err := checkRange("team.upper_limit", int64(o.Team.UpperLimit), 0, MaxSlotsBound, "slots"); err != nil {
-		return err
+		c.missing("team.name", o.Ref.Name)
+		return
 	}
-	return checkRange("team.share", int64(o.Team.Share), 1, MaxShare, "weight")
+	c.number("team.upper_limit", int64(o.Team.UpperLimit), 0, MaxSlotsBound, "slots")
+	c.number("team.share", int64(o.Team.Share), 1, MaxShare, "weight")
 }
 
-func (o *Object) checkDocument() error {
+func (c *checker) document(o *Object) {
 	d := o.Document
 	if d == nil || d.Service != o.Ref.Name {
-		return missing("document.service", o.Ref.Name)
-	}
-	if err := checkName("document.team", d.Team); err != nil {
-		return err
-	}
-	if err := checkName("document.pool", d.Pool); err != nil {
-		return err
-	}
-	for _, team := range d.AcceptsFrom {
-		if err := checkName("document.accepts_from", team); err != nil {
-			return err
-		}
-	}
-	return checkDocumentNumbers(d)
+		c.missing("document.service", o.Ref.Name)
+		return
+	}
+	c.name("document.team", d.Team)
+	c.name("document.pool", d.Pool)
+	c.number("document.accepts_from", int64(len(d.AcceptsFrom)), 0, MaxAcceptsFrom, "teams")
+	for i, team := range d.AcceptsFrom {
+		c.name(fmt.Sprintf("document.accepts_from[%d]", i), team)
+	}
+	c.number("document.max_slots", int64(d.MaxSlots), 0, MaxSlotsBound, "slots")
+	c.number("document.min_available", int64(d.MinAvailable), 0, MaxSlotsBound, "instances")
+	c.number("document.max_staleness_ms", d.MaxStalenessMS, 0, MaxStalenessBoundMS, "ms")
+	c.number("document.max_staleness_non_idempotent_ms", d.MaxStalenessNonIdempotentMS, 0, MaxStalenessBoundMS, "ms")
 }
 
-func checkDocumentNumbers(d *Document) error {
-	if err := checkRange("document.max_slots", int64(d.MaxSlots), 0, MaxSlotsBound, "slots"); err != nil {
-		return err
-	}
-	if err := checkRange("document.min_available", int64(d.MinAvailable), 0, MaxSlotsBound, "instances"); err != nil {
-		return err
-	}
-	if err := checkRange("document.max_staleness_ms", d.MaxStalenessMS, 0, MaxStalenessBoundMS, "ms"); err != nil {
-		return err
-	}
-	return checkRange("document.max_staleness_non_idempotent_ms", d.MaxStalenessNonIdempotentMS, 0, MaxStalenessBoundMS, "ms")
-}
-
-func (o *Object) checkKey() error {
+func (c *checker) key(o *Object) {
 	if o.Key == nil || o.Key.ID != o.Ref.Name {
-		return missing("key.id", o.Ref.Name)
+		c.missing("key.id", o.Ref.Name)
+		return
 	}
-	if len(o.Key.Hash) != 64 {
-		return &FieldError{Field: "key.hash", Value: string(o.Key.Hash), Accepted: "64 hexadecimal digits"}
+	if !hashPattern.MatchString(string(o.Key.Hash)) {
+		c.add("key.hash", string(o.Key.Hash), "64 hexadecimal digits")
 	}
-	return checkName("key.team", o.Key.Team)
+	c.name("key.team", o.Key.Team)
 }
 
-func (o *Object) checkDataCentre() error {
+func (c *checker) dataCentre(o *Object) {
 	if o.DataCentre == nil || o.DataCentre.Name != o.Ref.Name {
-		return missing("datacentre.name", o.Ref.Name)
+		c.missing("datacentre.name", o.Ref.Name)
+		return
+	}
+	if len(o.DataCentre.Reason) > MaxReasonLength {
+		c.add("datacentre.reason", o.DataCentre.Reason[:MaxNameLength]+"...", fmt.Sprintf("at most %d bytes", MaxReasonLength))
 	}
-	return nil
 }
 
-func missing(field, name string) error {
-	return &FieldError{Field: field, Value: "", Accepted: "the object's name " + name}
-}
+func (c *checker) missing(field, name string) { c.add(field, "", "the object's name "+name) }
 
-func checkName(field, name string) error {
+func (c *checker) name(field, name string) {
 	if len(name) > MaxNameLength || !namePattern.MatchString(name) {
-		accepted := fmt.Sprintf("1 to %d characters of a-z, 0-9 and -, not starting with -", MaxNameLength)
-		return &FieldError{Field: field, Value: name, Accepted: accepted}
+		c.add(field, name, fmt.Sprintf("1 to %d characters of a-z, 0-9 and -, not starting with -", MaxNameLength))
 	}
-	return nil
 }
 
-func checkRange(field string, value, low, high int64, unit string) error {
+func (c *checker) number(field string, value, low, high int64, unit string) {
 	if value < low || value > high {
-		return &FieldError{Field: field, Value: fmt.Sprint(value), Accepted: fmt.Sprintf("%d to %d %s", low, high, unit)}
+		c.add(field, fmt.Sprint(value), fmt.Sprintf("%d to %d %s", low, high, unit))
 	}
-	return nil
 }
--- a/internal/contract/object.go
+++ b/internal/contract/object.go
@@ -4,6 +4,12 @@
 // package and no clock; callers pass the time in.
 package contract
 
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+)
+
 // Kind names a type of configuration object.
 type Kind string
 
@@ -37,6 +43,34 @@
 	DataCentre *DataCentreOrder `json:"datacentre,omitempty" cbor:"datacentre,omitempty"`
 }
 
+// objectOverhead is more than the encoded size of an object's short fields, in
+// bytes.
+const objectOverhead = 512
+
+// size returns an upper estimate of the encoded size in bytes.
+func (o *Object) size() int {
+	size := objectOverhead
+	if o.Document != nil {
+		for _, team := range o.Document.AcceptsFrom {
+			size += len(team) + 8
+		}
+	}
+	if o.DataCentre != nil {
+		size += len(o.DataCentre.Reason)
+	}
+	return size
+}
+
+// digest returns a hash of the reference and the revision.
+func (o *Object) digest() uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(o.Ref.Kind))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(o.Ref.Name))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, o.Revision))
+	return h.Sum32()
+}
+
 // Team states what one customer of the fleet may use.
 type Team struct {
 	Name string `json:"name" cbor:"name"`
@@ -87,6 +121,15 @@
 	return false
 }
 
+// Staleness returns the age of the configuration that the owner accepts beyond
+// the freshness horizon, 0 for none.
+func (d *Document) Staleness(idempotent bool) time.Duration {
+	if idempotent {
+		return time.Duration(d.MaxStalenessMS) * time.Millisecond
+	}
+	return time.Duration(d.MaxStalenessNonIdempotentMS) * time.Millisecond
+}
+
 // KeyHash is the hexadecimal SHA-256 of a key's secret. Secrets are never
 // stored.
 type KeyHash string
--- a/internal/contract/register.go
+++ b/internal/contract/register.go
@@ -1,6 +1,14 @@
 package contract
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// bulkLoad is the number of loaded objects above which lists are sorted again
+// instead of being updated object by object.
+const bulkLoad = 64
 
 // RingSize is the number of recent changes that a Head carries. Sixteen changes
 // of about 1 KB keep one read of the head near 16 KB.
@@ -83,14 +91,28 @@
 type Register struct {
 	revision uint64
 	objects  map[Ref]Object
+	digest   uint32
+	// lists caches List. A cached slice is shared with snapshots and never
+	// changed.
+	lists    map[Kind][]Object
+	versions map[Kind]uint64
 }
 
 // NewRegister returns an empty register at revision 0.
-func NewRegister() *Register { return &Register{objects: make(map[Ref]Object)} }
+func NewRegister() *Register {
+	return &Register{objects: make(map[Ref]Object), lists: make(map[Kind][]Object), versions: make(map[Kind]uint64)}
+}
 
 // Revision returns the highest revision up to which all changes are applied.
 func (r *Register) Revision() uint64 { return r.revision }
 
+// Digest returns a hash of the revisions of all objects. Registers at the same
+// revision have the same digest.
+func (r *Register) Digest() uint32 { return r.digest }
+
+// Version returns a number that grows with each change of an object of a kind.
+func (r *Register) Version(kind Kind) uint64 { return r.versions[kind] }
+
 // Get returns the live object with the given reference.
 func (r *Register) Get(ref Ref) (Object, bool) {
 	o, ok := r.objects[ref]
@@ -100,18 +122,36 @@
 	return o, true
 }
 
-// List returns the live objects of one kind, ordered by name.
+// List returns the live objects of one kind, ordered by name. The slice must
+// not be changed.
 func (r *Register) List(kind Kind) []Object {
+	if list, ok := r.lists[kind]; ok {
+		return list
+	}
 	var list []Object
 	for ref, o := range r.objects {
 		if ref.Kind == kind && !o.Deleted {
 			list = append(list, o)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Ref.Name < list[j].Ref.Name })
+	slices.SortFunc(list, func(a, b Object) int { return strings.Compare(a.Ref.Name, b.Ref.Name) })
+	r.lists[kind] = list
 	return list
 }
 
+// Find returns the object with the given name in a list that List returned.
+func Find(list []Object, name string) (Object, bool) {
+	i, ok := search(list, name)
+	if !ok {
+		return Object{}, false
+	}
+	return list[i], true
+}
+
+func search(list []Object, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(o Object, name string) int { return strings.Compare(o.Ref.Name, name) })
+}
+
 // Objects returns all objects, deleted ones included, in no order.
 func (r *Register) Objects() []Object {
 	list := make([]Object, 0, len(r.objects))
@@ -121,6 +161,27 @@
 	return list
 }
 
+// Since returns the objects with a revision above after, deleted ones
+// included, lowest revision first, up to about maxSize encoded bytes. More is
+// true when some were left out; the next page starts after the last revision
+// returned.
+func (r *Register) Since(after uint64, maxSize int) (list []Object, more bool) {
+	for _, o := range r.objects {
+		if o.Revision > after {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	size := 0
+	for i := range list {
+		size += list[i].size()
+		if size > maxSize && i > 0 {
+			return list[:i], true
+		}
+	}
+	return list, false
+}
+
 // Validate reports whether the change may be committed on top of the register.
 // The error names the field when the result is ChangeInvalid.
 func (r *Register) Validate(c Change) (ChangeResult, error) {
@@ -159,6 +220,9 @@
 // Load merges objects that were written out up to revision flushed. An object
 // at a lower revision than the known one is ignored.
 func (r *Register) Load(flushed uint64, objects []Object) {
+	if len(objects) > bulkLoad {
+		clear(r.lists)
+	}
 	for _, o := range objects {
 		r.put(o)
 	}
@@ -200,8 +264,34 @@
 }
 
 func (r *Register) put(o Object) {
-	if known, ok := r.objects[o.Ref]; ok && known.Revision >= o.Revision {
+	known, ok := r.objects[o.Ref]
+	if ok && known.Revision >= o.Revision {
 		return
 	}
+	if ok {
+		r.digest ^= known.digest()
+	}
+	r.digest ^= o.digest()
 	r.objects[o.Ref] = o
+	r.versions[o.Ref.Kind]++
+	r.updateList(o)
+}
+
+// updateList replaces the cached list of the object's kind by a changed copy,
+// which costs less than sorting all objects again.
+func (r *Register) updateList(o Object) {
+	list, ok := r.lists[o.Ref.Kind]
+	if !ok {
+		return
+	}
+	i, found := search(list, o.Ref.Name)
+	next := make([]Object, 0, len(list)+1)
+	next = append(next, list[:i]...)
+	if !o.Deleted {
+		next = append(next, o)
+	}
+	if found {
+		i++
+	}
+	r.lists[o.Ref.Kind] = append(next, list[i:]...)
 }
--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 )
 
@@ -28,76 +29,120 @@
 	changePause    = 50 * time.Millisecond
 )
 
+// Checker validates a change against the register of this process. Known is
+// false when the register is not at the revision of the head.
+type Checker func(ctx context.Context, head contract.Head, c contract.Change) (fleet.ChangeChecked, error)
+
 // Committer commits configuration changes through the platform.
-type Committer struct{ store platform.Store }
+type Committer struct {
+	store platform.Store
+	check Checker
+}
 
-// NewCommitter returns a committer that writes to s.
+// NewCommitter returns a committer that writes to s and reads all objects for
+// each change.
 func NewCommitter(s platform.Store) *Committer { return &Committer{store: s} }
 
+// NewCheckedCommitter returns a committer that validates with check, and reads
+// all objects only when the process lacks a revision.
+func NewCheckedCommitter(s platform.Store, check Checker) *Committer {
+	return &Committer{store: s, check: check}
+}
+
+// CheckWith returns a Checker that asks the control thread.
+func CheckWith(l *Loop) Checker {
+	return func(ctx context.Context, head contract.Head, c contract.Change) (fleet.ChangeChecked, error) {
+		reply := make(chan fleet.ChangeChecked, 1)
+		if err := l.Send(ctx, fleet.CheckChange{Head: head, Change: c, Reply: reply}); err != nil {
+			return fleet.ChangeChecked{}, err
+		}
+		select {
+		case checked := <-reply:
+			return checked, nil
+		case <-l.stopped:
+			return fleet.ChangeChecked{}, ErrStopped
+		case <-ctx.Done():
+			return fleet.ChangeChecked{}, ctx.Err()
+		}
+	}
+}
+
+// commit is the state of one change across attempts.
+type commit struct {
+	change contract.Change
+	// maybeAt is the revision that the change got if a write whose answer was
+	// lost took effect, 0 when no such write was sent.
+	maybeAt uint64
+}
+
 // Commit validates and commits one change. It returns ErrUnavailable when the
 // change is known not to have taken effect and ErrUnknown when that could not
 // be found out.
 func (c *Committer) Commit(ctx context.Context, change contract.Change) (ChangeOutcome, error) {
-	maybeWritten := false
+	state := commit{change: change}
 	var last error
 	for range changeAttempts {
-		outcome, err := c.attempt(ctx, change)
+		outcome, err := c.attempt(ctx, &state)
 		if err == nil {
 			return outcome, nil
 		}
 		last = err
-		maybeWritten = maybeWritten || errors.Is(err, platform.ErrUnknown)
 		if !pause(ctx, changePause) {
 			break
 		}
 	}
-	if maybeWritten {
+	if state.maybeAt != 0 {
 		return ChangeOutcome{}, errors.Wrap(platform.ErrUnknown, last.Error())
 	}
 	return ChangeOutcome{}, errors.Wrap(platform.ErrUnavailable, last.Error())
 }
 
-// attempt reads the configuration, finds out whether an earlier attempt took
-// effect, and otherwise tries to commit. An error means: try again.
-func (c *Committer) attempt(ctx context.Context, change contract.Change) (ChangeOutcome, error) {
+// attempt reads the head, finds out whether an earlier attempt took effect, and
+// otherwise tries to commit. An error means: try again.
+func (c *Committer) attempt(ctx context.Context, state *commit) (ChangeOutcome, error) {
 	head, version, err := ReadHead(ctx, c.store)
 	if err != nil {
 		return ChangeOutcome{}, err
 	}
-	if done, ok := head.Find(change.ID); ok {
+	if done, ok := head.Find(state.change.ID); ok {
 		return accepted(done, head), nil
 	}
-	register, err := c.register(ctx, head)
+	if state.maybeAt != 0 && state.maybeAt < head.Oldest() {
+		// The ring has moved on, so it does not tell whose change got the
+		// revision.
+		return ChangeOutcome{}, errors.Wrap(platform.ErrUnknown, "the change has left the ring of recent changes")
+	}
+	result, err := c.validate(ctx, head, state.change)
 	if err != nil {
 		return ChangeOutcome{}, err
 	}
-	if result, err := register.Validate(change); result != contract.ChangeAccepted {
-		return rejected(result, change, err), nil
+	if result.Result != contract.ChangeAccepted {
+		return rejected(result.Result, state.change, result.Err), nil
 	}
 	if head, err = c.flush(ctx, head); err != nil {
 		return ChangeOutcome{}, err
 	}
-	return c.swap(ctx, head, version, change)
+	return c.swap(ctx, head, version, state)
 }
 
-// register rebuilds the configuration at the revision of head.
-func (c *Committer) register(ctx context.Context, head contract.Head) (*contract.Register, error) {
-	records, err := c.store.List(ctx, ObjectPrefix)
-	if err != nil {
-		return nil, err
-	}
-	objects := make([]contract.Object, 0, len(records))
-	for _, record := range records {
-		var object contract.Object
-		if err := json.Unmarshal(record.Value, &object); err != nil {
-			return nil, errors.Wrapf(err, "decode %s", record.Key)
+// validate asks the control thread, and falls back to the platform's objects
+// when the register of this process is not at the head's revision.
+func (c *Committer) validate(ctx context.Context, head contract.Head, change contract.Change) (fleet.ChangeChecked, error) {
+	if c.check != nil {
+		checked, err := c.check(ctx, head, change)
+		if err != nil || checked.Known {
+			return checked, err
 		}
-		objects = append(objects, object)
+	}
+	objects, err := readObjects(ctx, c.store)
+	if err != nil {
+		return fleet.ChangeChecked{}, err
 	}
 	register := contract.NewRegister()
 	register.Load(head.Flushed, objects)
 	register.ApplyHead(head)
-	return register, nil
+	result, err := register.Validate(change)
+	return fleet.ChangeChecked{Known: true, Result: result, Err: err}, nil
 }
 
 // flush writes out the changes that the next commit pushes off the ring.
@@ -140,13 +185,16 @@
 	return err
 }
 
-func (c *Committer) swap(ctx context.Context, head contract.Head, version platform.Version, change contract.Change) (ChangeOutcome, error) {
-	next := head.Append(change)
+func (c *Committer) swap(ctx context.Context, head contract.Head, version platform.Version, state *commit) (ChangeOutcome, error) {
+	next := head.Append(state.change)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return ChangeOutcome{}, errors.Wrap(err, "encode head")
 	}
 	if _, err := c.store.Swap(ctx, HeadKey, version, value, 0); err != nil {
+		if errors.Is(err, platform.ErrUnknown) {
+			state.maybeAt = next.Revision
+		}
 		return ChangeOutcome{}, err
 	}
 	return accepted(next.Changes[len(next.Changes)-1], next), nil
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -20,10 +20,21 @@
 	ObjectPrefix = "config/object/"
 )
 
-// WatchWait is how long one watch waits before it answers without a change. A
-// watch answer also proves that the configuration is fresh, so the wait must
-// stay well below the freshness horizon of 4 s.
-const WatchWait = time.Second
+// Waiting times of watches.
+const (
+	// WatchWait is how long one watch waits before it answers without a change.
+	// A watch answer also proves that the configuration is fresh. The core
+	// instances of a data centre watch and the others probe them every second,
+	// so that evidence is at most 2 waits and a probe period old, 2.4 s, below
+	// the three quarters of the horizon of 4 s at which an instance starts to
+	// gather its own evidence.
+	WatchWait = 700 * time.Millisecond
+	// headGrace is how much longer than WatchWait a watch of the head may take
+	// before the platform counts as down.
+	headGrace = time.Second
+	// endpointsWait is the wait for the list of endpoints, which lags anyway.
+	endpointsWait = time.Second
+)
 
 // PlatformRunner performs actions against the platform.
 type PlatformRunner struct {
@@ -46,6 +57,10 @@
 		return r.watchHead(ctx, a)
 	case fleet.WatchEndpoints:
 		return r.watchEndpoints(ctx, a)
+	case fleet.HoldMember:
+		return r.holdMember(ctx, a)
+	case fleet.ListMembers:
+		return r.listMembers(ctx)
 	default:
 		r.log.Errorf("control: no runner for action %T", a)
 		return nil
@@ -85,16 +100,8 @@
 	if err != nil {
 		return loaded, err
 	}
-	records, err := r.platform.List(ctx, ObjectPrefix)
-	if err != nil {
-		return loaded, errors.Wrap(err, "list objects")
-	}
-	for _, record := range records {
-		var object contract.Object
-		if err := json.Unmarshal(record.Value, &object); err != nil {
-			return loaded, errors.Wrapf(err, "decode %s", record.Key)
-		}
-		loaded.Objects = append(loaded.Objects, object)
+	if loaded.Objects, err = readObjects(ctx, r.platform); err != nil {
+		return loaded, err
 	}
 	loaded.SentAt = r.clock()
 	loaded.Before = before
@@ -102,6 +109,21 @@
 	return loaded, err
 }
 
+// readObjects returns the objects that were written out.
+func readObjects(ctx context.Context, s platform.Store) ([]contract.Object, error) {
+	records, err := s.List(ctx, ObjectPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list objects")
+	}
+	objects := make([]contract.Object, len(records))
+	for i, record := range records {
+		if err := json.Unmarshal(record.Value, &objects[i]); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", record.Key)
+		}
+	}
+	return objects, nil
+}
+
 func readHeadVersion(ctx context.Context, s platform.Store) (contract.Head, uint64, error) {
 	head, version, err := ReadHead(ctx, s)
 	return head, uint64(version), err
@@ -128,19 +150,25 @@
 	if !pause(ctx, a.Delay) {
 		return nil
 	}
+	limited, cancel := context.WithTimeout(ctx, WatchWait+headGrace)
+	defer cancel()
 	sent := r.clock()
-	record, err := r.platform.Watch(ctx, HeadKey, platform.Version(a.After), WatchWait)
+	record, err := r.platform.Watch(limited, HeadKey, platform.Version(a.After), WatchWait)
 	if err != nil {
 		r.log.WithError(err).Debug("config: watch failed")
-		return fleet.ConfigFailed{After: a.After}
+		return fleet.ConfigFailed{}
 	}
 	seen := fleet.HeadSeen{Version: uint64(record.Version), SentAt: sent}
+	if uint64(record.Version) == a.After {
+		return seen
+	}
+	seen.Changed = true
 	if record.Version == 0 {
 		return seen
 	}
 	if err := json.Unmarshal(record.Value, &seen.Head); err != nil {
 		r.log.WithError(err).Error("config: head cannot be decoded")
-		return fleet.ConfigFailed{After: a.After}
+		return fleet.ConfigFailed{}
 	}
 	return seen
 }
@@ -149,7 +177,7 @@
 	if !pause(ctx, a.Delay) {
 		return nil
 	}
-	list, err := r.platform.WatchInstances(ctx, a.After, WatchWait)
+	list, err := r.platform.WatchInstances(ctx, a.After, endpointsWait)
 	if err != nil {
 		return fleet.EndpointsFailed{After: a.After}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,12 +37,9 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Peer,
 	}
-	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
-	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
-	metrics, err := newMetrics(loop)
-	if err != nil {
-		return err
-	}
+	f := fleet.New(fleet.Options{
+		Self: self, DataCentres: s.DataCentres, Seeds: seeds(s.Seeds), Horizon: s.FreshnessHorizon(),
+	})
 	node, err := peer.NewNode(peer.Options{
 		Self:  self,
 		Files: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
@@ -51,13 +48,23 @@
 	if err != nil {
 		return err
 	}
+	peers := peer.NewRunner(node, log, time.Now)
+	loop := control.NewLoop(f, runner{platform: control.NewPlatformRunner(p, log, time.Now), peers: peers}, time.Now)
+	peers.Attach(loop)
+	metrics, err := newMetrics(loop, node)
+	if err != nil {
+		return err
+	}
 	server := front.NewServer(front.Parts{
 		Loop:      loop,
 		Metrics:   metrics,
 		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
-		Committer: control.NewCommitter(p),
-		Log:       log,
-		Clock:     time.Now,
+		Committer: control.NewCheckedCommitter(p, control.CheckWith(loop)),
+		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
+			return peers.Spread(ctx, loop, plan)
+		},
+		Log:   log,
+		Clock: time.Now,
 	})
 	return serve(ctx, loop, node, server, listener, log)
 }
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -32,14 +32,18 @@
 // Admit asks for one slot of a team before a request is sent. Reply must have
 // a free buffer place, since the control thread does not wait.
 type Admit struct {
-	Team    string
-	Service string
-	Reply   chan<- Admission
+	// RequestID names the request in explanations.
+	RequestID string
+	Team      string
+	Service   string
+	// NonIdempotent is the caller's wish; the document may say the same.
+	NonIdempotent bool
+	Reply         chan<- Admission
 }
 
 // Apply implements Event.
 func (e Admit) Apply(f *Fleet, now time.Time) []Action {
-	e.Reply <- Admission{}
+	e.Reply <- Admission{Refusal: f.mayAdmit(e.RequestID, e.Service, e.NonIdempotent, now)}
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,10 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// Seeds are peers known from the settings.
+	Seeds []link.Member
+	// Horizon is the freshness horizon, 0 for DefaultHorizon.
+	Horizon time.Duration
 }
 
 // Fleet is the control state of one entry instance.
@@ -39,7 +43,12 @@
 	config   configState
 	journal  journal
 	wakes    wakes
+	peers    peersState
+	start    StartRule
+	cache    snapshotCache
 	dirty    bool
+	// freshDirty is set when only the freshness changed.
+	freshDirty bool
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -53,12 +62,20 @@
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
+	horizon := o.Horizon
+	if horizon == 0 {
+		horizon = DefaultHorizon
+	}
+	f.start.fresh = link.NewFreshness(horizon)
+	f.peers = newPeersState(f, o.Seeds)
 	return f
 }
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}}
+	f.config.busy = true
+	f.peers.probeWake.set(now)
+	return []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
 }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
@@ -12,11 +15,10 @@
 	Revision uint64
 	// Loaded is false until the process has read a configuration once.
 	Loaded    bool
-	documents map[string]*contract.Document
 	keys      map[contract.KeyHash]*contract.Key
-	teams     map[string]*contract.Team
 	endpoints map[string]EndpointSet
 	objects   map[contract.Kind][]contract.Object
+	start     StartRule
 }
 
 // EndpointSet holds the endpoints of one service that may get new work.
@@ -27,66 +29,96 @@
 	Far []machine.Endpoint
 }
 
+// snapshotCache holds the parts of the last snapshot that change seldom.
+type snapshotCache struct {
+	last           *Snapshot
+	versions       map[contract.Kind]uint64
+	centresVersion uint64
+}
+
 // TakeSnapshot returns a new view, or nil when nothing changed since the last
-// call.
+// call. Parts whose kind of object did not change are shared with the last
+// view.
 func (f *Fleet) TakeSnapshot() *Snapshot {
-	if !f.dirty {
+	if !f.dirty && !f.freshDirty {
 		return nil
 	}
-	f.dirty = false
-	s := &Snapshot{
-		Revision:  f.register.Revision(),
-		Loaded:    f.config.loaded,
-		documents: make(map[string]*contract.Document),
-		keys:      make(map[contract.KeyHash]*contract.Key),
-		teams:     make(map[string]*contract.Team),
-		endpoints: make(map[string]EndpointSet),
-		objects:   make(map[contract.Kind][]contract.Object),
+	var s Snapshot
+	if f.cache.last != nil {
+		s = *f.cache.last
 	}
-	f.fillConfig(s)
-	f.fillEndpoints(s)
-	return s
+	s.start = f.start
+	if f.dirty {
+		s.Revision = f.register.Revision()
+		s.Loaded = f.config.loaded
+		f.fillConfig(&s)
+		f.fillEndpoints(&s)
+	}
+	f.dirty, f.freshDirty = false, false
+	f.cache.last = &s
+	return &s
 }
 
+// fillConfig replaces the objects of the kinds that changed.
 func (f *Fleet) fillConfig(s *Snapshot) {
 	kinds := []contract.Kind{contract.KindTeam, contract.KindDocument, contract.KindKey, contract.KindDataCentre}
+	objects := make(map[contract.Kind][]contract.Object, len(kinds))
+	keysVersion, known := f.cache.versions[contract.KindKey]
+	keysChanged := !known || keysVersion != f.register.Version(contract.KindKey)
+	f.cache.versions = make(map[contract.Kind]uint64, len(kinds))
 	for _, kind := range kinds {
-		s.objects[kind] = f.register.List(kind)
-	}
-	for _, o := range s.objects[contract.KindTeam] {
-		s.teams[o.Team.Name] = o.Team
+		objects[kind] = f.register.List(kind)
+		f.cache.versions[kind] = f.register.Version(kind)
 	}
-	for _, o := range s.objects[contract.KindDocument] {
-		s.documents[o.Document.Service] = o.Document
+	s.objects = objects
+	if !keysChanged {
+		return
 	}
-	for _, o := range s.objects[contract.KindKey] {
+	s.keys = make(map[contract.KeyHash]*contract.Key, len(objects[contract.KindKey]))
+	for _, o := range objects[contract.KindKey] {
 		s.keys[o.Key.Hash] = o.Key
 	}
 }
 
+// fillEndpoints groups the endpoints that may get new work by service.
 func (f *Fleet) fillEndpoints(s *Snapshot) {
-	for service := range s.documents {
-		var set EndpointSet
-		for name, centre := range f.centres {
+	s.endpoints = make(map[string]EndpointSet)
+	for name, centre := range f.centres {
+		for service, list := range centre.CandidatesByService() {
+			set := s.endpoints[service]
 			if name == f.self.DataCentre {
-				set.Near = append(set.Near, centre.Candidates(service)...)
-				continue
+				set.Near = list
+			} else {
+				set.Far = append(set.Far, list...)
 			}
-			set.Far = append(set.Far, centre.Candidates(service)...)
+			s.endpoints[service] = set
 		}
-		s.endpoints[service] = set
 	}
 }
 
+// MayStart is StartRule.MayStart at the moment of a start.
+func (s *Snapshot) MayStart(d *contract.Document, idempotent bool, dataCentre string, now time.Time) *Refusal {
+	return s.start.MayStart(d, idempotent, dataCentre, now)
+}
+
+// Freshness returns the evidence for the age of the configuration.
+func (s *Snapshot) Freshness() link.Freshness { return s.start.fresh }
+
 // Document returns the document of a service, nil when there is none.
-func (s *Snapshot) Document(service string) *contract.Document { return s.documents[service] }
+func (s *Snapshot) Document(service string) *contract.Document {
+	o, _ := contract.Find(s.objects[contract.KindDocument], service)
+	return o.Document
+}
 
 // Key returns the key with the given hash, nil when it was never granted or was
 // withdrawn.
 func (s *Snapshot) Key(hash contract.KeyHash) *contract.Key { return s.keys[hash] }
 
 // Team returns a team, nil when there is none.
-func (s *Snapshot) Team(name string) *contract.Team { return s.teams[name] }
+func (s *Snapshot) Team(name string) *contract.Team {
+	o, _ := contract.Find(s.objects[contract.KindTeam], name)
+	return o.Team
+}
 
 // Endpoints returns the endpoints of a service that may get new work.
 func (s *Snapshot) Endpoints(service string) EndpointSet { return s.endpoints[service] }
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -21,6 +21,19 @@
 	Result   contract.ChangeResult `json:"result"`
 	Revision uint64                `json:"revision,omitempty"`
 	Reason   string                `json:"reason,omitempty"`
+	Spread
+}
+
+// Spread says which data centres hold a revision.
+type Spread struct {
+	// Confirmed is true when every data centre has confirmed.
+	Confirmed bool                       `json:"confirmed"`
+	Centres   []fleet.CentreConfirmation `json:"datacentres,omitempty"`
+	// OldEnds is when data centres that have not confirmed stop to start work
+	// on an older configuration. Documents that allow a longer staleness go on
+	// until LongestOldEnds. Not set when all have confirmed.
+	OldEnds        *time.Time `json:"old_configuration_ends,omitempty"`
+	LongestOldEnds *time.Time `json:"longest_staleness_ends,omitempty"`
 }
 
 // ObjectList is the JSON answer to a list of configuration objects.
@@ -32,6 +45,7 @@
 func (s *Server) configRoutes() []route {
 	return []route{
 		{method: fasthttp.MethodPost, prefix: "/v1/config/change", handle: s.change},
+		{method: fasthttp.MethodGet, prefix: "/v1/config/status", handle: s.configStatus},
 		{method: fasthttp.MethodGet, prefix: "/v1/config/", handle: s.listObjects},
 	}
 }
@@ -53,14 +67,49 @@
 		writeCommitError(ctx, err)
 		return
 	}
+	answer := ChangeAnswer{Result: outcome.Result, Revision: outcome.Revision, Reason: outcome.Reason}
 	if outcome.Result == contract.ChangeAccepted {
-		_ = s.parts.Loop.Send(limited, fleet.HeadCommitted{Head: outcome.Head})
 		s.parts.Log.Infof("front: accepted %s at revision %d by %s", change.Object.Ref, outcome.Revision, change.Author)
+		answer.Spread = s.spread(limited, outcome.Head)
 	}
-	answer := ChangeAnswer{Result: outcome.Result, Revision: outcome.Revision, Reason: outcome.Reason}
 	writeJSON(ctx, changeStatus(outcome.Result), answer)
 }
 
+// spread passes a committed head on and waits for confirmations.
+func (s *Server) spread(ctx context.Context, head contract.Head) Spread {
+	reply := make(chan fleet.SpreadPlan, 1)
+	if err := s.parts.Loop.Send(ctx, fleet.HeadCommitted{Head: head, Reply: reply}); err != nil {
+		return Spread{}
+	}
+	select {
+	case plan := <-reply:
+		return s.confirmations(ctx, plan)
+	case <-ctx.Done():
+		return Spread{}
+	}
+}
+
+// confirmations runs a plan. The time at which the old configuration ends is
+// counted from the end of the wait: by then the own data centre no longer
+// vouches for the old revision.
+func (s *Server) confirmations(ctx context.Context, plan fleet.SpreadPlan) Spread {
+	result := Spread{Confirmed: true, Centres: s.parts.Spread(ctx, plan)}
+	for _, centre := range result.Centres {
+		result.Confirmed = result.Confirmed && centre.Confirmed
+	}
+	if result.Confirmed {
+		return result
+	}
+	now := s.parts.Clock()
+	ends := now.Add(plan.Horizon)
+	result.OldEnds = &ends
+	if plan.LongestStaleness > plan.Horizon {
+		longest := now.Add(plan.LongestStaleness)
+		result.LongestOldEnds = &longest
+	}
+	return result
+}
+
 func writeCommitError(ctx *fasthttp.RequestCtx, err error) {
 	code := "not-accepted"
 	if errors.Is(err, platform.ErrUnknown) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
@@ -33,9 +34,12 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
-	Metrics   *telemetry.Metrics
-	Log       *logrus.Entry
-	Clock     func() time.Time
+	// Spread passes a revision on to the fleet and returns what each data
+	// centre confirmed.
+	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Metrics *telemetry.Metrics
+	Log     *logrus.Entry
+	Clock   func() time.Time
 }
 
 type handlerFunc func(ctx *fasthttp.RequestCtx, name string)
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -95,6 +95,7 @@
 	fleet.CodeBadRequest:     fasthttp.StatusBadRequest,
 	fleet.CodeOverloaded:     fasthttp.StatusServiceUnavailable,
 	fleet.CodeStale:          fasthttp.StatusServiceUnavailable,
+	fleet.CodeCentreOut:      fasthttp.StatusServiceUnavailable,
 }
 
 func writeOutcome(ctx *fasthttp.RequestCtx, o traffic.Outcome) {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
+
+	"github.com/crocusjunction/crocusjunction/internal/link"
 )
 
 // DefaultTimeout bounds an exchange whose context has no deadline.
@@ -15,6 +17,12 @@
 // body of its reply. The error is ErrNotSent when the peer cannot have got the
 // message, RefusedError when its handler refused it, and ErrNoReply otherwise.
 func (n *Node) Exchange(ctx context.Context, address string, kind Kind, body []byte) ([]byte, error) {
+	_, reply, err := n.ExchangeWith(ctx, address, kind, body)
+	return reply, err
+}
+
+// ExchangeWith is Exchange and also returns who answered.
+func (n *Node) ExchangeWith(ctx context.Context, address string, kind Kind, body []byte) (link.Member, []byte, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
@@ -22,24 +30,26 @@
 	}
 	frame, err := Encode(newEnvelope(kind, n.self, body))
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return link.Member{}, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	c, stream, err := n.openStream(ctx, address)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return link.Member{}, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	reply, err := transfer(ctx, stream, frame)
 	n.pool.release(address, c, err != nil)
 	if err != nil {
-		return nil, errors.Wrap(ErrNoReply, err.Error())
+		return link.Member{}, nil, errors.Wrap(ErrNoReply, err.Error())
 	}
 	if reply.Error != "" {
-		return nil, &RefusedError{Reason: reply.Error}
+		return link.Member{}, nil, &RefusedError{Reason: reply.Error}
 	}
 	if !names(c.connection.ConnectionState().TLS, reply.ID) {
-		return nil, errors.Wrapf(ErrNoReply, "certificate does not name member %q", reply.ID)
+		return link.Member{}, nil, errors.Wrapf(ErrNoReply, "certificate does not name member %q", reply.ID)
 	}
-	return reply.Body, nil
+	from := reply.Sender()
+	from.Address = address
+	return from, reply.Body, nil
 }
 
 // openStream opens a stream on the connection to address. When a connection
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -57,7 +57,8 @@
 	// Delete removes the key when it has version expect.
 	Delete(ctx context.Context, key string, expect Version) error
 	// Watch returns the record as soon as its version differs from after, or
-	// the current record when wait has passed. A missing key has version 0.
+	// the current record when wait has passed. A missing key has version 0. The
+	// value may be missing when the version is after.
 	Watch(ctx context.Context, key string, after Version, wait time.Duration) (Record, error)
 	// Grant creates a lease that ends when it is not kept alive for ttl.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -114,6 +114,9 @@
 		return rest.Answer{}, p.store.Delete(ctx, call.Key, call.Expect)
 	case rest.PathWatch:
 		record, err := p.store.Watch(ctx, call.Key, platform.Version(call.After), wait)
+		if uint64(record.Version) == call.After {
+			record.Value = nil
+		}
 		return rest.Answer{Records: []platform.Record{record}}, err
 	case rest.PathGrant:
 		id, err := p.store.Grant(ctx, time.Duration(call.TTLMS)*time.Millisecond)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -106,7 +106,7 @@
 	if refusal != nil {
 		return refused(team, refusal)
 	}
-	refusal = h.admit(ctx, team, r.Service)
+	refusal = h.admit(ctx, team, r)
 	if refusal != nil {
 		return refused(team, refusal)
 	}
@@ -138,9 +138,9 @@
 	return document, key.Team, nil
 }
 
-func (h *Handler) admit(ctx context.Context, team, service string) *fleet.Refusal {
+func (h *Handler) admit(ctx context.Context, team string, r Request) *fleet.Refusal {
 	reply := make(chan fleet.Admission, 1)
-	if err := h.loop.SendTraffic(ctx, fleet.Admit{Team: team, Service: service, Reply: reply}); err != nil {
+	if err := h.loop.SendTraffic(ctx, fleet.Admit{RequestID: r.ID, Team: team, Service: r.Service, NonIdempotent: r.NonIdempotent, Reply: reply}); err != nil {
 		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
 	}
 	return (<-reply).Refusal
@@ -155,6 +155,9 @@
 	if !ok {
 		return refused("", &fleet.Refusal{Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + document.Service, RetryAfter: time.Second})
 	}
+	if refusal := h.mayStart(r, endpoint); refusal != nil {
+		return refused("", refusal)
+	}
 	result := h.sender.Send(ctx, endpoint, Attempt{RequestID: r.ID, Number: 1, Deadline: r.Deadline, Body: r.Body})
 	if result.Err == nil {
 		return Outcome{Kind: Answered, Status: result.Status, Body: result.Body}
--- a/internal/zone/datacentre.go
+++ b/internal/zone/datacentre.go
@@ -37,20 +37,19 @@
 	d.endpoints = next
 }
 
-// Candidates returns the endpoints of a service that may get new work, ordered
-// by id. A data centre that is out has none.
-func (d *DataCentre) Candidates(service string) []machine.Endpoint {
+// CandidatesByService returns the endpoints that may get new work for each
+// service, ordered by id. A data centre that is out has none.
+func (d *DataCentre) CandidatesByService() map[string][]machine.Endpoint {
 	if d.Out {
 		return nil
 	}
-	var list []machine.Endpoint
-	for _, e := range d.endpoints {
-		if e.Service == service && e.Takes() {
-			list = append(list, *e)
+	byService := make(map[string][]machine.Endpoint)
+	for _, e := range d.Endpoints() {
+		if e.Takes() {
+			byService[e.Service] = append(byService[e.Service], e)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return byService
 }
 
 // Endpoints returns all endpoints ordered by id.
