--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -37,6 +37,7 @@
 			taskCommand(),
 			workerCommand(),
 			shareCommand(),
+			certificateCommand(),
 		},
 	}
 }
--- a/internal/control/taskqueue.go
+++ b/internal/control/taskqueue.go
@@ -247,9 +247,10 @@
 	key := schedulerPrefix + a.DataCentre
 	record, err := r.platform.Get(ctx, key)
 	if err == nil {
+		holder := string(record.Value)
 		record, err = r.platform.Watch(ctx, key, record.Version, electionWait)
-		if err != nil || record.Version != 0 && len(record.Value) > 0 {
-			return fleet.SchedulerBusy{Holder: string(record.Value)}
+		if err != nil || record.Version != 0 {
+			return fleet.SchedulerBusy{Holder: holder}
 		}
 	}
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -76,7 +76,7 @@
 
 // round plans and carries out one placement round.
 func (f *Fleet) round(s *scheduler, now time.Time) []Action {
-	s.changed = false
+	s.changed, s.waitExplained = false, false
 	s.roundAt = now.Add(roundPause)
 	s.plan = s.centre.Place(zone.Round{Now: now, Weights: f.teamWeights(), Room: f.teamRooms(s, now)})
 	for worker, task := range s.plan.Reservations {
@@ -85,8 +85,10 @@
 	var actions []Action
 	var started []*machine.Task
 	for _, step := range s.plan.Steps {
-		if start, ok := step.(zone.Start); ok && f.mayStart(s, now) && f.assign(s, start, now) {
-			started = append(started, start.Task)
+		if start, ok := step.(zone.Start); ok {
+			if f.assign(s, start, now) {
+				started = append(started, start.Task)
+			}
 			continue
 		}
 		actions = append(actions, f.carryOut(s, step, now)...)
@@ -140,8 +142,12 @@
 // assign starts a planned task in memory and reports whether it may be sent.
 func (f *Fleet) assign(s *scheduler, step zone.Start, now time.Time) bool {
 	t := step.Task
-	if refusal := f.takeSlot(t.Team, t.Service, now); refusal != nil {
-		f.explainTask(t, now, "wait", refusal.Code+": "+refusal.Reason)
+	refusal := f.mayStart(s, t, now)
+	if refusal == nil {
+		refusal = f.takeSlot(t.Team, t.Service, now)
+	}
+	if refusal != nil {
+		f.explainWait(s, t, refusal, now)
 		return false
 	}
 	if !t.Assign(step.Worker) {
@@ -163,6 +169,16 @@
 	return true
 }
 
+// explainWait records why planned starts are not sent, once a round: a stale
+// configuration stops all of them.
+func (f *Fleet) explainWait(s *scheduler, t *machine.Task, r *Refusal, now time.Time) {
+	if s.waitExplained {
+		return
+	}
+	s.waitExplained = true
+	f.explainTask(t, now, "wait", r.Code+": "+r.Reason)
+}
+
 func sizeText(r machine.Resources) string {
 	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", r.MilliCores, r.MemoryMB, r.Accelerators)
 }
@@ -176,6 +192,9 @@
 func (f *Fleet) carryOut(s *scheduler, step zone.Step, now time.Time) []Action {
 	switch step := step.(type) {
 	case zone.Checkpoint:
+		if f.MayStart(&contract.Document{}, false, s.centre.Name, now) != nil {
+			return nil
+		}
 		f.explainPreemption(step.Preemption, now, "checkpoint")
 		if p := s.placement(step.Task); p != nil {
 			p.Ending = true
@@ -188,6 +207,9 @@
 		s.changed = true
 		return []Action{ThrottleTask{On: WorkerTask{step.Worker, zone.StartID(step.Task)}, MilliCores: step.MilliCores}}
 	case zone.Stop:
+		if f.MayStart(&contract.Document{}, false, s.centre.Name, now) != nil {
+			return nil
+		}
 		f.explainPreemption(step.Preemption, now, "stop")
 		return f.stop(s, []*machine.Task{step.Task})
 	case zone.Refuse:
@@ -250,12 +272,12 @@
 	if t.Phase != machine.TaskRunning || s.sending[t] {
 		return nil
 	}
-	if !f.mayStart(s, now) {
+	if refusal := f.mayStart(s, t, now); refusal != nil {
 		if t.Unsure() {
 			s.retries[t] = now.Add(idleRound)
 			return nil
 		}
-		f.backToQueue(s, t, now, "the data centre may not start work now")
+		f.backToQueue(s, t, now, refusal.Code+": "+refusal.Reason)
 		return nil
 	}
 	s.sending[t] = true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,10 @@
 	DataCentres map[string]string
 	// HTTPAddress is the "ip:port" for callers and operators.
 	HTTPAddress string
+	// Seeds are peers known from the settings.
+	Seeds []link.Member
+	// Horizon is the freshness horizon, 0 for DefaultHorizon.
+	Horizon time.Duration
 }
 
 // Fleet is the control state of one entry instance.
@@ -42,9 +46,15 @@
 	journal  journal
 	tasks    taskState
 	schedule scheduleState
-	dirty    bool
 	// httpAddress is where callers and operators reach this process.
 	httpAddress string
+	wakes       wakes
+	peers       peersState
+	start       StartRule
+	cache       snapshotCache
+	dirty       bool
+	// freshDirty is set when only the freshness changed.
+	freshDirty bool
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -62,25 +72,22 @@
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
+	horizon := o.Horizon
+	if horizon == 0 {
+		horizon = DefaultHorizon
+	}
+	f.start.fresh = link.NewFreshness(horizon)
+	f.peers = newPeersState(f, o.Seeds)
+	f.tasks.wake = f.wakes.register(f.tickTasks)
 	return f
 }
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return append([]Action{LoadConfig{}, WatchEndpoints{}}, f.startTasks()...)
-}
-
-// Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action {
-	actions := f.tickConfig(now)
-	actions = append(actions, f.tickIntakes(now)...)
-	return append(actions, f.tickSchedule(now)...)
-}
-
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time {
-	wake := earliest(f.config.wakeAt, f.wakeIntakes())
-	return earliest(wake, f.wakeSchedule())
+	f.config.busy = true
+	f.peers.probeWake.set(now)
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	return append(actions, f.startTasks()...)
 }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
--- a/internal/fleet/schedule.go
+++ b/internal/fleet/schedule.go
@@ -101,6 +101,8 @@
 	// asleep is set while the lease may have lapsed: nothing is due before its
 	// next renewal.
 	asleep bool
+	// waitExplained is set after the first explained wait of a round.
+	waitExplained bool
 	// unslotted are running tasks that were taken over and hold no slot yet.
 	unslotted map[*machine.Task]bool
 	roundAt   time.Time
@@ -285,15 +287,20 @@
 	return []Action{SeekScheduler{DataCentre: s.centre.Name, Holder: f.schedulerName(), Delay: RetryDelay}}
 }
 
-// mayAct reports whether a step may be sent: the lease holds and the data
-// centre is in service under a fresh configuration.
+// mayAct reports whether a step may be sent: the lease holds and the state is
+// read.
 func (f *Fleet) mayAct(s *scheduler, now time.Time) bool {
 	return now.Before(s.until) && s.queueLoaded && s.workersLoaded
 }
 
-// mayStart reports whether a task may be started.
-func (f *Fleet) mayStart(s *scheduler, now time.Time) bool {
-	return f.mayAct(s, now) && !s.centre.Out && f.config.loaded
+// mayStart returns nil when the task may be started now, otherwise why not: the
+// lease, the data centre and the age of the configuration are checked again
+// right before each start.
+func (f *Fleet) mayStart(s *scheduler, t *machine.Task, now time.Time) *Refusal {
+	if !f.mayAct(s, now) {
+		return &Refusal{Code: CodeNotReady, Reason: "the scheduler's lease has lapsed"}
+	}
+	return f.mayRun(s.centre, t, now)
 }
 
 // StoredSegment is one segment as it was read.
--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
@@ -13,8 +14,6 @@
 const (
 	// CodeImpossible means that the task can never run as it is.
 	CodeImpossible = "impossible"
-	// CodeDataCentreOut means that operators have taken the data centre out.
-	CodeDataCentreOut = "datacentre-out"
 	// CodeNotAccepted means that the platform did not take the task.
 	CodeNotAccepted = "not-accepted"
 )
@@ -26,6 +25,7 @@
 // taskState is the accepting side of the task queues of this process.
 type taskState struct {
 	intakes map[string]*zone.Intake
+	wake    *wake
 	waiting map[uint64]chan<- TaskAnswer
 	tokens  uint64
 	offers  map[string]offerState
@@ -72,7 +72,7 @@
 func (e SubmitTasks) Apply(f *Fleet, now time.Time) []Action {
 	centre, refusal := f.taskCentre(e.DataCentre)
 	if refusal == nil {
-		refusal = f.checkTasks(centre, e.Tasks)
+		refusal = f.checkTasks(centre, e.Tasks, now)
 	}
 	if refusal != nil {
 		f.explainRefusal(e.Tasks, refusal, now)
@@ -131,7 +131,7 @@
 			return nil, &Refusal{Code: CodeBadRequest, Reason: "no data centre " + name}
 		}
 		if centre.Out {
-			return nil, &Refusal{Code: CodeDataCentreOut, Reason: "operators have taken " + name + " out"}
+			return nil, &Refusal{Code: CodeCentreOut, Reason: "operators have taken " + name + " out"}
 		}
 		return centre, nil
 	}
@@ -146,7 +146,7 @@
 		}
 	}
 	if best == nil {
-		return nil, &Refusal{Code: CodeDataCentreOut, Reason: "every data centre is out", RetryAfter: 5 * time.Second}
+		return nil, &Refusal{Code: CodeCentreOut, Reason: "every data centre is out", RetryAfter: 5 * time.Second}
 	}
 	return best, nil
 }
@@ -160,13 +160,17 @@
 	return a.Name < b.Name
 }
 
-// checkTasks refuses what can never run.
-func (f *Fleet) checkTasks(centre *zone.DataCentre, tasks []machine.Task) *Refusal {
+// checkTasks refuses what can never run, and everything while the configuration
+// is too old: the key may have been withdrawn.
+func (f *Fleet) checkTasks(centre *zone.DataCentre, tasks []machine.Task, now time.Time) *Refusal {
 	if len(tasks) == 0 || len(tasks) > zone.SegmentTasks {
 		return &Refusal{Code: CodeBadRequest, Reason: fmt.Sprintf("%d tasks; accepted: 1 to %d", len(tasks), zone.SegmentTasks)}
 	}
 	for i := range tasks {
 		t := &tasks[i]
+		if refusal := f.mayRun(centre, t, now); refusal != nil {
+			return refusal
+		}
 		if len(t.Payload) > zone.MaxPayload {
 			return &Refusal{Code: CodeBadRequest, Reason: fmt.Sprintf("payload of %d bytes; accepted: up to %d", len(t.Payload), zone.MaxPayload)}
 		}
@@ -184,6 +188,15 @@
 	return nil
 }
 
+// mayRun checks the age of the configuration and the data centre for a task.
+func (f *Fleet) mayRun(centre *zone.DataCentre, t *machine.Task, now time.Time) *Refusal {
+	object, ok := f.register.Get(contract.Ref{Kind: contract.KindDocument, Name: t.Service})
+	if !ok {
+		return &Refusal{Code: CodeUnknownService, Reason: "no document for service " + t.Service}
+	}
+	return f.MayStart(object.Document, t.Idempotent, centre.Name, now)
+}
+
 func (f *Fleet) explainRefusal(tasks []machine.Task, r *Refusal, now time.Time) {
 	if len(tasks) == 0 {
 		return
@@ -284,6 +297,15 @@
 	return actions
 }
 
+// tickTasks runs what is due for tasks.
+func (f *Fleet) tickTasks(now time.Time) []Action {
+	return append(f.tickIntakes(now), f.tickSchedule(now)...)
+}
+
+// armTasks sets the due time of tickTasks. It is derived from the state, so that
+// no event has to keep it up to date.
+func (f *Fleet) armTasks() { f.tasks.wake.set(earliest(f.wakeIntakes(), f.wakeSchedule())) }
+
 // wakeIntakes returns when tickIntakes has something to do.
 func (f *Fleet) wakeIntakes() time.Time {
 	var wake time.Time
--- a/internal/front/tasks.go
+++ b/internal/front/tasks.go
@@ -145,7 +145,7 @@
 	switch code {
 	case fleet.CodeImpossible:
 		return fasthttp.StatusUnprocessableEntity
-	case fleet.CodeDataCentreOut, fleet.CodeNotAccepted:
+	case fleet.CodeCentreOut, fleet.CodeNotAccepted:
 		return fasthttp.StatusServiceUnavailable
 	default:
 		if status, ok := statusOf[code]; ok {
