--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -180,8 +180,7 @@
 		if f.upperLimit(t.Team) == 0 {
 			return &Refusal{Code: CodeImpossible, Reason: "the upper limit of team " + t.Team + " is 0"}
 		}
-		estimate := centre.Workers.Estimate(t)
-		if reason := zone.Impossible(t, estimate, f.tasks.offers[centre.Name].largest); reason != "" {
+		if reason := zone.Impossible(t, centre.Workers.Smallest(t), f.tasks.offers[centre.Name].largest); reason != "" {
 			return &Refusal{Code: CodeImpossible, Reason: reason}
 		}
 	}
--- a/internal/zone/placement.go
+++ b/internal/zone/placement.go
@@ -179,7 +179,7 @@
 		if t == nil {
 			continue
 		}
-		if reason := Impossible(t, p.set.Estimate(t), largest); reason != "" {
+		if reason := Impossible(t, p.set.Smallest(t), largest); reason != "" {
 			p.plan.Steps = append(p.plan.Steps, Refuse{Task: t, Reason: reason})
 			team.done(t)
 			continue
--- a/internal/zone/workerset.go
+++ b/internal/zone/workerset.go
@@ -104,9 +104,34 @@
 	return tasks
 }
 
-// Estimate returns the expected size of a task.
+// Estimate returns the expected size of a task. An estimate never makes a task
+// impossible: it is cut to the largest worker that has the accelerators.
 func (s *WorkerSet) Estimate(t *machine.Task) machine.Resources {
-	return s.estimates[estimateKey{t.Team, t.Service}].Size(t.Declared)
+	size := s.estimates[estimateKey{t.Team, t.Service}].Size(t.Declared)
+	var room machine.Resources
+	for _, r := range s.Largest() {
+		if size.FitsIn(r) {
+			return size
+		}
+		if r.Accelerators >= size.Accelerators {
+			room = room.Max(r)
+		}
+	}
+	if room == (machine.Resources{}) {
+		return size
+	}
+	return machine.Resources{
+		MilliCores: min(size.MilliCores, room.MilliCores), MemoryMB: min(size.MemoryMB, room.MemoryMB), Accelerators: size.Accelerators,
+	}
+}
+
+// Smallest returns the least that a task may need: the smaller one of what is
+// declared and what is learned. A task is impossible only when this is.
+func (s *WorkerSet) Smallest(t *machine.Task) machine.Resources {
+	size := s.estimates[estimateKey{t.Team, t.Service}].Size(t.Declared)
+	return machine.Resources{
+		MilliCores: min(size.MilliCores, t.Declared.MilliCores), MemoryMB: min(size.MemoryMB, t.Declared.MemoryMB), Accelerators: size.Accelerators,
+	}
 }
 
 // Occupy charges a task to a worker and takes it out of the backlog.
@@ -248,13 +273,16 @@
 		s.largest = slices.DeleteFunc(s.largest, func(r machine.Resources) bool { return r.FitsIn(w.Capacity) })
 		s.largest = append(s.largest, w.Capacity)
 	}
+	slices.SortFunc(s.largest, func(a, b machine.Resources) int {
+		return cmp.Or(cmp.Compare(a.MilliCores, b.MilliCores), cmp.Compare(a.MemoryMB, b.MemoryMB), cmp.Compare(a.Accelerators, b.Accelerators))
+	})
 	return s.largest
 }
 
 // Impossible returns why a task can never run on workers of the given largest
-// capacities, empty when it can or when no capacity is known. Sizes count as
-// estimated, since declared sizes are far off.
-func Impossible(t *machine.Task, estimate machine.Resources, largest []machine.Resources) string {
+// capacities, empty when it can or when no capacity is known. Smallest is the
+// least that the task may need.
+func Impossible(t *machine.Task, smallest machine.Resources, largest []machine.Resources) string {
 	if len(largest) == 0 {
 		return ""
 	}
@@ -263,11 +291,11 @@
 	}
 	var most machine.Resources
 	for _, r := range largest {
-		if estimate.FitsIn(r) {
+		if smallest.FitsIn(r) {
 			return ""
 		}
 		most = most.Max(r)
 	}
 	return fmt.Sprintf("needs %d millicores, %d MB and %d accelerators on one worker; the largest workers have up to %d, %d and %d",
-		estimate.MilliCores, estimate.MemoryMB, estimate.Accelerators, most.MilliCores, most.MemoryMB, most.Accelerators)
+		smallest.MilliCores, smallest.MemoryMB, smallest.Accelerators, most.MilliCores, most.MemoryMB, most.Accelerators)
 }
