Record every start before it is sent and check tasks under faults

Cause: a property test over random histories found three faults. A start that was refused after an earlier answer was lost moved to another worker.

Change: every start is stored before it is sent. A task whose start is unresolved stays with its worker; an idempotent one leaves it after a stop has barred the start id. Tasks taken over hold a slot in every case. Checkers of tasks and shares in package proof, each with violating traces.

Ruled out: starting idempotent tasks before the write. It saves one write a round and segment, but a new scheduler cannot tell what runs.

--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -93,11 +93,6 @@
 		}
 		actions = append(actions, f.carryOut(s, step, now)...)
 	}
-	for _, t := range started {
-		if t.Idempotent {
-			actions = append(actions, f.sendStart(s, t, now)...)
-		}
-	}
 	return append(actions, s.record(started)...)
 }
 
@@ -128,15 +123,13 @@
 	return rooms
 }
 
-// adopt charges a running task that another term started.
+// adopt charges a running task that another term started. It reports false when
+// the worker is not known; the task holds a slot all the same.
 func (f *Fleet) adopt(s *scheduler, t *machine.Task, worker string, now time.Time) bool {
-	if s.centre.Workers.Occupy(t, worker, now) == nil {
-		return false
-	}
 	if !s.slots[t] {
 		s.unslotted[t] = true
 	}
-	return true
+	return s.centre.Workers.Occupy(t, worker, now) != nil
 }
 
 // assign starts a planned task in memory and reports whether it may be sent.
@@ -157,9 +150,7 @@
 	s.slots[t] = true
 	s.centre.Workers.Occupy(t, step.Worker, now)
 	s.ledger.Changed(t.ID)
-	if !t.Idempotent {
-		s.storing[t] = true
-	}
+	s.storing[t] = true
 	f.explainTask(t, now, "start", step.Reason,
 		Input{"worker", step.Worker},
 		Input{"estimate", sizeText(step.Estimate)},
@@ -358,17 +349,41 @@
 		t.AnswerLost()
 		s.retries[t] = now.Add(startRetry)
 	case StartNoWorker:
-		if !f.backToQueue(s, t, now, e.Reason) {
-			f.lose(s, t, now, "the worker is gone and its answer to the start was lost")
-		}
+		f.noWorker(s, t, e.Reason, now)
 	default:
-		if !f.backToQueue(s, t, now, e.Reason) {
-			s.retries[t] = now.Add(refusedRetry)
-		}
+		actions := f.refusedStart(s, t, e.Reason, now)
+		return append(actions, f.tickSchedule(now)...)
 	}
 	return f.tickSchedule(now)
 }
 
+// noWorker takes the answer that the worker of a start does not exist. An
+// earlier start may have reached it: an idempotent task waits for the end of
+// its lease then, another one is unknown.
+func (f *Fleet) noWorker(s *scheduler, t *machine.Task, reason string, now time.Time) {
+	switch {
+	case f.backToQueue(s, t, now, reason):
+	case t.Idempotent:
+		s.lost[t] = now.Add(leaseEnd)
+	default:
+		f.lose(s, t, now, "the worker is gone and its answer to the start was lost")
+	}
+}
+
+// refusedStart takes the worker's refusal of a start. An earlier start of the
+// attempt may still arrive there: a stop bars the id of an idempotent task, so
+// that it can go elsewhere; another one stays with the worker.
+func (f *Fleet) refusedStart(s *scheduler, t *machine.Task, reason string, now time.Time) []Action {
+	switch {
+	case f.backToQueue(s, t, now, reason):
+	case t.Idempotent:
+		return f.stop(s, []*machine.Task{t})
+	default:
+		s.retries[t] = now.Add(refusedRetry)
+	}
+	return nil
+}
+
 // retryStarts sends starts again whose answer was lost. They go to the same
 // worker under the same id, which the worker starts once.
 func (f *Fleet) retryStarts(s *scheduler, now time.Time) []Action {
--- a/internal/fleet/workers.go
+++ b/internal/fleet/workers.go
@@ -67,12 +67,11 @@
 	named := make(map[string]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		report := &r.Tasks[i]
-		id, attempt := zone.ParseStartID(report.StartID)
+		id, _ := zone.ParseStartID(report.StartID)
 		t := s.ledger.Task(id)
 		if t == nil {
 			continue
 		}
-		f.recognise(s, t, r.ID, attempt, now)
 		if t.Worker != r.ID || zone.StartID(t) != report.StartID {
 			continue
 		}
@@ -80,6 +79,7 @@
 		if t.Phase == machine.TaskRunning {
 			f.takeTaskReport(s, t, report, now)
 		} else if t.Final() && report.State == machine.ReportRunning {
+			f.adopt(s, t, r.ID, now)
 			undead = append(undead, t)
 		} else if report.State != machine.ReportRunning && w.Placement(id) != nil {
 			f.vacate(s, t, r.ID)
@@ -89,21 +89,6 @@
 	return undead
 }
 
-// recognise takes over an attempt of an idempotent task that an earlier
-// scheduler started without storing it.
-func (f *Fleet) recognise(s *scheduler, t *machine.Task, worker string, attempt int, now time.Time) {
-	if attempt <= t.Attempts || t.Phase != machine.TaskQueued && t.Phase != machine.TaskRunning {
-		return
-	}
-	if t.Phase == machine.TaskRunning {
-		f.vacate(s, t, t.Worker)
-	}
-	s.centre.Workers.Backlog().Remove(t)
-	t.Resume(worker, attempt)
-	f.adopt(s, t, worker, now)
-	s.ledger.Changed(t.ID)
-}
-
 func (f *Fleet) takeTaskReport(s *scheduler, t *machine.Task, r *machine.TaskReport, now time.Time) {
 	worker := t.Worker
 	w := s.centre.Workers.Worker(worker)
--- a/internal/machine/task.go
+++ b/internal/machine/task.go
@@ -78,9 +78,9 @@
 func (t *Task) Unsure() bool { return t.unsure }
 
 // Assign records the next start, on the given worker. It must be stored before
-// a non-idempotent start is sent. It reports false when the task may not start.
+// the start is sent. It reports false when the task may not start.
 func (t *Task) Assign(worker string) bool {
-	if t.Phase != TaskQueued || !t.Idempotent && t.unsure {
+	if t.Phase != TaskQueued {
 		return false
 	}
 	t.Phase, t.Worker = TaskRunning, worker
@@ -89,11 +89,6 @@
 	return true
 }
 
-// Resume takes over an attempt that an earlier scheduler started.
-func (t *Task) Resume(worker string, attempt int) {
-	t.Phase, t.Worker, t.Attempts, t.unsure = TaskRunning, worker, attempt, false
-}
-
 // AnswerLost notes that the start may have reached the worker.
 func (t *Task) AnswerLost() { t.unsure = true }
 
@@ -101,10 +96,10 @@
 func (t *Task) Confirm() { t.unsure = false }
 
 // NotStarted takes the worker's refusal of the start. While an earlier start of
-// the same attempt is unresolved it may still arrive at the worker, so that a
-// non-idempotent task stays with that worker; the result is false then.
+// the same attempt is unresolved it may still arrive at the worker, so that the
+// task stays with that worker; the result is false then.
 func (t *Task) NotStarted() bool {
-	if t.Phase != TaskRunning || t.unsure && !t.Idempotent {
+	if t.Phase != TaskRunning || t.unsure {
 		return false
 	}
 	t.requeue()
--- /dev/null
+++ b/internal/proof/task_test.go
@@ -0,0 +1,88 @@
+package proof
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func at(seconds float64) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestTaskCheckerSeesViolations guards against a checker that lets a broken
+// trace pass.
+func TestTaskCheckerSeesViolations(t *testing.T) {
+	accepted := TaskEvent{At: at(0), Kind: TaskAccepted, Task: "a", Team: "x"}
+	idempotent := TaskEvent{At: at(0), Kind: TaskAccepted, Task: "a", Team: "x", Idempotent: true}
+	start := func(s float64, task, worker string, idempotent bool) TaskEvent {
+		return TaskEvent{At: at(s), Kind: TaskStarted, Task: task, Team: "x", Worker: worker, Idempotent: idempotent}
+	}
+	end := func(s float64, worker, state string) TaskEvent {
+		return TaskEvent{At: at(s), Kind: TaskEnded, Task: "a", Team: "x", Worker: worker, State: state}
+	}
+	shown := func(state string) TaskEvent { return TaskEvent{At: at(9), Kind: TaskShown, Task: "a", State: state} }
+	out := TaskEvent{At: at(1), Kind: TaskCentreOut}
+	back := TaskEvent{At: at(6), Kind: TaskCentreIn}
+	cases := []struct {
+		name  string
+		trace []TaskEvent
+		want  string
+	}{
+		{"right", []TaskEvent{accepted, start(1, "a", "w", false), end(2, "w", "done"), shown("done")}, ""},
+		{"restart after the lease", []TaskEvent{idempotent, start(1, "a", "w", true), end(2, "w", "lapsed"), start(3, "a", "v", true), end(4, "v", "done"), shown("done")}, ""},
+		{"back in service", []TaskEvent{accepted, out, back, start(7, "a", "w", false), end(8, "w", "done"), shown("done")}, ""},
+		{"twice", []TaskEvent{accepted, start(1, "a", "w", false), end(2, "w", "lapsed"), start(3, "a", "v", false), end(4, "v", "done"), shown("done")}, "start 2 of a non-idempotent"},
+		{"overlap", []TaskEvent{idempotent, start(1, "a", "w", true), start(2, "a", "v", true), end(4, "v", "done"), shown("done")}, "has not ended"},
+		{"out", []TaskEvent{accepted, out, start(7, "a", "w", false), end(8, "w", "done"), shown("done")}, "after the data centre was taken out"},
+		{"limit", []TaskEvent{accepted, start(1, "a", "w", false), start(1, "b", "w", false), start(1, "c", "w", false), end(2, "w", "done"), shown("done")}, "limit 2"},
+		{"lost", []TaskEvent{accepted, shown("queued")}, "accepted and lost"},
+		{"never run", []TaskEvent{accepted, shown("done")}, "no worker was done"},
+	}
+	for _, c := range cases {
+		checker := TaskChecker{Grace: 5 * time.Second, Limits: map[string]int{"x": 2}}
+		for _, e := range c.trace {
+			checker.Take(e)
+		}
+		violations := checker.Finish(at(10))
+		found := len(violations) == 1 && c.want != "" && strings.Contains(violations[0].String(), c.want)
+		if !found && (c.want != "" || len(violations) > 0) {
+			t.Errorf("%s: violations %v, want one with %q", c.name, violations, c.want)
+		}
+	}
+}
+
+// TestShareCheckerSeesViolations guards against a checker that lets a broken
+// trace pass.
+func TestShareCheckerSeesViolations(t *testing.T) {
+	queued := ShareEvent{At: at(0), Kind: UrgentQueued, Task: "u", Team: "x", Within: true}
+	started := func(s float64) ShareEvent { return ShareEvent{At: at(s), Kind: UrgentStarted, Task: "u", Team: "x"} }
+	preempted := func(team string, use float64) ShareEvent {
+		return ShareEvent{At: at(1), Kind: WorkPreempted, Team: team, For: "x", Use: use, Fair: 0.5}
+	}
+	sample := func(s, use float64) ShareEvent {
+		return ShareEvent{At: at(s), Kind: ShareSampled, Team: "x", Use: use, Fair: 0.4, Waiting: true}
+	}
+	cases := []struct {
+		name  string
+		trace []ShareEvent
+		want  string
+	}{
+		{"right", []ShareEvent{queued, started(7), preempted("y", 0.6), preempted("x", 0.1), sample(0, 0.1), sample(9, 0.3)}, ""},
+		{"late", []ShareEvent{queued, started(8)}, "started after 8s"},
+		{"never", []ShareEvent{queued}, "started after 1m40s"},
+		{"within its share", []ShareEvent{preempted("y", 0.4)}, "gave way"},
+		{"starved", []ShareEvent{sample(0, 0.1), sample(10, 0.1), sample(61, 0.1)}, "below half its share"},
+	}
+	for _, c := range cases {
+		checker := ShareChecker{Urgent: 7700 * time.Millisecond, Patience: time.Minute}
+		for _, e := range c.trace {
+			checker.Take(e)
+		}
+		violations := checker.Finish(at(100))
+		found := len(violations) == 1 && c.want != "" && strings.Contains(violations[0].String(), c.want)
+		if !found && (c.want != "" || len(violations) > 0) {
+			t.Errorf("%s: violations %v, want one with %q", c.name, violations, c.want)
+		}
+	}
+}
