Admit work from escrowed slots of teams and services

Change: contract holds the objects of the limit: AllotmentRecord (the platform value), Allotment (the part of one entry instance), Hold, HolderWatch, Loan and the admission queue. fleet/limits*.go connects them to events and actions; control/allotment_runner.go performs the actions and resolves lost answers by reading the record. A service's MaxSlots uses the same mechanism under allotment/service/<name>, which no team record can collide with, because names contain no slash. A request that finds no slot waits while a swap or a loan is in flight, in the order of arrival.

Ruled out: a no-write answer to a swap after one whose outcome is unknown, since the earlier write could still lower the entry; giving an entry back to an instance after its hold lapsed, since a late reclaim could still remove it. The instance goes on as a new incarnation and takes the old entry over in one swap.

Conclusion: requests cross the fleet with real admission.

--- /dev/null
+++ b/internal/control/allotment_runner.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+)
+
+// Prefixes of the records of limits and holders.
+const (
+	AllotmentPrefix        = "allotment/"
+	ServiceAllotmentPrefix = AllotmentPrefix + "service/"
+	HolderPrefix           = "holder/"
+)
+
+// Bounds of one action against the platform.
+const (
+	// limitAttempts bounds the repeats after conflicts and lost answers.
+	limitAttempts = 12
+	// limitPause is the longest pause before the first repeat. It grows with each
+	// one, since forty holders may swap one record at once.
+	limitPause   = 10 * time.Millisecond
+	limitTimeout = 10 * time.Second
+)
+
+// AllotmentKey returns the platform key of a limit's record.
+func AllotmentKey(limit contract.Ref) string {
+	if limit.Kind == contract.KindDocument {
+		return ServiceAllotmentPrefix + limit.Name
+	}
+	return AllotmentPrefix + limit.Name
+}
+
+// HolderKey returns the platform key of an instance's holder record.
+func HolderKey(instance string) string { return HolderPrefix + instance }
+
+// LimitRunner performs the actions of the upper limits against the platform.
+type LimitRunner struct {
+	store platform.Store
+	log   *logrus.Entry
+	clock func() time.Time
+}
+
+// NewLimitRunner returns a runner that writes to s.
+func NewLimitRunner(s platform.Store, log *logrus.Entry, clock func() time.Time) *LimitRunner {
+	return &LimitRunner{store: s, log: log, clock: clock}
+}
+
+// Run performs an action and returns its result. It returns false when the
+// action does not concern limits.
+func (r *LimitRunner) Run(ctx context.Context, a fleet.Action) (fleet.Event, bool) {
+	ctx, cancel := context.WithTimeout(ctx, limitTimeout)
+	defer cancel()
+	switch a := a.(type) {
+	case fleet.SwapAllotment:
+		return r.swap(ctx, a), true
+	case fleet.RenewHold:
+		return r.renew(ctx, a.Record), true
+	case fleet.ObserveHolders:
+		return r.observe(ctx), true
+	case fleet.ReclaimSlots:
+		return r.reclaim(ctx, a.Gone), true
+	case fleet.EndHold:
+		return r.endHold(ctx, a.Holder), true
+	default:
+		return nil, false
+	}
+}
+
+// read decodes the value of key into value and returns its version, 0 when the
+// key does not exist.
+func (r *LimitRunner) read(ctx context.Context, key string, value any) (platform.Version, error) {
+	record, err := r.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(record.Value, value); err != nil {
+		return 0, errors.Wrapf(err, "decode %s", key)
+	}
+	return record.Version, nil
+}
+
+// write swaps the value of key. An ErrUnknown is resolved by the caller, which
+// reads the record again.
+func (r *LimitRunner) write(ctx context.Context, key string, expect platform.Version, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", key)
+	}
+	_, err = r.store.Swap(ctx, key, expect, data, 0)
+	return err
+}
+
+// repeat calls try until it succeeds or fails for good. Conflicts and lost
+// answers are tried again; after a lost answer the next try reads what happened.
+func (r *LimitRunner) repeat(ctx context.Context, try func() error) error {
+	var err error
+	for attempt := range limitAttempts {
+		if err = try(); err == nil {
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+			return err
+		}
+		if !pause(ctx, time.Duration(1+rand.Int64N(int64(limitPause)*int64(attempt+1)))) {
+			return err
+		}
+	}
+	return err
+}
+
+func (r *LimitRunner) swap(ctx context.Context, a fleet.SwapAllotment) fleet.Event {
+	var result contract.AllotmentRecord
+	err := r.repeat(ctx, func() error {
+		var err error
+		result, err = r.trySwap(ctx, a)
+		return err
+	})
+	if err != nil {
+		r.log.WithError(err).Warnf("limits: swap of %s failed", AllotmentKey(a.Limit))
+		return fleet.AllotmentFailed{Limit: a.Limit, Sequence: a.Request.Sequence}
+	}
+	return fleet.AllotmentSwapped{Limit: a.Limit, Sequence: a.Request.Sequence, Record: result}
+}
+
+// trySwap reads the record and, unless it carries the request already, swaps in
+// the one that the request leads to.
+func (r *LimitRunner) trySwap(ctx context.Context, a fleet.SwapAllotment) (contract.AllotmentRecord, error) {
+	var record contract.AllotmentRecord
+	key := AllotmentKey(a.Limit)
+	version, err := r.read(ctx, key, &record)
+	if err != nil || record.Done(a.Request) {
+		return record, err
+	}
+	next, changed := record.Apply(a.Request)
+	if !changed {
+		return record, nil
+	}
+	return next, r.write(ctx, key, version, next)
+}
+
+func (r *LimitRunner) renew(ctx context.Context, record contract.HolderRecord) fleet.Event {
+	sent := r.clock()
+	var written contract.HolderRecord
+	refused := false
+	err := r.repeat(ctx, func() error {
+		var err error
+		written, refused, err = r.tryRenew(ctx, record)
+		return err
+	})
+	switch {
+	case err != nil:
+		r.log.WithError(err).Warn("limits: renewal of the hold failed")
+		return fleet.HoldFailed{}
+	case refused:
+		r.log.Errorf("limits: hold refused, incarnation %d of this instance exists", written.Holder.Incarnation)
+		return fleet.HoldRefused{Found: written}
+	default:
+		return fleet.HoldRenewed{Written: written, SentAt: sent}
+	}
+}
+
+func (r *LimitRunner) tryRenew(ctx context.Context, record contract.HolderRecord) (written contract.HolderRecord, refused bool, err error) {
+	var known contract.HolderRecord
+	key := HolderKey(record.Holder.Instance)
+	version, err := r.read(ctx, key, &known)
+	if err != nil {
+		return known, false, err
+	}
+	if known.Holder == record.Holder && known.Counter == record.Counter {
+		return known, false, nil
+	}
+	next, ok := known.Replace(record)
+	if !ok {
+		return known, true, nil
+	}
+	return next, false, r.write(ctx, key, version, next)
+}
+
+func (r *LimitRunner) observe(ctx context.Context) fleet.Event {
+	sent := r.clock()
+	list, err := r.store.List(ctx, HolderPrefix)
+	if err != nil {
+		r.log.WithError(err).Warn("limits: holders cannot be read")
+		return fleet.HoldersFailed{}
+	}
+	seen := fleet.HoldersSeen{SentAt: sent}
+	for _, item := range list {
+		var record contract.HolderRecord
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			r.log.WithError(err).Errorf("limits: %s cannot be decoded", item.Key)
+			continue
+		}
+		seen.Records = append(seen.Records, record)
+	}
+	return seen
+}
+
+// reclaim removes the entries of holders that are gone. Their identities are
+// never used again, so that a late reclaim takes nothing from a live holder.
+func (r *LimitRunner) reclaim(ctx context.Context, gone []contract.Holder) fleet.Event {
+	list, err := r.store.List(ctx, AllotmentPrefix)
+	if err != nil {
+		r.log.WithError(err).Warn("limits: reclaim failed")
+		return fleet.SlotsReclaimed{}
+	}
+	total := 0
+	for _, item := range list {
+		freed, err := r.reclaimFrom(ctx, item.Key, gone)
+		if err != nil {
+			r.log.WithError(err).Warnf("limits: reclaim from %s failed", item.Key)
+			return fleet.SlotsReclaimed{}
+		}
+		total += freed
+	}
+	for _, holder := range gone {
+		if err := r.deleteHolder(ctx, holder); err != nil {
+			r.log.WithError(err).Warnf("limits: record of holder %s cannot be deleted", holder)
+			return fleet.SlotsReclaimed{}
+		}
+		r.log.Infof("limits: reclaimed the slots of holder %s", holder)
+	}
+	return fleet.SlotsReclaimed{Gone: gone, Freed: total}
+}
+
+func (r *LimitRunner) reclaimFrom(ctx context.Context, key string, gone []contract.Holder) (int, error) {
+	freed := 0
+	err := r.repeat(ctx, func() error {
+		var record contract.AllotmentRecord
+		version, err := r.read(ctx, key, &record)
+		if err != nil {
+			return err
+		}
+		next, slots := record.Remove(gone)
+		if slots == 0 {
+			return nil
+		}
+		freed = slots
+		return r.write(ctx, key, version, next)
+	})
+	return freed, err
+}
+
+// deleteHolder deletes the record of a holder, or its mention as a former
+// incarnation when a later one owns the record.
+func (r *LimitRunner) deleteHolder(ctx context.Context, holder contract.Holder) error {
+	key := HolderKey(holder.Instance)
+	return r.repeat(ctx, func() error {
+		var record contract.HolderRecord
+		version, err := r.read(ctx, key, &record)
+		if err != nil || version == 0 {
+			return err
+		}
+		if record.Holder == holder {
+			return r.store.Delete(ctx, key, version)
+		}
+		next, changed := record.Forget(holder)
+		if !changed {
+			return nil
+		}
+		return r.write(ctx, key, version, next)
+	})
+}
+
+func (r *LimitRunner) endHold(ctx context.Context, holder contract.Holder) fleet.Event {
+	if err := r.deleteHolder(ctx, holder); err != nil {
+		r.log.WithError(err).Warn("limits: holder record cannot be deleted")
+	}
+	return fleet.HoldEnded{}
+}
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+)
 
 // Refusal codes. A refusal always means that the work did not run.
 const (
@@ -23,23 +28,52 @@
 	RetryAfter time.Duration `json:"-"`
 }
 
-// Admission is the answer to Admit.
+// Admission is the answer to Admit. Every Admit gets exactly one.
 type Admission struct {
 	// Refusal is nil when the work may start.
 	Refusal *Refusal
+	// StartBefore is until when the work may be sent; the zero time means no
+	// bound. The sender checks it against the clock right before it sends, since
+	// the process may have been paused after the admission.
+	StartBefore time.Time
 }
 
-// Admit asks for one slot of a team before a request is sent. Reply must have
-// a free buffer place, since the control thread does not wait.
+// Admit asks for one slot of a team, and of a service that has a bound, before a
+// request is sent. Reply must have a free buffer place, since the control thread
+// does not wait. A request may wait until Deadline while more slots are on
+// their way.
 type Admit struct {
+	// ID is the request id, for explanations.
+	ID      string
 	Team    string
 	Service string
-	Reply   chan<- Admission
+	// Deadline bounds the wait and must bound the run.
+	Deadline time.Time
+	Reply    chan<- Admission
 }
 
 // Apply implements Event.
 func (e Admit) Apply(f *Fleet, now time.Time) []Action {
-	e.Reply <- Admission{}
+	actions := f.refreshLimits(now)
+	team, service := f.limits.of(f, e.Team, e.Service)
+	if !f.limits.queue.Queued(e.Team, e.Service) && f.admit(now, e, team, service) {
+		return append(actions, f.prefetch(now, team, service)...)
+	}
+	return append(actions, f.wait(now, e, team, service)...)
+}
+
+// CancelAdmit withdraws an Admit that may still wait. Its place is free at once
+// and its reply is a refusal, unless it was answered before.
+type CancelAdmit struct{ Reply chan<- Admission }
+
+// Apply implements Event.
+func (e CancelAdmit) Apply(f *Fleet, now time.Time) []Action {
+	w, ok := f.limits.waiters[e.Reply]
+	if !ok {
+		return nil
+	}
+	f.limits.queue.Remove(w)
+	f.refuse(now, w.Request, Refusal{Code: CodeDeadline, Reason: "the caller gave up while it waited for a slot"})
 	return nil
 }
 
@@ -50,4 +84,161 @@
 }
 
 // Apply implements Event.
-func (e Release) Apply(f *Fleet, now time.Time) []Action { return nil }
+func (e Release) Apply(f *Fleet, now time.Time) []Action {
+	team, service := f.limits.of(f, e.Team, e.Service)
+	team.Finish()
+	service.Finish()
+	return append(f.drive(now, team), f.drive(now, service)...)
+}
+
+// admit starts the request when its team and its service have a free slot.
+func (f *Fleet) admit(now time.Time, e Admit, team, service *contract.Allotment) bool {
+	held := f.limits.hold.Valid(now)
+	if f.limits.stopping || team.Free(now, held) == 0 || service.Free(now, held) == 0 {
+		return false
+	}
+	team.Start()
+	service.Start()
+	until := f.limits.hold.ValidUntil()
+	start := earliest(team.StartBefore(now, until), service.StartBefore(now, until))
+	e.Reply <- Admission{StartBefore: start}
+	return true
+}
+
+// prefetch asks for more slots ahead of a shortage.
+func (f *Fleet) prefetch(now time.Time, team, service *contract.Allotment) []Action {
+	if team.Busy() && service.Busy() {
+		return nil
+	}
+	return append(f.planSwap(now, team), f.planSwap(now, service)...)
+}
+
+// wait queues a request that cannot start, and refuses it at once when no more
+// slots are on their way.
+func (f *Fleet) wait(now time.Time, e Admit, team, service *contract.Allotment) []Action {
+	if f.limits.stopping {
+		f.refuse(now, e, Refusal{Code: CodeNotReady, Reason: "this entry instance is stopping", RetryAfter: retryFloor})
+		return nil
+	}
+	if !now.Before(e.Deadline) {
+		f.refuse(now, e, deadlineRefusal())
+		return nil
+	}
+	w := f.limits.queue.Push(e.Team, e.Service, e.Deadline, e)
+	if w == nil {
+		f.refuse(now, e, Refusal{Code: CodeOverloaded, Reason: "too many requests wait for a slot", RetryAfter: retryFloor})
+		return nil
+	}
+	f.limits.waiters[e.Reply] = w
+	f.limits.wakeBy(e.Deadline)
+	return append(f.drive(now, team), f.drive(now, service)...)
+}
+
+// drive brings the requests that wait for an allotment, its swaps and its loans
+// forward after any change.
+func (f *Fleet) drive(now time.Time, a *contract.Allotment) []Action {
+	f.serveWaiting(now, a)
+	actions := f.planSwap(now, a)
+	actions = append(actions, f.planLoan(now, a)...)
+	if !a.Busy() && !f.limits.awaitsHold(now) {
+		f.refuseWaiting(now, a)
+	}
+	return actions
+}
+
+// serveWaiting starts waiting requests, the earliest first.
+func (f *Fleet) serveWaiting(now time.Time, a *contract.Allotment) {
+	held := f.limits.hold.Valid(now)
+	free := func(team, service string) bool {
+		t, s := f.limits.of(f, team, service)
+		return t.Free(now, held) > 0 && s.Free(now, held) > 0
+	}
+	for a.Free(now, held) > 0 && !f.limits.stopping {
+		w := f.limits.queue.Next(a.Ref(), free)
+		if w == nil {
+			return
+		}
+		if !now.Before(w.Deadline) {
+			f.refuse(now, w.Request, deadlineRefusal())
+			continue
+		}
+		delete(f.limits.waiters, w.Request.Reply)
+		team, service := f.limits.of(f, w.Team, w.Service)
+		f.admit(now, w.Request, team, service)
+	}
+}
+
+// refuseWaiting refuses the requests that no swap and no loan can serve.
+func (f *Fleet) refuseWaiting(now time.Time, a *contract.Allotment) {
+	if a.Free(now, f.limits.hold.Valid(now)) > 0 {
+		return
+	}
+	for {
+		w := f.limits.queue.Next(a.Ref(), func(string, string) bool { return true })
+		if w == nil {
+			return
+		}
+		f.refuse(now, w.Request, f.limitRefusal(now, a))
+	}
+}
+
+// expireWaiting refuses the requests whose deadline has passed.
+func (f *Fleet) expireWaiting(now time.Time) {
+	for {
+		w := f.limits.queue.Expired(now)
+		if w == nil {
+			break
+		}
+		f.refuse(now, w.Request, deadlineRefusal())
+	}
+	f.limits.wakeBy(f.limits.queue.NextDeadline())
+}
+
+// refuse answers a request that is not or no longer queued, and records why.
+func (f *Fleet) refuse(now time.Time, e Admit, r Refusal) {
+	delete(f.limits.waiters, e.Reply)
+	e.Reply <- Admission{Refusal: &r}
+	f.Explain(Decision{
+		At: now, Subject: Subject{Kind: SubjectRefusal, Name: e.ID}, Action: "refuse", Reason: r.Reason,
+		Inputs: []Input{
+			{Name: "code", Value: r.Code},
+			{Name: "team", Value: e.Team},
+			{Name: "service", Value: e.Service},
+			{Name: "retry_after", Value: r.RetryAfter.String()},
+		},
+	})
+}
+
+func deadlineRefusal() Refusal {
+	return Refusal{Code: CodeDeadline, Reason: "the deadline passed while the request waited for a slot"}
+}
+
+// retryFloor is the shortest pause that a refusal asks for.
+const retryFloor = 100 * time.Millisecond
+
+// limitRefusal explains why no slot of the allotment is free.
+func (f *Fleet) limitRefusal(now time.Time, a *contract.Allotment) Refusal {
+	r := Refusal{Code: CodeUpperLimit, RetryAfter: max(retryFloor, a.RetryAt().Sub(now))}
+	limit := a.Limit()
+	switch {
+	case !f.limits.hold.Valid(now):
+		r.Code = CodeNotReady
+		r.Reason = "this entry instance has no hold: the platform did not confirm a renewal"
+	case !a.Settled():
+		r.Reason = fmt.Sprintf("the limit of %s was changed to %d and is not settled", a.Ref(), limit.Slots)
+	default:
+		r.Reason = fmt.Sprintf("%s has no free slot: limit %d across the fleet", a.Ref(), limit.Slots)
+	}
+	record := a.Record()
+	r.Reason += fmt.Sprintf("; this instance holds %d, borrows %d, runs %d; all holders hold %d",
+		a.Granted(), a.Borrowed(now), a.Running(), record.Sum())
+	return r
+}
+
+// earliest returns the earlier time; the zero time means no bound.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -103,5 +103,6 @@
 		object, ok := f.register.Get(contract.Ref{Kind: contract.KindDataCentre, Name: name})
 		centre.Out = ok && object.DataCentre.Out
 	}
+	f.limits.configDue = true
 	f.dirty = true
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
+	LimitTerms contract.LimitTerms
 }
 
 // Fleet is the control state of one entry instance.
@@ -37,6 +39,7 @@
 	register *contract.Register
 	centres  map[string]*zone.DataCentre
 	config   configState
+	limits   limitState
 	journal  journal
 	dirty    bool
 }
@@ -47,6 +50,7 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
+		limits:   newLimitState(o),
 		dirty:    true,
 	}
 	for name, region := range o.DataCentres {
@@ -57,14 +61,16 @@
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}}
+	return append([]Action{LoadConfig{}, WatchEndpoints{}}, f.tickLimits(now)...)
 }
 
 // Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
+func (f *Fleet) Tick(now time.Time) []Action {
+	return append(f.tickConfig(now), f.tickLimits(now)...)
+}
 
 // NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
+func (f *Fleet) NextWake() time.Time { return earliest(f.config.wakeAt, f.nextLimitWake()) }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
 type EndpointsSeen struct {
--- /dev/null
+++ b/internal/fleet/limits_holder.go
@@ -0,0 +1,277 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+)
+
+// RenewHold writes the record of this holder. The result is HoldRenewed,
+// HoldRefused or HoldFailed.
+type RenewHold struct{ Record contract.HolderRecord }
+
+func (RenewHold) isAction() {}
+
+// ObserveHolders reads the records of all holders. The result is HoldersSeen or
+// HoldersFailed.
+type ObserveHolders struct{}
+
+func (ObserveHolders) isAction() {}
+
+// ReclaimSlots removes the entries of holders that are gone from all records,
+// and then their holder records. The result is SlotsReclaimed.
+type ReclaimSlots struct{ Gone []contract.Holder }
+
+func (ReclaimSlots) isAction() {}
+
+// EndHold deletes the record of this holder after it returned everything. The
+// result is HoldEnded.
+type EndHold struct{ Holder contract.Holder }
+
+func (EndHold) isAction() {}
+
+// renew starts a renewal when one is due.
+func (f *Fleet) renew(now time.Time) []Action {
+	if f.limits.stopping && f.limits.returned {
+		return nil
+	}
+	record, due := f.limits.hold.Renew(now)
+	if !f.limits.hold.InFlight() && !f.limits.hold.Superseded() {
+		f.limits.wakeBy(f.limits.hold.NextAt())
+	}
+	if !due {
+		return nil
+	}
+	return []Action{RenewHold{Record: record}}
+}
+
+// HoldRenewed reports a renewal that is known to have taken effect.
+type HoldRenewed struct {
+	Written contract.HolderRecord
+	// SentAt is when the write was sent.
+	SentAt time.Time
+}
+
+// Apply implements Event.
+func (e HoldRenewed) Apply(f *Fleet, now time.Time) []Action {
+	old := f.limits.hold.Holder()
+	if f.limits.hold.Renewed(now, e.SentAt, e.Written) {
+		f.lapse(now, old)
+	}
+	f.limits.wakeBy(f.limits.hold.NextAt())
+	actions := f.renew(now)
+	for _, a := range f.limits.order {
+		actions = append(actions, f.drive(now, a)...)
+	}
+	return actions
+}
+
+// lapse gives up everything that was held under an old identity.
+func (f *Fleet) lapse(now time.Time, old contract.Holder) {
+	for _, a := range f.limits.order {
+		a.Lapse(old)
+	}
+	f.Explain(Decision{
+		At: now, Subject: Subject{Kind: SubjectInstance, Name: old.Instance}, Action: "lapse",
+		Reason: "the hold ended before a renewal was confirmed; slots are taken again under a new incarnation",
+		Inputs: []Input{{Name: "old", Value: old.String()}, {Name: "new", Value: f.limits.hold.Holder().String()}},
+	})
+}
+
+// HoldRefused reports that a later incarnation of this instance holds slots.
+type HoldRefused struct{ Found contract.HolderRecord }
+
+// Apply implements Event.
+func (e HoldRefused) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.hold.Refused()
+	f.Explain(Decision{
+		At: now, Subject: Subject{Kind: SubjectInstance, Name: f.self.ID}, Action: "hold-refused",
+		Reason: "a later incarnation of this instance holds slots; this one starts nothing after its hold",
+		Inputs: []Input{{Name: "found", Value: e.Found.Holder.String()}, {Name: "hold_until", Value: f.limits.hold.ValidUntil().Format(time.RFC3339)}},
+	})
+	return f.driveAll(now)
+}
+
+// HoldFailed reports a renewal that failed or whose outcome is not known.
+type HoldFailed struct{}
+
+// Apply implements Event.
+func (e HoldFailed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.hold.Failed(now)
+	f.limits.wakeBy(f.limits.hold.NextAt())
+	return f.driveAll(now)
+}
+
+func (f *Fleet) driveAll(now time.Time) []Action {
+	var actions []Action
+	for _, a := range f.limits.order {
+		actions = append(actions, f.drive(now, a)...)
+	}
+	return actions
+}
+
+// observe starts a look at the other holders when one is due.
+func (f *Fleet) observe(now time.Time) []Action {
+	if f.limits.observing || f.limits.stopping {
+		return nil
+	}
+	if now.Before(f.limits.observeAt) {
+		f.limits.wakeBy(f.limits.observeAt)
+		return nil
+	}
+	f.limits.observing = true
+	f.limits.observeAt = now.Add(f.limits.terms.RenewEvery)
+	return []Action{ObserveHolders{}}
+}
+
+// HoldersSeen is one read of all holder records.
+type HoldersSeen struct {
+	Records []contract.HolderRecord
+	// SentAt is when the read was sent.
+	SentAt time.Time
+}
+
+// Apply implements Event.
+func (e HoldersSeen) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.observing = false
+	f.limits.wakeBy(f.limits.observeAt)
+	gone := f.limits.watch.See(now, e.SentAt, e.Records)
+	gone = f.notSelf(gone)
+	if len(gone) == 0 || f.limits.reclaiming || f.limits.stopping {
+		f.limits.reclaimFrom = time.Time{}
+		return nil
+	}
+	if f.limits.reclaimFrom.IsZero() {
+		wait := time.Duration(f.limits.watch.Rank(f.self.ID, gone)) * f.limits.terms.RenewEvery
+		f.limits.reclaimFrom = now.Add(wait)
+	}
+	if now.Before(f.limits.reclaimFrom) {
+		return nil
+	}
+	f.limits.reclaiming = true
+	return []Action{ReclaimSlots{Gone: gone}}
+}
+
+// notSelf drops the own present identity.
+func (f *Fleet) notSelf(list []contract.Holder) []contract.Holder {
+	var others []contract.Holder
+	for _, h := range list {
+		if h != f.limits.hold.Holder() {
+			others = append(others, h)
+		}
+	}
+	return others
+}
+
+// HoldersFailed reports a failed read of the holder records. What was seen
+// before does not count any more.
+type HoldersFailed struct{}
+
+// Apply implements Event.
+func (e HoldersFailed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.observing = false
+	f.limits.watch.Interrupted()
+	f.limits.wakeBy(f.limits.observeAt)
+	return nil
+}
+
+// SlotsReclaimed reports which holders are gone from all records.
+type SlotsReclaimed struct {
+	// Gone is empty when the reclaim failed; it is tried again.
+	Gone []contract.Holder
+	// Freed is the number of slots that became free.
+	Freed int
+}
+
+// Apply implements Event.
+func (e SlotsReclaimed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.reclaiming = false
+	f.limits.reclaimFrom = time.Time{}
+	f.limits.hold.Reclaimed(e.Gone)
+	for _, h := range e.Gone {
+		f.Explain(Decision{
+			At: now, Subject: Subject{Kind: SubjectInstance, Name: h.Instance}, Action: "reclaim",
+			Reason: "its renewal counter was seen unchanged for the hold and the longest lease",
+			Inputs: []Input{{Name: "holder", Value: h.String()}, number("freed", e.Freed)},
+		})
+	}
+	return nil
+}
+
+// Returned is the answer to ReleaseAllotments.
+type Returned struct {
+	// Kept is the number of slots that could not be returned, because the
+	// platform failed or a loan is not back. They are free after the hold.
+	Kept int
+}
+
+// ReleaseAllotments starts the return of all slots at a planned stop. Nothing
+// new is admitted from here on. Reply gets one answer once running requests
+// have finished and everything is returned; it must have a free buffer place.
+type ReleaseAllotments struct{ Reply chan<- Returned }
+
+// Apply implements Event.
+func (e ReleaseAllotments) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.stopping = true
+	f.limits.stopped = append(f.limits.stopped, e.Reply)
+	f.refuseAllWaiting(now)
+	var actions []Action
+	for _, a := range f.limits.order {
+		actions = append(actions, f.returnLoans(now, a, 0, f.limits.hold.Valid(now))...)
+		actions = append(actions, f.planSwap(now, a)...)
+	}
+	return append(actions, f.finishStop(now)...)
+}
+
+// refuseAllWaiting refuses what waits for a slot at a planned stop.
+func (f *Fleet) refuseAllWaiting(now time.Time) {
+	for _, w := range f.limits.waiters {
+		f.limits.queue.Remove(w)
+		f.refuse(now, w.Request, Refusal{Code: CodeNotReady, Reason: "this entry instance is stopping", RetryAfter: retryFloor})
+	}
+}
+
+// finishStop ends the hold once nothing is held, and answers ReleaseAllotments.
+func (f *Fleet) finishStop(now time.Time) []Action {
+	if !f.limits.stopping || f.limits.returned {
+		return nil
+	}
+	kept, all := 0, true
+	for _, a := range f.limits.order {
+		if a.Running() > 0 || a.Pending() {
+			return nil
+		}
+		kept += a.Granted()
+		all = all && a.Returned()
+	}
+	switch {
+	case !all && f.limits.hold.Valid(now):
+		return nil
+	case !all || len(f.limits.hold.Former()) > 0:
+		// The holder record stays, so that others find what is left.
+		f.answerStop(kept)
+		return nil
+	case f.limits.ending:
+		return nil
+	}
+	f.limits.ending = true
+	return []Action{EndHold{Holder: f.limits.hold.Holder()}}
+}
+
+// HoldEnded reports that the record of this holder was deleted, or that the
+// platform failed.
+type HoldEnded struct{}
+
+// Apply implements Event.
+func (e HoldEnded) Apply(f *Fleet, now time.Time) []Action {
+	f.answerStop(0)
+	return nil
+}
+
+func (f *Fleet) answerStop(kept int) {
+	f.limits.returned = true
+	for _, reply := range f.limits.stopped {
+		reply <- Returned{Kept: kept}
+	}
+	f.limits.stopped = nil
+}
--- /dev/null
+++ b/internal/fleet/limits_loan.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/link"
+)
+
+// maxGivers is the number of holders that are asked for a loan in one shortage.
+const maxGivers = 3
+
+// RequestLoan asks another holder for a loan. The result is LoanGranted or
+// LoanRefused.
+type RequestLoan struct {
+	To    link.Member
+	Limit contract.Ref
+	Slots int
+	// ID is the transfer id. A repeated request with the same id gets the same
+	// loan.
+	ID string
+}
+
+func (RequestLoan) isAction() {}
+
+// ReturnLoan tells the giver that a loan is not used any more. It has no result:
+// a lost return only keeps the slots reserved until the loan ends.
+type ReturnLoan struct {
+	To    link.Member
+	Limit contract.Ref
+	ID    string
+}
+
+func (ReturnLoan) isAction() {}
+
+// LoanRequested is the request of another holder. Reply must have a free buffer
+// place.
+type LoanRequested struct {
+	From  link.Member
+	Limit contract.Ref
+	Slots int
+	ID    string
+	Reply chan<- contract.LoanReply
+}
+
+// Apply implements Event.
+func (e LoanRequested) Apply(f *Fleet, now time.Time) []Action {
+	if f.limits.stopping {
+		e.Reply <- contract.LoanReply{Reason: "the giver is stopping"}
+		return nil
+	}
+	actions := f.refreshLimits(now)
+	a := f.allotment(e.Limit)
+	waiting := f.limits.queue.Waiting(e.Limit)
+	reply := a.Lend(now, e.ID, e.From.ID, e.Slots, waiting, f.limits.hold.ValidUntil())
+	e.Reply <- reply
+	if reply.Slots > 0 {
+		f.explainLoan(now, e.Limit, "lend", e.From.ID, reply.Slots)
+	}
+	return actions
+}
+
+// LoanGranted reports a loan.
+type LoanGranted struct {
+	From  link.Member
+	Limit contract.Ref
+	ID    string
+	Reply contract.LoanReply
+	// SentAt is when the request was sent: the loan is counted from there.
+	SentAt time.Time
+}
+
+// Apply implements Event.
+func (e LoanGranted) Apply(f *Fleet, now time.Time) []Action {
+	a := f.allotment(e.Limit)
+	if !a.Borrow(now, e.ID, e.From.ID, e.SentAt, e.Reply) {
+		return append(f.drive(now, a), ReturnLoan{To: e.From, Limit: e.Limit, ID: e.ID})
+	}
+	f.explainLoan(now, e.Limit, "borrow", e.From.ID, e.Reply.Slots)
+	return f.drive(now, a)
+}
+
+// LoanRefused reports that a loan was refused or that the outcome of the request
+// is not known.
+type LoanRefused struct {
+	From  link.Member
+	Limit contract.Ref
+	ID    string
+	// Unknown is true when the giver may have granted the loan.
+	Unknown bool
+}
+
+// Apply implements Event.
+func (e LoanRefused) Apply(f *Fleet, now time.Time) []Action {
+	a := f.allotment(e.Limit)
+	var actions []Action
+	if a.LoanFailed(e.ID) && e.Unknown {
+		actions = append(actions, ReturnLoan{To: e.From, Limit: e.Limit, ID: e.ID})
+	}
+	return append(actions, f.drive(now, a)...)
+}
+
+// LoanReturned reports that the taker of a loan gave it back. It may arrive more
+// than once, late, or before the request.
+type LoanReturned struct {
+	Limit contract.Ref
+	ID    string
+}
+
+// Apply implements Event.
+func (e LoanReturned) Apply(f *Fleet, now time.Time) []Action {
+	a := f.allotment(e.Limit)
+	a.LoanReturned(now, e.ID)
+	return f.drive(now, a)
+}
+
+// planLoan asks the next holder for a loan when the last swap gained too little.
+func (f *Fleet) planLoan(now time.Time, a *contract.Allotment) []Action {
+	ref := a.Ref()
+	slots := a.LoanWanted(now, f.limits.queue.Waiting(ref), f.limits.hold.Valid(now))
+	if slots == 0 || f.limits.stopping {
+		return nil
+	}
+	giver, ok := f.nextGiver(a)
+	if !ok {
+		return nil
+	}
+	f.limits.transfer++
+	id := fmt.Sprintf("%s/%d", f.limits.hold.Holder(), f.limits.transfer)
+	a.AskLoan(id)
+	return []Action{RequestLoan{To: giver, Limit: ref, Slots: slots, ID: id}}
+}
+
+// nextGiver returns the holder with the most slots that was not asked yet, those
+// of the own data centre first.
+func (f *Fleet) nextGiver(a *contract.Allotment) (link.Member, bool) {
+	asked := f.limits.asked[a.Ref()]
+	if len(asked) >= maxGivers {
+		return link.Member{}, false
+	}
+	record := a.Record()
+	entries := append([]contract.AllotmentEntry(nil), record.Entries...)
+	near := func(e contract.AllotmentEntry) bool {
+		r, _ := f.limits.watch.Record(e.Holder.Instance)
+		return r.DataCentre == f.self.DataCentre
+	}
+	sort.SliceStable(entries, func(i, j int) bool {
+		if near(entries[i]) != near(entries[j]) {
+			return near(entries[i])
+		}
+		return entries[i].Slots > entries[j].Slots
+	})
+	for _, e := range entries {
+		r, ok := f.limits.watch.Record(e.Holder.Instance)
+		if !ok || r.Holder != e.Holder || e.Holder.Instance == f.self.ID || asked[e.Holder.Instance] {
+			continue
+		}
+		f.markAsked(a.Ref(), e.Holder.Instance)
+		return link.Member{ID: e.Holder.Instance, Incarnation: e.Holder.Incarnation, DataCentre: r.DataCentre, Address: r.Address}, true
+	}
+	return link.Member{}, false
+}
+
+func (f *Fleet) markAsked(ref contract.Ref, instance string) {
+	if f.limits.asked[ref] == nil {
+		f.limits.asked[ref] = make(map[string]bool)
+	}
+	f.limits.asked[ref][instance] = true
+}
+
+// returnLoans gives back the loans that an allotment does not need.
+func (f *Fleet) returnLoans(now time.Time, a *contract.Allotment, waiting int, held bool) []Action {
+	var actions []Action
+	for _, loan := range a.IdleLoans(now, waiting, held) {
+		r, ok := f.limits.watch.Record(loan.Peer)
+		if !ok {
+			continue
+		}
+		to := link.Member{ID: loan.Peer, Incarnation: r.Holder.Incarnation, DataCentre: r.DataCentre, Address: r.Address}
+		actions = append(actions, ReturnLoan{To: to, Limit: a.Ref(), ID: loan.ID})
+	}
+	return actions
+}
+
+func (f *Fleet) explainLoan(now time.Time, ref contract.Ref, action, peer string, slots int) {
+	f.Explain(Decision{
+		At: now, Subject: subjectOf(ref), Action: action, Reason: "a holder was short of slots",
+		Inputs: []Input{{Name: "peer", Value: peer}, number("slots", slots)},
+	})
+}
--- /dev/null
+++ b/internal/fleet/limits_view.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+)
+
+// LimitView is what one entry instance holds of one limit.
+type LimitView struct {
+	Limit contract.Ref `json:"limit"`
+	// Slots is the limit across the fleet, 0 when Unbounded.
+	Slots     int    `json:"slots"`
+	Unbounded bool   `json:"unbounded,omitempty"`
+	Revision  uint64 `json:"revision"`
+	// Held, Running, Lent, Borrowed and Waiting are of this instance.
+	Held     int `json:"held"`
+	Running  int `json:"running"`
+	Lent     int `json:"lent"`
+	Borrowed int `json:"borrowed"`
+	Waiting  int `json:"waiting"`
+	// Settled is false while starts wait for a changed limit.
+	Settled bool `json:"settled"`
+}
+
+// LimitsReport is the answer to LimitsQuery.
+type LimitsReport struct {
+	Holder    contract.Holder `json:"holder"`
+	HoldUntil time.Time       `json:"hold_until"`
+	Held      bool            `json:"hold_valid"`
+	Stopping  bool            `json:"stopping,omitempty"`
+	Limits    []LimitView     `json:"limits"`
+}
+
+// LimitsQuery asks for the limits as this instance sees them. Reply must have a
+// free buffer place.
+type LimitsQuery struct{ Reply chan<- LimitsReport }
+
+// Apply implements Event.
+func (e LimitsQuery) Apply(f *Fleet, now time.Time) []Action {
+	report := LimitsReport{
+		Holder: f.limits.hold.Holder(), HoldUntil: f.limits.hold.ValidUntil(),
+		Held: f.limits.hold.Valid(now), Stopping: f.limits.stopping,
+	}
+	for _, a := range f.limits.order {
+		report.Limits = append(report.Limits, f.viewLimit(now, a.Ref(), a))
+	}
+	sort.Slice(report.Limits, func(i, j int) bool {
+		return report.Limits[i].Limit.String() < report.Limits[j].Limit.String()
+	})
+	e.Reply <- report
+	return nil
+}
+
+func (f *Fleet) viewLimit(now time.Time, ref contract.Ref, a *contract.Allotment) LimitView {
+	limit := a.Limit()
+	return LimitView{
+		Limit: ref, Slots: limit.Slots, Unbounded: limit.Unbounded, Revision: limit.Revision,
+		Held: a.Granted(), Running: a.Running(), Lent: a.Lent(), Borrowed: a.Borrowed(now),
+		Waiting: f.limits.queue.Waiting(ref), Settled: a.Settled(),
+	}
+}
+
+// subjectOf names a limit in explanations.
+func subjectOf(ref contract.Ref) Subject {
+	if ref.Kind == contract.KindTeam {
+		return Subject{Kind: SubjectTeam, Name: ref.Name}
+	}
+	return Subject{Kind: SubjectTeam, Name: ref.String()}
+}
+
+func limitText(l contract.Limit) string {
+	if l.Unbounded {
+		return "no bound"
+	}
+	return strconv.Itoa(l.Slots)
+}
+
+func number(name string, value int) Input { return Input{Name: name, Value: strconv.Itoa(value)} }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -106,7 +106,7 @@
 	if refusal != nil {
 		return refused(team, refusal)
 	}
-	refusal = h.admit(ctx, team, r.Service)
+	refusal = h.admit(ctx, team, r)
 	if refusal != nil {
 		return refused(team, refusal)
 	}
@@ -138,14 +138,6 @@
 	return document, key.Team, nil
 }
 
-func (h *Handler) admit(ctx context.Context, team, service string) *fleet.Refusal {
-	reply := make(chan fleet.Admission, 1)
-	if err := h.loop.SendTraffic(ctx, fleet.Admit{Team: team, Service: service, Reply: reply}); err != nil {
-		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
-	}
-	return (<-reply).Refusal
-}
-
 func (h *Handler) release(team, service string) {
 	_ = h.loop.SendTraffic(context.Background(), fleet.Release{Team: team, Service: service})
 }
