--- a/internal/contract/allotment.go
+++ b/internal/contract/allotment.go
@@ -294,8 +294,17 @@
 
 // settle compares the recorded sum with the limit.
 func (a *Allotment) settle(now time.Time, record AllotmentRecord) {
+	if a.limit.Unbounded {
+		a.confirm = confirmed
+		return
+	}
 	if record.Limit.Revision < a.limit.Revision {
-		a.confirm = max(a.confirm, confirmRaise)
+		// The limit changed while the swap was in flight.
+		changed := confirmRaise
+		if record.Limit.Unbounded || a.limit.Slots < record.Limit.Slots {
+			changed = confirmLower
+		}
+		a.confirm = max(a.confirm, changed)
 		return
 	}
 	if a.limit.Allows(record.Sum()) {
--- a/internal/control/allotment_runner.go
+++ b/internal/control/allotment_runner.go
@@ -47,11 +47,14 @@
 	store platform.Store
 	log   *logrus.Entry
 	clock func() time.Time
+	// Pause waits between repeats and reports false when ctx ended. Tests with a
+	// clock of their own replace it.
+	Pause func(ctx context.Context, d time.Duration) bool
 }
 
 // NewLimitRunner returns a runner that writes to s.
 func NewLimitRunner(s platform.Store, log *logrus.Entry, clock func() time.Time) *LimitRunner {
-	return &LimitRunner{store: s, log: log, clock: clock}
+	return &LimitRunner{store: s, log: log, clock: clock, Pause: pause}
 }
 
 // Run performs an action and returns its result. It returns false when the
@@ -113,7 +116,7 @@
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
 			return err
 		}
-		if !pause(ctx, time.Duration(1+rand.Int64N(int64(limitPause)*int64(attempt+1)))) {
+		if !r.Pause(ctx, time.Duration(1+rand.Int64N(int64(limitPause)*int64(attempt+1)))) {
 			return err
 		}
 	}
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -32,21 +32,27 @@
 type Admission struct {
 	// Refusal is nil when the work may start.
 	Refusal *Refusal
-	// StartBefore is until when the work may be sent; the zero time means no
-	// bound. The sender checks it against the clock right before it sends, since
-	// the process may have been paused after the admission.
+	// StartBefore is until when the work may be sent. The sender checks it
+	// against the clock right before it sends, since the process may have been
+	// paused after the admission.
 	StartBefore time.Time
 }
 
+// startWindow is how long an admission may be used. A process that was paused
+// longer than that must ask again: the limit may have been lowered meanwhile.
+const startWindow = 2 * time.Second
+
 // Admit asks for one slot of a team, and of a service that has a bound, before a
 // request is sent. Reply must have a free buffer place, since the control thread
 // does not wait. A request may wait until Deadline while more slots are on
 // their way.
 type Admit struct {
-	// ID is the request id, for explanations.
-	ID      string
-	Team    string
-	Service string
+	// RequestID names the request in explanations.
+	RequestID string
+	Team      string
+	Service   string
+	// NonIdempotent is the caller's wish; the document may say the same.
+	NonIdempotent bool
 	// Deadline bounds the wait and must bound the run.
 	Deadline time.Time
 	Reply    chan<- Admission
@@ -54,6 +60,10 @@
 
 // Apply implements Event.
 func (e Admit) Apply(f *Fleet, now time.Time) []Action {
+	if refusal := f.mayAdmit(e.RequestID, e.Service, e.NonIdempotent, now); refusal != nil {
+		e.Reply <- Admission{Refusal: refusal}
+		return nil
+	}
 	actions := f.refreshLimits(now)
 	team, service := f.limits.of(f, e.Team, e.Service)
 	if !f.limits.queue.Queued(e.Team, e.Service) && f.admit(now, e, team, service) {
@@ -101,7 +111,7 @@
 	service.Start()
 	until := f.limits.hold.ValidUntil()
 	start := earliest(team.StartBefore(now, until), service.StartBefore(now, until))
-	e.Reply <- Admission{StartBefore: start}
+	e.Reply <- Admission{StartBefore: earliest(start, now.Add(startWindow))}
 	return true
 }
 
@@ -137,8 +147,9 @@
 // drive brings the requests that wait for an allotment, its swaps and its loans
 // forward after any change.
 func (f *Fleet) drive(now time.Time, a *contract.Allotment) []Action {
+	actions := f.refreshLimits(now)
 	f.serveWaiting(now, a)
-	actions := f.planSwap(now, a)
+	actions = append(actions, f.planSwap(now, a)...)
 	actions = append(actions, f.planLoan(now, a)...)
 	if !a.Busy() && !f.limits.awaitsHold(now) {
 		f.refuseWaiting(now, a)
@@ -163,6 +174,10 @@
 			continue
 		}
 		delete(f.limits.waiters, w.Request.Reply)
+		if refusal := f.mayAdmit(w.Request.RequestID, w.Service, w.Request.NonIdempotent, now); refusal != nil {
+			w.Request.Reply <- Admission{Refusal: refusal}
+			continue
+		}
 		team, service := f.limits.of(f, w.Team, w.Service)
 		f.admit(now, w.Request, team, service)
 	}
@@ -198,15 +213,7 @@
 func (f *Fleet) refuse(now time.Time, e Admit, r Refusal) {
 	delete(f.limits.waiters, e.Reply)
 	e.Reply <- Admission{Refusal: &r}
-	f.Explain(Decision{
-		At: now, Subject: Subject{Kind: SubjectRefusal, Name: e.ID}, Action: "refuse", Reason: r.Reason,
-		Inputs: []Input{
-			{Name: "code", Value: r.Code},
-			{Name: "team", Value: e.Team},
-			{Name: "service", Value: e.Service},
-			{Name: "retry_after", Value: r.RetryAfter.String()},
-		},
-	})
+	f.ExplainRefusal(e.RequestID, e.Service, &r, now)
 }
 
 func deadlineRefusal() Refusal {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,10 @@
 	DataCentres map[string]string
 	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
 	LimitTerms contract.LimitTerms
+	// Seeds are peers known from the settings.
+	Seeds []link.Member
+	// Horizon is the freshness horizon, 0 for DefaultHorizon.
+	Horizon time.Duration
 }
 
 // Fleet is the control state of one entry instance.
@@ -41,7 +45,13 @@
 	config   configState
 	limits   limitState
 	journal  journal
+	wakes    wakes
+	peers    peersState
+	start    StartRule
+	cache    snapshotCache
 	dirty    bool
+	// freshDirty is set when only the freshness changed.
+	freshDirty bool
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -50,28 +60,29 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
-		limits:   newLimitState(o),
 		dirty:    true,
 	}
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
+	horizon := o.Horizon
+	if horizon == 0 {
+		horizon = DefaultHorizon
+	}
+	f.start.fresh = link.NewFreshness(horizon)
+	f.peers = newPeersState(f, o.Seeds)
+	f.limits = newLimitState(f, o)
 	return f
 }
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return append([]Action{LoadConfig{}, WatchEndpoints{}}, f.tickLimits(now)...)
-}
-
-// Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action {
-	return append(f.tickConfig(now), f.tickLimits(now)...)
+	f.config.busy = true
+	f.peers.probeWake.set(now)
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	return append(actions, f.tickLimits(now)...)
 }
 
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return earliest(f.config.wakeAt, f.nextLimitWake()) }
-
 // EndpointsSeen is the platform's list of endpoints, which lags.
 type EndpointsSeen struct {
 	Endpoints []machine.Endpoint
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -28,7 +28,7 @@
 	observing   bool
 	observeAt   time.Time
 	reviewAt    time.Time
-	wakeAt      time.Time
+	wake        *wake
 	configDue   bool
 	reclaiming  bool
 	reclaimFrom time.Time
@@ -38,13 +38,14 @@
 	returned    bool
 }
 
-func newLimitState(o Options) limitState {
+func newLimitState(f *Fleet, o Options) limitState {
 	terms := o.LimitTerms
 	if terms == (contract.LimitTerms{}) {
 		terms = contract.DefaultLimitTerms()
 	}
 	holder := contract.Holder{Instance: o.Self.ID, Incarnation: o.Self.Incarnation}
 	return limitState{
+		wake:       f.wakes.register(f.tickLimits),
 		terms:      terms,
 		hold:       contract.NewHold(holder, o.Self.DataCentre, o.Self.Address, terms),
 		watch:      contract.NewHolderWatch(terms),
@@ -63,7 +64,11 @@
 }
 
 // wakeBy asks for a tick not later than at; the zero time asks for none.
-func (l *limitState) wakeBy(at time.Time) { l.wakeAt = earliest(l.wakeAt, at) }
+func (l *limitState) wakeBy(at time.Time) {
+	if !at.IsZero() {
+		l.wake.setEarlier(at)
+	}
+}
 
 // awaitsHold reports whether the first renewal is still in flight.
 func (l *limitState) awaitsHold(now time.Time) bool {
@@ -132,7 +137,6 @@
 
 // tickLimits runs what is due.
 func (f *Fleet) tickLimits(now time.Time) []Action {
-	f.limits.wakeAt = time.Time{}
 	actions := f.refreshLimits(now)
 	f.expireWaiting(now)
 	actions = append(actions, f.renew(now)...)
@@ -146,15 +150,6 @@
 	return actions
 }
 
-// nextLimitWake returns when tickLimits is due; a changed configuration makes
-// it due at once.
-func (f *Fleet) nextLimitWake() time.Time {
-	if f.limits.configDue {
-		return time.Unix(1, 0)
-	}
-	return f.limits.wakeAt
-}
-
 // reviewAllotments returns idle slots and loans and retries what failed.
 func (f *Fleet) reviewAllotments(now time.Time) []Action {
 	var actions []Action
--- a/internal/fleet/limits_loan.go
+++ b/internal/fleet/limits_loan.go
@@ -23,7 +23,8 @@
 	ID string
 }
 
-func (RequestLoan) isAction() {}
+func (RequestLoan) isAction()     {}
+func (RequestLoan) isPeerAction() {}
 
 // ReturnLoan tells the giver that a loan is not used any more. It has no result:
 // a lost return only keeps the slots reserved until the loan ends.
@@ -33,7 +34,8 @@
 	ID    string
 }
 
-func (ReturnLoan) isAction() {}
+func (ReturnLoan) isAction()     {}
+func (ReturnLoan) isPeerAction() {}
 
 // LoanRequested is the request of another holder. Reply must have a free buffer
 // place.
@@ -47,8 +49,8 @@
 
 // Apply implements Event.
 func (e LoanRequested) Apply(f *Fleet, now time.Time) []Action {
-	if f.limits.stopping {
-		e.Reply <- contract.LoanReply{Reason: "the giver is stopping"}
+	if _, known := f.register.Get(e.Limit); !known || f.limits.stopping {
+		e.Reply <- contract.LoanReply{Reason: "the giver is stopping or does not know the limit"}
 		return nil
 	}
 	actions := f.refreshLimits(now)
@@ -111,6 +113,9 @@
 
 // Apply implements Event.
 func (e LoanReturned) Apply(f *Fleet, now time.Time) []Action {
+	if _, known := f.register.Get(e.Limit); !known {
+		return nil
+	}
 	a := f.allotment(e.Limit)
 	a.LoanReturned(now, e.ID)
 	return f.drive(now, a)
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -11,7 +11,9 @@
 // slots are on their way. When it returns nil, release must follow.
 func (h *Handler) admit(ctx context.Context, team string, r Request) *fleet.Refusal {
 	reply := make(chan fleet.Admission, 1)
-	admit := fleet.Admit{ID: r.ID, Team: team, Service: r.Service, Deadline: r.Deadline, Reply: reply}
+	admit := fleet.Admit{
+		RequestID: r.ID, Team: team, Service: r.Service, NonIdempotent: r.NonIdempotent, Deadline: r.Deadline, Reply: reply,
+	}
 	if err := h.loop.SendTraffic(ctx, admit); err != nil {
 		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
 	}
@@ -21,7 +23,7 @@
 	}
 	if late(admission, h.clock()) {
 		h.release(team, r.Service)
-		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: "the process was paused past its hold", RetryAfter: time.Second}
+		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: "the process was paused after it admitted the request", RetryAfter: time.Second}
 	}
 	return nil
 }
@@ -40,6 +42,4 @@
 
 // late reports whether the slot may not be used any more: the process was paused
 // after the admission, and others may have reclaimed the slot.
-func late(a fleet.Admission, now time.Time) bool {
-	return !a.StartBefore.IsZero() && !now.Before(a.StartBefore)
-}
+func late(a fleet.Admission, now time.Time) bool { return !now.Before(a.StartBefore) }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -147,6 +147,9 @@
 	if !ok {
 		return refused("", &fleet.Refusal{Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + document.Service, RetryAfter: time.Second})
 	}
+	if refusal := h.mayStart(r, endpoint); refusal != nil {
+		return refused("", refusal)
+	}
 	result := h.sender.Send(ctx, endpoint, Attempt{RequestID: r.ID, Number: 1, Deadline: r.Deadline, Body: r.Body})
 	if result.Err == nil {
 		return Outcome{Kind: Answered, Status: result.Status, Body: result.Body}
