Return slots at a planned stop and show limits to operators

Cause: a stopped instance kept its slots for the hold, and operators could not see who holds the slots of a limit.

Change: the stop sequence sends ReleaseAllotments and awaits the answer: each allotment is returned by one swap once nothing runs in it, and the holder record is deleted at the end. The route /v1/limits and the command limit show give the platform's record next to what the asked instance holds. The terms are settings (limits.hold_ms and others). A deadline beyond the longest lease is refused. A test of separate processes kills one of two instances under load, waits for the reclaim, and lowers and raises the limit, while the endpoint counts what runs.

Ruled out: returning each slot as its request finishes, which costs a swap each; waiting for the platform at a stop for longer than 2 s of failures.

Conclusion: slots move at stop, loss and change of limit.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -35,6 +35,7 @@
 			documentCommand(),
 			demoCommand(),
 			certificateCommand(),
+			limitCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/control/limits_read.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+)
+
+// LimitRecord is the platform's record of one limit.
+type LimitRecord struct {
+	Limit  contract.Ref
+	Record contract.AllotmentRecord
+}
+
+// ReadLimits reads the records of all limits, ordered by key.
+func ReadLimits(ctx context.Context, s platform.Store) ([]LimitRecord, error) {
+	items, err := s.List(ctx, AllotmentPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list allotments")
+	}
+	list := make([]LimitRecord, 0, len(items))
+	for _, item := range items {
+		r := LimitRecord{Limit: limitOfKey(item.Key)}
+		if err := json.Unmarshal(item.Value, &r.Record); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", item.Key)
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+// limitOfKey is the inverse of AllotmentKey.
+func limitOfKey(key string) contract.Ref {
+	if service, ok := strings.CutPrefix(key, ServiceAllotmentPrefix); ok {
+		return contract.Ref{Kind: contract.KindDocument, Name: service}
+	}
+	return contract.Ref{Kind: contract.KindTeam, Name: strings.TrimPrefix(key, AllotmentPrefix)}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,7 @@
 	}
 	f := fleet.New(fleet.Options{
 		Self: self, DataCentres: s.DataCentres, Seeds: seeds(s.Seeds), Horizon: s.FreshnessHorizon(),
+		LimitTerms: s.Limits.Terms(),
 	})
 	node, err := peer.NewNode(peer.Options{
 		Self:  self,
@@ -63,8 +64,9 @@
 		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
 			return peers.Spread(ctx, loop, plan)
 		},
-		Log:   log,
-		Clock: time.Now,
+		Limits: func(ctx context.Context) ([]control.LimitRecord, error) { return control.ReadLimits(ctx, p) },
+		Log:    log,
+		Clock:  time.Now,
 	})
 	return serve(ctx, loop, node, server, listener, log)
 }
@@ -83,9 +85,12 @@
 		defer stopLoop()
 		<-groupCtx.Done()
 		log.Info("front: stopping")
+		returned := beginReturn(loopCtx, loop)
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		return server.Shutdown(limited)
+		err := server.Shutdown(limited)
+		awaitReturn(returned, log)
+		return err
 	})
 	log.Infof("front: listening on %s", l.Addr())
 	return group.Wait()
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -64,6 +64,10 @@
 		e.Reply <- Admission{Refusal: refusal}
 		return nil
 	}
+	if longest := f.limits.terms.LongestLease; e.Deadline.Sub(now) > longest {
+		f.refuse(now, e, Refusal{Code: CodeBadRequest, Reason: "the deadline is further away than the longest lease of " + longest.String()})
+		return nil
+	}
 	actions := f.refreshLimits(now)
 	team, service := f.limits.of(f, e.Team, e.Service)
 	if !f.limits.queue.Queued(e.Team, e.Service) && f.admit(now, e, team, service) {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -35,7 +35,9 @@
 	stopping    bool
 	ending      bool
 	stopped     []chan<- Returned
-	returned    bool
+	// failingSince is when swaps began to fail during a planned stop.
+	failingSince time.Time
+	returned     bool
 }
 
 func newLimitState(f *Fleet, o Options) limitState {
@@ -204,6 +206,7 @@
 
 // Apply implements Event.
 func (e AllotmentSwapped) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = time.Time{}
 	a := f.allotment(e.Limit)
 	a.Swapped(now, f.limits.hold.Holder(), e.Sequence, e.Record)
 	return append(f.drive(now, a), f.finishStop(now)...)
@@ -217,6 +220,7 @@
 
 // Apply implements Event.
 func (e AllotmentFailed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = earliest(f.limits.failingSince, now)
 	a := f.allotment(e.Limit)
 	a.Failed(now, e.Sequence)
 	return append(f.drive(now, a), f.finishStop(now)...)
--- a/internal/fleet/limits_holder.go
+++ b/internal/fleet/limits_holder.go
@@ -231,6 +231,10 @@
 	}
 }
 
+// stopPatience is how long a planned stop goes on trying while the platform
+// fails. Others get the slots after the hold.
+const stopPatience = 2 * time.Second
+
 // finishStop ends the hold once nothing is held, and answers ReleaseAllotments.
 func (f *Fleet) finishStop(now time.Time) []Action {
 	if !f.limits.stopping || f.limits.returned {
@@ -244,8 +248,10 @@
 		kept += a.Granted()
 		all = all && a.Returned()
 	}
+	since := f.limits.failingSince
+	failing := !since.IsZero() && now.Sub(since) >= stopPatience
 	switch {
-	case !all && f.limits.hold.Valid(now):
+	case !all && !failing && f.limits.hold.Valid(now):
 		return nil
 	case !all || len(f.limits.hold.Former()) > 0:
 		// The holder record stays, so that others find what is left.
--- a/internal/fleet/limits_view.go
+++ b/internal/fleet/limits_view.go
@@ -44,7 +44,11 @@
 		Holder: f.limits.hold.Holder(), HoldUntil: f.limits.hold.ValidUntil(),
 		Held: f.limits.hold.Valid(now), Stopping: f.limits.stopping,
 	}
+	f.knowAllLimits()
 	for _, a := range f.limits.order {
+		if a.Limit().Unbounded && a.Ref().Kind == contract.KindDocument {
+			continue
+		}
 		report.Limits = append(report.Limits, f.viewLimit(now, a.Ref(), a))
 	}
 	sort.Slice(report.Limits, func(i, j int) bool {
@@ -54,6 +58,18 @@
 	return nil
 }
 
+// knowAllLimits makes allotments for the limits that no request has used here.
+func (f *Fleet) knowAllLimits() {
+	for _, o := range f.register.List(contract.KindTeam) {
+		f.allotment(o.Ref)
+	}
+	for _, o := range f.register.List(contract.KindDocument) {
+		if o.Document.MaxSlots > 0 {
+			f.allotment(o.Ref)
+		}
+	}
+}
+
 func (f *Fleet) viewLimit(now time.Time, ref contract.Ref, a *contract.Allotment) LimitView {
 	limit := a.Limit()
 	return LimitView{
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,6 +37,7 @@
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
 	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Limits  LimitsReader
 	Metrics *telemetry.Metrics
 	Log     *logrus.Entry
 	Clock   func() time.Time
@@ -65,6 +66,7 @@
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
+	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,8 @@
 	// FreshnessHorizonMS is how old the configuration may be while work is
 	// started, in milliseconds. Default DefaultFreshnessHorizonMS.
 	FreshnessHorizonMS int64 `json:"freshness_horizon_ms,omitempty"`
+	// Limits are the terms on which slots are held.
+	Limits Limits `json:"limits,omitzero"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -116,6 +118,7 @@
 		c.check(e.knows(seed.DataCentre), field+"datacentre", seed.DataCentre, "one of datacentres: "+e.centreNames())
 		c.address(field+"address", seed.Address)
 	}
+	e.Limits.check(&c)
 	horizon := e.FreshnessHorizon().Milliseconds()
 	c.check(horizon >= MinFreshnessHorizonMS && horizon <= MaxFreshnessHorizonMS, "freshness_horizon_ms", fmt.Sprint(horizon),
 		fmt.Sprintf("%d to %d ms", MinFreshnessHorizonMS, MaxFreshnessHorizonMS))
