--- a/internal/contract/allotment.go
+++ b/internal/contract/allotment.go
@@ -102,6 +102,12 @@
 	return a.granted == 0 && a.pending == nil && !a.uncertain && len(a.former) == 0
 }
 
+// Quiet reports whether nothing is held, runs, or is on its way, so that there
+// is nothing to review.
+func (a *Allotment) Quiet() bool {
+	return a.running == 0 && a.loans.asked == "" && len(a.loans.borrowed) == 0 && len(a.loans.lent) == 0 && a.Returned()
+}
+
 // RetryAt returns when the next raise may be tried.
 func (a *Allotment) RetryAt() time.Time { return a.retryAt }
 
--- /dev/null
+++ b/internal/contract/allotment_test.go
@@ -0,0 +1,227 @@
+package contract
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	depots   = Ref{Kind: KindTeam, Name: "depots"}
+	self     = Holder{Instance: "entry-1", Incarnation: 1}
+	testTime = time.Unix(1_800_000_000, 0)
+)
+
+// swapAll performs the swaps that an allotment plans against a record until it
+// plans none, and returns their number.
+func swapAll(a *Allotment, record *AllotmentRecord, now time.Time, waiting int) int {
+	swaps := 0
+	for request := a.Plan(now, self, waiting, true, false); request != nil; request = a.Plan(now, self, waiting, true, false) {
+		*record, _ = record.Apply(*request)
+		a.Swapped(now, self, request.Sequence, *record)
+		swaps++
+	}
+	return swaps
+}
+
+// TestBurstNeedsFewSwaps guards against a sizing that asks the platform for one
+// slot at a time when a queue peaks at five times its mean.
+func TestBurstNeedsFewSwaps(t *testing.T) {
+	a := NewAllotment(depots, DefaultLimitTerms())
+	a.SetLimit(Limit{Slots: 1000, Revision: 1})
+	var record AllotmentRecord
+	const mean = 20
+	run := func(demand int, now time.Time) int {
+		swaps := 0
+		for a.Running() < demand {
+			if a.Free(now, true) == 0 {
+				swaps += swapAll(a, &record, now, 1)
+				continue
+			}
+			a.Start()
+			swaps += swapAll(a, &record, now, 0)
+		}
+		return swaps
+	}
+	run(mean, testTime)
+	if swaps := run(5*mean, testTime.Add(time.Minute)); swaps > 6 {
+		t.Errorf("a burst to five times the mean took %d swaps", swaps)
+	}
+	if room := record.Room(); room < 800 {
+		t.Errorf("a burst to %d slots left only %d for others", 5*mean, room)
+	}
+}
+
+// TestRecurringBurstsNeedNoSwap guards against an allotment that returns its
+// slots between two peaks of the same queue while the limit has room.
+func TestRecurringBurstsNeedNoSwap(t *testing.T) {
+	a := NewAllotment(depots, DefaultLimitTerms())
+	a.SetLimit(Limit{Slots: 1000, Revision: 1})
+	var record AllotmentRecord
+	now := testTime
+	swaps := 0
+	for minute := range 30 {
+		before := swaps
+		for range 50 {
+			if a.Free(now, true) == 0 {
+				swaps += swapAll(a, &record, now, 1)
+			}
+			a.Start()
+		}
+		for range 50 {
+			a.Finish()
+		}
+		if minute > 0 && swaps != before {
+			t.Fatalf("minute %d took %d swaps", minute, swaps-before)
+		}
+		for range 60 {
+			now = now.Add(time.Second)
+			if request := a.Review(now, self, 0, true); request != nil {
+				t.Fatalf("minute %d returned slots: %+v", minute, *request)
+			}
+		}
+	}
+}
+
+// TestIdleSlotsReturn guards against slots that an idle holder keeps from
+// others, and against a slow return when the limit is nearly used up.
+func TestIdleSlotsReturn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limit  int
+		within time.Duration
+	}{
+		{"room left", 1000, 2*IdleAfter + time.Second},
+		{"tight", 10, 2*IdleAfterTight + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := NewAllotment(depots, DefaultLimitTerms())
+			a.SetLimit(Limit{Slots: c.limit, Revision: 1})
+			var record AllotmentRecord
+			for range 8 {
+				swapAll(a, &record, testTime, 1)
+				a.Start()
+			}
+			a.Review(testTime, self, 0, true)
+			for range 8 {
+				a.Finish()
+			}
+			for passed := time.Duration(0); passed <= c.within; passed += time.Second {
+				now := testTime.Add(passed)
+				if request := a.Review(now, self, 0, true); request != nil {
+					record, _ = record.Apply(*request)
+					a.Swapped(now, self, request.Sequence, record)
+				}
+			}
+			if record.Sum() != 0 {
+				t.Errorf("%d slots are still held after %s", record.Sum(), c.within)
+			}
+		})
+	}
+}
+
+// TestApplyNeverExceedsLimit guards against a record whose sum a swap raises
+// above the limit, or that loses slots which running work occupies.
+func TestApplyNeverExceedsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := AllotmentRecord{Limit: Limit{Slots: rapid.IntRange(0, 50).Draw(t, "limit"), Revision: 1}}
+		for i := range rapid.IntRange(0, 5).Draw(t, "holders") {
+			record.put(AllotmentEntry{Holder: Holder{Instance: string(rune('a' + i))}, Slots: rapid.IntRange(0, 12).Draw(t, "slots"), Sequence: 1})
+		}
+		q := SwapRequest{
+			Purpose:  rapid.SampledFrom([]SwapPurpose{SwapRaise, SwapLower, SwapSettle}).Draw(t, "purpose"),
+			Holder:   Holder{Instance: "a"},
+			Limit:    Limit{Slots: rapid.IntRange(0, 50).Draw(t, "new limit"), Revision: rapid.Uint64Range(0, 2).Draw(t, "revision")},
+			Sequence: 2,
+			Want:     rapid.IntRange(0, 60).Draw(t, "want"),
+			Headroom: rapid.IntRange(0, 20).Draw(t, "headroom"),
+		}
+		own := record.Entry(q.Holder).Slots
+		q.Floor = rapid.IntRange(0, own).Draw(t, "floor")
+		next, changed := record.Apply(q)
+		slots := next.Entry(q.Holder).Slots
+		switch {
+		case next.Sum() > record.Sum() && !next.Limit.Allows(next.Sum()):
+			t.Fatalf("sum %d above limit %d", next.Sum(), next.Limit.Slots)
+		case slots < q.Floor:
+			t.Fatalf("entry %d below the %d in use", slots, q.Floor)
+		case q.Purpose == SwapRaise && slots < own:
+			t.Fatalf("a raise lowered the entry from %d to %d while it is in use", own, slots)
+		case q.Purpose == SwapLower && slots > own:
+			t.Fatalf("a return raised the entry from %d to %d", own, slots)
+		case next.Limit.Revision < record.Limit.Revision:
+			t.Fatal("the limit went back to an older revision")
+		case changed && slots > 0 && !next.Done(q):
+			t.Fatal("a changed record does not carry the request")
+		}
+	})
+}
+
+// TestLoweredLimitConverges guards against a lowered limit that holders never
+// reach, or that a dead holder keeps the others from reaching.
+func TestLoweredLimitConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := AllotmentRecord{Limit: Limit{Slots: 1000, Revision: 1}}
+		n := rapid.IntRange(1, 40).Draw(t, "holders")
+		for i := range n {
+			record.put(AllotmentEntry{Holder: Holder{Instance: string(rune('A' + i))}, Slots: rapid.IntRange(1, 25).Draw(t, "slots")})
+		}
+		dead := record.Entries[0]
+		limit := Limit{Slots: rapid.IntRange(dead.Slots, 1000).Draw(t, "limit"), Revision: 2}
+		rounds := 0
+		for ; record.Limit != limit || record.Sum() > limit.Slots; rounds++ {
+			if rounds > 30 {
+				t.Fatalf("after %d rounds %d slots are held with limit %d", rounds, record.Sum(), limit.Slots)
+			}
+			for i := range n {
+				h := Holder{Instance: string(rune('A' + i))}
+				if h != dead.Holder || n == 1 {
+					record, _ = record.Apply(SwapRequest{Purpose: SwapSettle, Holder: h, Limit: limit, Sequence: 1})
+				}
+			}
+		}
+	})
+}
+
+// TestLoanIsIdempotent guards against a repeated loan request that takes a
+// second loan, and a late one that takes a loan after its return.
+func TestLoanIsIdempotent(t *testing.T) {
+	terms := DefaultLimitTerms()
+	a := NewAllotment(depots, terms)
+	a.SetLimit(Limit{Slots: 10, Revision: 1})
+	var record AllotmentRecord
+	swapAll(a, &record, testTime, 8)
+	until := testTime.Add(terms.Hold)
+	first := a.Lend(testTime, "t1", "entry-2", 3, 0, until)
+	again := a.Lend(testTime.Add(time.Second), "t1", "entry-2", 3, 0, until)
+	if first.Slots != 3 || again.Slots != 3 || a.Lent() != 3 {
+		t.Errorf("first %+v, again %+v, lent %d", first, again, a.Lent())
+	}
+	if again.Period != first.Period-time.Second {
+		t.Errorf("the repeated reply gives %s of a loan of %s", again.Period, first.Period)
+	}
+	a.LoanReturned(testTime.Add(2*time.Second), "t1")
+	if late := a.Lend(testTime.Add(3*time.Second), "t1", "entry-2", 3, 0, until); late.Slots != 0 || a.Lent() != 0 {
+		t.Errorf("a request after the return got %+v", late)
+	}
+	a.LoanReturned(testTime, "t2")
+	if late := a.Lend(testTime.Add(time.Second), "t2", "entry-2", 3, 0, until); late.Slots != 0 {
+		t.Errorf("a request that its return overtook got %+v", late)
+	}
+}
+
+// TestLoanEndsWithHold guards against a loan that outlives the giver's hold.
+func TestLoanEndsWithHold(t *testing.T) {
+	terms := DefaultLimitTerms()
+	a := NewAllotment(depots, terms)
+	a.SetLimit(Limit{Slots: 10, Revision: 1})
+	var record AllotmentRecord
+	swapAll(a, &record, testTime, 8)
+	if r := a.Lend(testTime, "t1", "entry-2", 1, 0, testTime.Add(20*time.Second)); r.Period != 20*time.Second {
+		t.Errorf("period %s", r.Period)
+	}
+	if r := a.Lend(testTime, "t2", "entry-2", 1, 0, testTime.Add(time.Second)); r.Slots != 0 {
+		t.Errorf("a loan for the last second: %+v", r)
+	}
+}
--- a/internal/contract/sizing.go
+++ b/internal/contract/sizing.go
@@ -22,7 +22,7 @@
 	tightShare = 4
 )
 
-// Periods after which idle slots are returned. While the limit has room left, a
+// Lengths of the window whose peak decides what is returned at its end. While the limit has room left, a
 // queue that peaks every minute keeps its slots and needs no swap for it.
 const (
 	IdleAfter      = 2 * time.Minute
@@ -33,9 +33,9 @@
 type sizer struct {
 	chunk     int
 	lastRaise time.Time
-	// peak and lastPeak are the largest demands of this window and the last one.
-	peak, lastPeak int
-	windowEnd      time.Time
+	// peak is the largest demand of this window.
+	peak      int
+	windowEnd time.Time
 }
 
 // observe takes the present demand.
@@ -65,8 +65,8 @@
 	if now.Before(s.windowEnd) {
 		return 0, false
 	}
-	peak := max(s.peak, s.lastPeak)
-	s.lastPeak, s.peak = s.peak, demand
+	peak := s.peak
+	s.peak = demand
 	s.windowEnd = now.Add(length)
 	return peak + (peak+reserveShare-1)/reserveShare, true
 }
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -95,10 +95,38 @@
 type Release struct {
 	Team    string
 	Service string
+	// Until keeps the slot occupied while an endpoint may go on with a request
+	// whose outcome is unknown. The zero time gives it back at once.
+	Until time.Time
 }
 
 // Apply implements Event.
 func (e Release) Apply(f *Fleet, now time.Time) []Action {
+	if now.Before(e.Until) {
+		f.limits.kept = append(f.limits.kept, e)
+		f.limits.wakeBy(e.Until)
+		return nil
+	}
+	return f.release(now, e)
+}
+
+// releaseKept gives back the slots whose time is over.
+func (f *Fleet) releaseKept(now time.Time) []Action {
+	var actions []Action
+	kept := f.limits.kept
+	f.limits.kept = nil
+	for _, e := range kept {
+		if now.Before(e.Until) {
+			f.limits.kept = append(f.limits.kept, e)
+			f.limits.wakeBy(e.Until)
+			continue
+		}
+		actions = append(actions, f.release(now, e)...)
+	}
+	return actions
+}
+
+func (f *Fleet) release(now time.Time, e Release) []Action {
 	team, service := f.limits.of(f, e.Team, e.Service)
 	team.Finish()
 	service.Finish()
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -21,6 +21,9 @@
 	order   []*contract.Allotment
 	queue   *contract.AdmissionQueue[Admit]
 	waiters map[chan<- Admission]*contract.Waiter[Admit]
+	// kept are slots of requests whose outcome is unknown. Their number is
+	// bounded by the slots that this instance holds.
+	kept []Release
 	// asked are the instances that were asked for a loan since the last swap.
 	asked    map[contract.Ref]map[string]bool
 	transfer uint64
@@ -141,6 +144,7 @@
 func (f *Fleet) tickLimits(now time.Time) []Action {
 	actions := f.refreshLimits(now)
 	f.expireWaiting(now)
+	actions = append(actions, f.releaseKept(now)...)
 	actions = append(actions, f.renew(now)...)
 	actions = append(actions, f.observe(now)...)
 	if !now.Before(f.limits.reviewAt) {
@@ -158,6 +162,9 @@
 	holder, held := f.limits.hold.Holder(), f.limits.hold.Valid(now)
 	for _, a := range f.limits.order {
 		waiting := f.limits.queue.Waiting(a.Ref())
+		if waiting == 0 && a.Quiet() {
+			continue
+		}
 		actions = append(actions, f.returnLoans(now, a, waiting, held)...)
 		if request := a.Review(now, holder, waiting, held); request != nil && !f.limits.stopping {
 			actions = append(actions, f.swapAction(now, a, request))
