Prove the spread of configuration and add the operators' commands

Cause: the freshness rules had no proof under failure, and operators could put documents only.

Change: checkers for I3, I5 and I11 in internal/proof, each shown to fail on a violating trace. Commands for documents, teams, keys, data centres, members and the spread. The age of the configuration is checked before the order of a data centre: an old configuration does not tell whether it is still out.

Ruled out: naming a time after which unconfirmed data centres stop while an instance of the answering data centre has not confirmed either. In an outage it may still vouch for the old revision, so the time is left out.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -72,6 +72,10 @@
 // answerError turns an error answer into an exit code: unknown when the call
 // may have taken effect.
 func answerError(resp *fasthttp.Response) error {
+	var rejected front.ChangeAnswer
+	if err := json.Unmarshal(resp.Body(), &rejected); err == nil && rejected.Result != "" {
+		return cli.Exit(string(rejected.Result)+": "+rejected.Reason, ExitFailed)
+	}
 	var e front.Error
 	if err := json.Unmarshal(resp.Body(), &e); err != nil || e.Code == "" {
 		return cli.Exit(string(resp.Body()), ExitFailed)
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -33,21 +33,31 @@
 			settingsCommand(),
 			explainCommand(),
 			documentCommand(),
+			teamCommand(),
+			keyCommand(),
+			dataCentreCommand(),
+			memberCommand(),
+			configCommand(),
 			demoCommand(),
 			certificateCommand(),
 		},
 	}
 }
 
+// exitCode returns the exit code that an error carries.
+func exitCode(err error) int {
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return ExitFailed
+}
+
 // Run runs the program and returns its exit code.
 func Run(ctx context.Context, args []string) int {
 	if err := New().Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "crocusjunction:", err)
-		var coder cli.ExitCoder
-		if errors.As(err, &coder) {
-			return coder.ExitCode()
-		}
-		return ExitFailed
+		return exitCode(err)
 	}
 	return 0
 }
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -31,18 +31,22 @@
 // MayStart returns nil when work of the document may start in a data centre at
 // now, otherwise the refusal. An empty dataCentre checks the age only, for
 // callers that choose the data centre later.
+//
+// The age is checked first: an old configuration does not tell whether the data
+// centre is still out.
 func (r *StartRule) MayStart(d *contract.Document, idempotent bool, dataCentre string, now time.Time) *Refusal {
-	if reason, ok := r.out[dataCentre]; ok {
-		text := "data centre " + dataCentre + " was taken out by operators"
-		if reason != "" {
-			text += ": " + reason
-		}
-		return &Refusal{Code: CodeCentreOut, Reason: text, RetryAfter: staleRetry}
+	if !r.fresh.Fresh(d.Staleness(idempotent), now) {
+		return &Refusal{Code: CodeStale, Reason: r.staleReason(d, idempotent, now), RetryAfter: staleRetry}
 	}
-	if r.fresh.Fresh(d.Staleness(idempotent), now) {
+	reason, out := r.out[dataCentre]
+	if !out {
 		return nil
 	}
-	return &Refusal{Code: CodeStale, Reason: r.staleReason(d, idempotent, now), RetryAfter: staleRetry}
+	text := "data centre " + dataCentre + " was taken out by operators"
+	if reason != "" {
+		text += ": " + reason
+	}
+	return &Refusal{Code: CodeCentreOut, Reason: text, RetryAfter: staleRetry}
 }
 
 func (r *StartRule) staleReason(d *contract.Document, idempotent bool, now time.Time) string {
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -33,7 +33,9 @@
 // CentreConfirmation is what is known about one data centre.
 type CentreConfirmation struct {
 	DataCentre string `json:"datacentre"`
-	Confirmed  bool   `json:"confirmed"`
+	// Own is true for the data centre of the instance that answers.
+	Own       bool `json:"own,omitempty"`
+	Confirmed bool `json:"confirmed"`
 	// Instances is the number of entry instances known there.
 	Instances int `json:"instances"`
 	// Missing are the instances that have not confirmed, as far as known.
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,7 +32,9 @@
 	Centres   []fleet.CentreConfirmation `json:"datacentres,omitempty"`
 	// OldEnds is when data centres that have not confirmed stop to start work
 	// on an older configuration. Documents that allow a longer staleness go on
-	// until LongestOldEnds. Not set when all have confirmed.
+	// until LongestOldEnds. Not set when all have confirmed, and not known
+	// while an instance of the answering data centre has not confirmed: in an
+	// outage of the platform it may still vouch for the old revision.
 	OldEnds        *time.Time `json:"old_configuration_ends,omitempty"`
 	LongestOldEnds *time.Time `json:"longest_staleness_ends,omitempty"`
 }
@@ -94,10 +97,12 @@
 // vouches for the old revision.
 func (s *Server) confirmations(ctx context.Context, plan fleet.SpreadPlan) Spread {
 	result := Spread{Confirmed: true, Centres: s.parts.Spread(ctx, plan)}
+	ownConfirmed := true
 	for _, centre := range result.Centres {
 		result.Confirmed = result.Confirmed && centre.Confirmed
+		ownConfirmed = ownConfirmed && (centre.Confirmed || !centre.Own)
 	}
-	if result.Confirmed {
+	if result.Confirmed || !ownConfirmed {
 		return result
 	}
 	now := s.parts.Clock()
@@ -129,9 +134,19 @@
 	}
 }
 
-func (s *Server) listObjects(ctx *fasthttp.RequestCtx, kind string) {
+// listObjects serves /v1/config/{kind} and /v1/config/{kind}/{name}.
+func (s *Server) listObjects(ctx *fasthttp.RequestCtx, path string) {
 	view := s.parts.Loop.Snapshot()
+	kind, name, one := strings.Cut(path, "/")
 	objects := view.Objects(contract.Kind(kind))
+	if one {
+		object, ok := contract.Find(objects, name)
+		if !ok {
+			writeError(ctx, fasthttp.StatusNotFound, Error{Code: "not-found", Reason: "no object " + path})
+			return
+		}
+		objects = []contract.Object{object}
+	}
 	if objects == nil {
 		objects = []contract.Object{}
 	}
--- /dev/null
+++ b/internal/link/freshness_test.go
@@ -0,0 +1,177 @@
+package link
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// checkSeeded runs a property with a fixed seed, so that every run has the same
+// verdict. A seed on the command line takes precedence.
+func checkSeeded(t *testing.T, seed uint64, property func(*rapid.T)) {
+	t.Helper()
+	given := flag.Lookup("rapid.seed").Value
+	if given.String() == "0" {
+		_ = given.Set(fmt.Sprint(seed))
+		defer func() { _ = given.Set("0") }()
+	}
+	rapid.Check(t, property)
+}
+
+var epoch = time.Unix(1000, 0)
+
+// history is the truth that a process sees only through evidence.
+type history struct {
+	now     time.Time
+	commits []time.Time
+}
+
+func (h *history) advance(d time.Duration) { h.now = h.now.Add(d) }
+
+// headAt returns the newest revision at a time.
+func (h *history) headAt(at time.Time) uint64 {
+	n := uint64(0)
+	for _, c := range h.commits {
+		if !c.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFreshnessNeverOverstates guards against evidence that counts for more than
+// it shows: no change may have been committed before AsOf that the process
+// lacks. Answers arrive late, twice and in any order, and peers may be ahead.
+func TestFreshnessNeverOverstates(t *testing.T) {
+	checkSeeded(t, 1, func(t *rapid.T) {
+		h := &history{now: epoch}
+		f := NewFreshness(4 * time.Second)
+		own := uint64(0)
+		var late []func()
+		ms := func(name string, limit int) time.Duration {
+			return time.Duration(rapid.IntRange(0, limit).Draw(t, name)) * time.Millisecond
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			h.advance(ms("pause", 1500))
+			switch rapid.SampledFrom([]string{"commit", "apply", "read", "peer", "late", "fail"}).Draw(t, "step") {
+			case "commit":
+				h.commits = append(h.commits, h.now)
+			case "apply":
+				own = min(own+1, uint64(len(h.commits)))
+				f.Applied(own)
+			case "read":
+				sent := h.now.Add(-ms("read time", 900))
+				own = max(own, h.headAt(sent))
+				f.Applied(own)
+				f.Read(sent)
+			case "peer":
+				sent := h.now.Add(-ms("probe time", 900))
+				answered := sent.Add(ms("way there", int(h.now.Sub(sent).Milliseconds())))
+				asOf := answered.Add(-ms("age", 3000))
+				revision := h.headAt(asOf) + uint64(rapid.IntRange(0, int(h.headAt(answered)-h.headAt(asOf))).Draw(t, "ahead"))
+				deliver := func() { f.PeerAnswered(sent, revision, answered.Sub(asOf)) }
+				late = append(late, deliver)
+				if rapid.Bool().Draw(t, "in time") {
+					deliver()
+				}
+			case "late":
+				if len(late) > 0 {
+					rapid.SampledFrom(late).Draw(t, "answer")()
+				}
+			case "fail":
+				f.ReadFailed(h.now)
+			}
+			if !f.AsOf().IsZero() && h.headAt(f.AsOf()) > own {
+				t.Fatalf("as of %s, own revision %d, head was %d", f.AsOf(), own, h.headAt(f.AsOf()))
+			}
+		}
+	})
+}
+
+// TestOutageEvidenceNeedsEveryDataCentre guards against an outage in which some
+// data centres are left out, or that counts answers which are too old, ahead or
+// from before the outage.
+func TestOutageEvidenceNeedsEveryDataCentre(t *testing.T) {
+	at := func(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+	setUp := func() (*Freshness, *Outage) {
+		f := NewFreshness(4 * time.Second)
+		f.Applied(5)
+		f.Read(at(0))
+		return &f, NewOutage([]string{"b", "c"})
+	}
+	t.Run("all answered", func(t *testing.T) {
+		f, o := setUp()
+		f.ReadFailed(at(1))
+		o.CentreAnswered(f, "b", at(3), 5)
+		o.CentreAnswered(f, "c", at(2), 4)
+		if !f.AsOf().Equal(at(2)) {
+			t.Errorf("as of %s", f.AsOf())
+		}
+	})
+	cases := map[string]func(f *Freshness, o *Outage){
+		"platform reachable": func(f *Freshness, o *Outage) {
+			o.CentreAnswered(f, "b", at(2), 5)
+			o.CentreAnswered(f, "c", at(2), 5)
+		},
+		"one missing": func(f *Freshness, o *Outage) {
+			f.ReadFailed(at(1))
+			o.CentreAnswered(f, "b", at(2), 5)
+			o.CentreAnswered(f, "b", at(3), 5)
+		},
+		"one ahead": func(f *Freshness, o *Outage) {
+			f.ReadFailed(at(1))
+			o.CentreAnswered(f, "b", at(2), 5)
+			o.CentreAnswered(f, "c", at(2), 6)
+		},
+		"from before the outage": func(f *Freshness, o *Outage) {
+			o.CentreAnswered(f, "c", at(1), 5)
+			f.ReadFailed(at(2))
+			o.CentreAnswered(f, "b", at(3), 5)
+		},
+		"unknown data centre": func(f *Freshness, o *Outage) {
+			f.ReadFailed(at(1))
+			o.CentreAnswered(f, "b", at(2), 5)
+			o.CentreAnswered(f, "d", at(2), 5)
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, o := setUp()
+			steps(f, o)
+			if !f.AsOf().Equal(at(0)) {
+				t.Errorf("as of %s", f.AsOf())
+			}
+		})
+	}
+}
+
+// TestFreshBounds guards against work beyond the horizon, and against a longer
+// bound for a process that knows of a newer revision.
+func TestFreshBounds(t *testing.T) {
+	f := NewFreshness(4 * time.Second)
+	if f.Fresh(time.Hour, epoch) {
+		t.Error("fresh without any evidence")
+	}
+	f.Applied(3)
+	f.Read(epoch)
+	for _, c := range []struct {
+		after, bound time.Duration
+		heardOf      uint64
+		want         bool
+	}{
+		{4 * time.Second, 0, 3, true},
+		{4*time.Second + 1, 0, 3, false},
+		{4*time.Second + 1, time.Second, 3, false},
+		{9 * time.Second, 10 * time.Second, 3, true},
+		{3 * time.Second, 10 * time.Second, 4, true},
+		{9 * time.Second, 10 * time.Second, 4, false},
+	} {
+		f.HeardOf(c.heardOf)
+		if got := f.Fresh(c.bound, epoch.Add(c.after)); got != c.want {
+			t.Errorf("after %s, bound %s, newest %d: %t", c.after, c.bound, c.heardOf, got)
+		}
+	}
+}
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -38,7 +38,7 @@
 
 // spreadTo asks one data centre until it has confirmed or ctx ends.
 func (r *Runner) spreadTo(ctx context.Context, c Control, relay fleet.Relay, centre fleet.CentrePlan) fleet.CentreConfirmation {
-	result := fleet.CentreConfirmation{DataCentre: centre.Name, Instances: len(centre.Members)}
+	result := fleet.CentreConfirmation{DataCentre: centre.Name, Own: centre.Own, Instances: len(centre.Members)}
 	if centre.Own {
 		result.Instances++
 	}
--- /dev/null
+++ b/internal/proof/config.go
@@ -0,0 +1,94 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+)
+
+// ConfigEventKind names what happened to a configuration revision.
+type ConfigEventKind string
+
+// Kinds of configuration events.
+const (
+	// ConfigAccepted is the commit of a revision.
+	ConfigAccepted ConfigEventKind = "accepted"
+	// ConfigApplied is a process at a revision after an event.
+	ConfigApplied ConfigEventKind = "applied"
+	// ConfigObject is the revision of one object as a process has it.
+	ConfigObject ConfigEventKind = "object"
+	// ConfigStarted is a start of work under a revision.
+	ConfigStarted ConfigEventKind = "started"
+)
+
+// ConfigEvent is one entry of a trace for CheckConfig.
+type ConfigEvent struct {
+	At   time.Time
+	Kind ConfigEventKind
+	// Process is the entry instance, empty for ConfigAccepted.
+	Process  string
+	Revision uint64
+	// Change is the id of the accepted change.
+	Change string
+	// Object is the name of the object of a ConfigObject.
+	Object string
+	// Binding is, for ConfigAccepted, the time from which the bound counts.
+	Binding time.Time
+}
+
+// CheckConfig checks I11 over a trace in time order: revisions are accepted one
+// after the other and only once, no process goes back to an earlier revision, of
+// the whole or of an object, or applies one that was not accepted, and no work starts under an older revision
+// once bound has passed since the binding time of a newer one.
+func CheckConfig(trace []ConfigEvent, bound time.Duration) error {
+	c := configChecker{applied: make(map[string]uint64), objects: make(map[string]uint64), bound: bound}
+	for i, e := range trace {
+		if err := c.step(e); err != nil {
+			return fmt.Errorf("I11: event %d at %s: %w", i, e.At.Format(time.StampMicro), err)
+		}
+	}
+	return nil
+}
+
+type configChecker struct {
+	accepted []ConfigEvent
+	applied  map[string]uint64
+	objects  map[string]uint64
+	bound    time.Duration
+}
+
+func (c *configChecker) step(e ConfigEvent) error {
+	switch e.Kind {
+	case ConfigAccepted:
+		if want := uint64(len(c.accepted)) + 1; e.Revision != want {
+			return fmt.Errorf("change %s accepted as revision %d, the next one is %d", e.Change, e.Revision, want)
+		}
+		c.accepted = append(c.accepted, e)
+	case ConfigApplied:
+		if e.Revision < c.applied[e.Process] {
+			return fmt.Errorf("%s went back from revision %d to %d", e.Process, c.applied[e.Process], e.Revision)
+		}
+		if e.Revision > uint64(len(c.accepted)) {
+			return fmt.Errorf("%s applied revision %d, which was not accepted", e.Process, e.Revision)
+		}
+		c.applied[e.Process] = e.Revision
+	case ConfigObject:
+		name := e.Process + " " + e.Object
+		if e.Revision < c.objects[name] {
+			return fmt.Errorf("%s went back from revision %d to %d", name, c.objects[name], e.Revision)
+		}
+		c.objects[name] = e.Revision
+	case ConfigStarted:
+		return c.started(e)
+	}
+	return nil
+}
+
+func (c *configChecker) started(e ConfigEvent) error {
+	for _, accepted := range c.accepted {
+		if accepted.Revision > e.Revision && e.At.Sub(accepted.Binding) > c.bound {
+			return fmt.Errorf("%s started work under revision %d, %s after revision %d was binding",
+				e.Process, e.Revision, e.At.Sub(accepted.Binding), accepted.Revision)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proof/config_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func accepted(seconds float64, revision uint64) ConfigEvent {
+	return ConfigEvent{At: at(seconds), Kind: ConfigAccepted, Revision: revision, Change: "c", Binding: at(seconds)}
+}
+
+func applied(seconds float64, process string, revision uint64) ConfigEvent {
+	return ConfigEvent{At: at(seconds), Kind: ConfigApplied, Process: process, Revision: revision}
+}
+
+func started(seconds float64, process string, revision uint64) ConfigEvent {
+	return ConfigEvent{At: at(seconds), Kind: ConfigStarted, Process: process, Revision: revision}
+}
+
+// TestCheckConfigFindsViolations guards against a checker that passes every
+// trace.
+func TestCheckConfigFindsViolations(t *testing.T) {
+	good := []ConfigEvent{accepted(0, 1), applied(1, "a", 1), accepted(2, 2), started(5, "a", 1), applied(6, "a", 2), started(9, "a", 2)}
+	if err := CheckConfig(good, 4*time.Second); err != nil {
+		t.Errorf("valid trace: %v", err)
+	}
+	bad := map[string][]ConfigEvent{
+		"which was not accepted": {accepted(0, 1), applied(1, "a", 2)},
+		"went back":              {accepted(0, 1), accepted(0, 2), applied(1, "a", 2), applied(2, "a", 1)},
+		"a depots went back": {
+			{At: at(0), Kind: ConfigObject, Process: "a", Object: "depots", Revision: 3},
+			{At: at(1), Kind: ConfigObject, Process: "a", Object: "depots", Revision: 2},
+		},
+		"the next one is": {accepted(0, 1), accepted(1, 1)},
+		"was binding":     {accepted(0, 1), accepted(1, 2), started(5.1, "a", 1)},
+	}
+	for want, trace := range bad {
+		if err := CheckConfig(trace, 4*time.Second); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("violation %q: %v", want, err)
+		}
+	}
+}
+
+// TestCheckKeysFindsViolations guards against a checker that passes every
+// trace.
+func TestCheckKeysFindsViolations(t *testing.T) {
+	grant := KeyEvent{At: at(0), Kind: KeyGranted, Key: "k", Team: "depots"}
+	withdraw := KeyEvent{At: at(10), Kind: KeyWithdrawn, Key: "k"}
+	start := func(seconds float64, team string) KeyEvent {
+		return KeyEvent{At: at(seconds), Kind: KeyStarted, Key: "k", Team: team, Process: "a"}
+	}
+	again := KeyEvent{At: at(20), Kind: KeyGranted, Key: "k", Team: "depots"}
+	good := []KeyEvent{grant, start(1, "depots"), withdraw, start(14, "depots"), again, start(30, "depots")}
+	if err := CheckKeys(good, 4*time.Second); err != nil {
+		t.Errorf("valid trace: %v", err)
+	}
+	bad := map[string][]KeyEvent{
+		"after it was withdrawn": {grant, withdraw, start(14.1, "depots")},
+		"of team depots":         {grant, start(1, "fairs")},
+		"was never granted":      {start(1, "depots")},
+	}
+	for want, trace := range bad {
+		if err := CheckKeys(trace, 4*time.Second); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("violation %q: %v", want, err)
+		}
+	}
+}
+
+// TestCheckDataCentresFindsViolations guards against a checker that passes
+// every trace.
+func TestCheckDataCentresFindsViolations(t *testing.T) {
+	event := func(seconds float64, kind CentreEventKind) CentreEvent {
+		return CentreEvent{At: at(seconds), Kind: kind, DataCentre: "north", Process: "a"}
+	}
+	good := []CentreEvent{event(0, CentreStarted), event(1, CentreOut), event(4, CentreStarted), event(9, CentreRefused), event(10, CentreBack), event(13, CentreRefused), event(15, CentreStarted)}
+	if err := CheckDataCentres(good, 4*time.Second); err != nil {
+		t.Errorf("valid trace: %v", err)
+	}
+	bad := map[string][]CentreEvent{
+		"after it was taken out":    {event(0, CentreOut), event(4.1, CentreStarted)},
+		"after it was brought back": {event(0, CentreOut), event(1, CentreBack), event(5.1, CentreRefused)},
+		"was never taken out":       {event(0, CentreRefused)},
+	}
+	for want, trace := range bad {
+		if err := CheckDataCentres(trace, 4*time.Second); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("violation %q: %v", want, err)
+		}
+	}
+}
