--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -40,6 +40,7 @@
 			configCommand(),
 			demoCommand(),
 			certificateCommand(),
+			limitCommand(),
 		},
 	}
 }
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -41,11 +41,12 @@
 	platform platform.Platform
 	log      *logrus.Entry
 	clock    func() time.Time
+	limits   *LimitRunner
 }
 
 // NewPlatformRunner returns a runner for p.
 func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
-	return &PlatformRunner{platform: p, log: log, clock: clock}
+	return &PlatformRunner{platform: p, log: log, clock: clock, limits: NewLimitRunner(p, log, clock)}
 }
 
 // Run implements Runner.
@@ -62,6 +63,9 @@
 	case fleet.ListMembers:
 		return r.listMembers(ctx)
 	default:
+		if e, ok := r.limits.Run(ctx, a); ok {
+			return e
+		}
 		r.log.Errorf("control: no runner for action %T", a)
 		return nil
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
+	LimitTerms contract.LimitTerms
 	// Seeds are peers known from the settings.
 	Seeds []link.Member
 	// Horizon is the freshness horizon, 0 for DefaultHorizon.
@@ -41,6 +43,7 @@
 	register *contract.Register
 	centres  map[string]*zone.DataCentre
 	config   configState
+	limits   limitState
 	journal  journal
 	wakes    wakes
 	peers    peersState
@@ -68,6 +71,7 @@
 	}
 	f.start.fresh = link.NewFreshness(horizon)
 	f.peers = newPeersState(f, o.Seeds)
+	f.limits = newLimitState(f, o)
 	return f
 }
 
@@ -75,7 +79,8 @@
 func (f *Fleet) Start(now time.Time) []Action {
 	f.config.busy = true
 	f.peers.probeWake.set(now)
-	return []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	return append(actions, f.tickLimits(now)...)
 }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
--- a/internal/peer/runner.go
+++ b/internal/peer/runner.go
@@ -41,6 +41,11 @@
 		return r.relay(ctx, a)
 	case fleet.FetchChanges:
 		return r.fetch(ctx, a)
+	case fleet.RequestLoan:
+		return r.requestLoan(ctx, a)
+	case fleet.ReturnLoan:
+		r.returnLoan(ctx, a)
+		return nil
 	default:
 		r.log.Errorf("peer: no runner for action %T", a)
 		return nil
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -138,14 +138,6 @@
 	return document, key.Team, nil
 }
 
-func (h *Handler) admit(ctx context.Context, team string, r Request) *fleet.Refusal {
-	reply := make(chan fleet.Admission, 1)
-	if err := h.loop.SendTraffic(ctx, fleet.Admit{RequestID: r.ID, Team: team, Service: r.Service, NonIdempotent: r.NonIdempotent, Reply: reply}); err != nil {
-		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
-	}
-	return (<-reply).Refusal
-}
-
 func (h *Handler) release(team, service string) {
 	_ = h.loop.SendTraffic(context.Background(), fleet.Release{Team: team, Service: service})
 }
