--- a/internal/proof/limit_test.go
+++ b/internal/proof/limit_test.go
@@ -6,18 +6,18 @@
 	"time"
 )
 
-func at(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+func limitAt(ms int) time.Time { return time.UnixMilli(int64(ms)) }
 
-func started(ms int, work string) LimitEvent {
-	return LimitEvent{At: at(ms), Kind: WorkStarted, Team: "depots", Work: work}
+func limitStarted(ms int, work string) LimitEvent {
+	return LimitEvent{At: limitAt(ms), Kind: WorkStarted, Team: "depots", Work: work}
 }
 
-func finished(ms int, work string) LimitEvent {
-	return LimitEvent{At: at(ms), Kind: WorkFinished, Team: "depots", Work: work}
+func limitFinished(ms int, work string) LimitEvent {
+	return LimitEvent{At: limitAt(ms), Kind: WorkFinished, Team: "depots", Work: work}
 }
 
-func limited(ms, limit int) LimitEvent {
-	return LimitEvent{At: at(ms), Kind: LimitSet, Team: "depots", Limit: limit}
+func limitSet(ms, limit int) LimitEvent {
+	return LimitEvent{At: limitAt(ms), Kind: LimitSet, Team: "depots", Limit: limit}
 }
 
 // TestLimitCheckerReports guards against a checker that passes a violating
@@ -28,16 +28,16 @@
 		trace []LimitEvent
 		want  string
 	}{
-		{"within the limit", []LimitEvent{limited(0, 2), started(1, "a"), started(2, "b"), finished(3, "a"), started(4, "c")}, ""},
-		{"one too many", []LimitEvent{limited(0, 2), started(1, "a"), started(2, "b"), started(3, "c")}, "has 3 running with limit 2"},
-		{"no limit set", []LimitEvent{started(1, "a")}, "limit 0"},
-		{"lowered limit lets work finish", []LimitEvent{limited(0, 2), started(1, "a"), started(2, "b"), limited(10, 1), finished(150, "a")}, ""},
-		{"start after a lowered limit", []LimitEvent{limited(0, 2), started(1, "a"), limited(10, 1), started(111, "b")}, "start above the limit"},
-		{"start before the lowered limit reached all", []LimitEvent{limited(0, 2), started(1, "a"), limited(10, 1), started(109, "b")}, ""},
-		{"work outlives a lowered limit", []LimitEvent{limited(0, 2), started(1, "a"), started(2, "b"), limited(10, 0), finished(1200, "a")}, "work goes on"},
-		{"limit lowered, raised and lowered", []LimitEvent{limited(0, 1), limited(1, 3), limited(2, 1), started(200, "a"), started(201, "b")}, "limit 1"},
-		{"same work twice", []LimitEvent{limited(0, 5), started(1, "a"), started(2, "a")}, "runs already"},
-		{"finish without a start", []LimitEvent{limited(0, 5), finished(1, "a")}, "not running"},
+		{"within the limit", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitStarted(2, "b"), limitFinished(3, "a"), limitStarted(4, "c")}, ""},
+		{"one too many", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitStarted(2, "b"), limitStarted(3, "c")}, "has 3 running with limit 2"},
+		{"no limit set", []LimitEvent{limitStarted(1, "a")}, "limit 0"},
+		{"lowered limit lets work finish", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitStarted(2, "b"), limitSet(10, 1), limitFinished(150, "a")}, ""},
+		{"start after a lowered limit", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitSet(10, 1), limitStarted(111, "b")}, "start above the limit"},
+		{"start before the lowered limit reached all", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitSet(10, 1), limitStarted(109, "b")}, ""},
+		{"work outlives a lowered limit", []LimitEvent{limitSet(0, 2), limitStarted(1, "a"), limitStarted(2, "b"), limitSet(10, 0), limitFinished(1200, "a")}, "work goes on"},
+		{"limit lowered, raised and lowered", []LimitEvent{limitSet(0, 1), limitSet(1, 3), limitSet(2, 1), limitStarted(200, "a"), limitStarted(201, "b")}, "limit 1"},
+		{"same work twice", []LimitEvent{limitSet(0, 5), limitStarted(1, "a"), limitStarted(2, "a")}, "runs already"},
+		{"finish without a start", []LimitEvent{limitSet(0, 5), limitFinished(1, "a")}, "not running"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
