Plan maintenance from records of instances and budgets

Cause: pools, availability budgets, waves and repair had no mechanism.

Change: package zone derives typed steps from a view of records and observations. Instance and budget records change by compare-and-swap only. A charge is bound to the epoch of the instance record, and a charge of a serving instance is released only after the record has a higher epoch, so that a planner with an old view cannot drain on a released charge. Commands to machines carry the epoch as operation number. Operators' orders are records. The planner runs at the holder of lease/planner.

Ruled out: one record for all instances (every step would contend for one key, and 1,200 instances approach the value bound); a charge without epoch (a paused planner could drain after its successor released the charge).

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -16,7 +16,7 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "show which decisions were taken on a subject, when, and why",
-		ArgsUsage: "task|instance|team|refusal|worker|datacentre|endpoint NAME",
+		ArgsUsage: "task|instance|team|refusal|worker|datacentre|endpoint|budget|wave|planner NAME",
 		Flags:     entryFlags(),
 		Action:    explain,
 	}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -33,6 +33,10 @@
 			settingsCommand(),
 			explainCommand(),
 			documentCommand(),
+			poolCommand(),
+			waveCommand(),
+			instanceCommand(),
+			budgetCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/command/waveresume.go
@@ -0,0 +1,19 @@
+package command
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+func waveResumeCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "resume",
+		Usage:     "let a paused wave go on",
+		ArgsUsage: "NAME",
+		Flags:     entryFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return changeWave(c, "/v1/maintenance/wave/resume/")
+		},
+	}
+}
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -46,8 +46,10 @@
 		return o.checkKey()
 	case KindDataCentre:
 		return o.checkDataCentre()
+	case KindPool:
+		return o.checkPool()
 	default:
-		return &FieldError{Field: "ref.kind", Value: string(o.Ref.Kind), Accepted: "team, document, key or datacentre"}
+		return &FieldError{Field: "ref.kind", Value: string(o.Ref.Kind), Accepted: "team, document, key, datacentre or pool"}
 	}
 }
 
--- a/internal/contract/object.go
+++ b/internal/contract/object.go
@@ -13,6 +13,7 @@
 	KindDocument   Kind = "document"
 	KindKey        Kind = "key"
 	KindDataCentre Kind = "datacentre"
+	KindPool       Kind = "pool"
 )
 
 // Ref identifies one configuration object.
@@ -35,6 +36,7 @@
 	Document   *Document        `json:"document,omitempty" cbor:"document,omitempty"`
 	Key        *Key             `json:"key,omitempty" cbor:"key,omitempty"`
 	DataCentre *DataCentreOrder `json:"datacentre,omitempty" cbor:"datacentre,omitempty"`
+	Pool       *PoolOrder       `json:"pool,omitempty" cbor:"pool,omitempty"`
 }
 
 // Team states what one customer of the fleet may use.
--- /dev/null
+++ b/internal/control/maintenance.go
@@ -0,0 +1,353 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// Keys and prefixes of maintenance in the platform's key-value service.
+const (
+	PlannerLeaseKey  = "lease/planner"
+	PlannerStatusKey = "planner/status"
+	InstancePrefix   = "instance/"
+	BudgetPrefix     = "budget/"
+	WavePrefix       = "order/wave/"
+	MovePrefix       = "order/move/"
+	// OrderHeadKey changes with every order, so that one watch sees them all.
+	OrderHeadKey = "order/head"
+)
+
+// Times of the watches of maintenance.
+const (
+	plannerWatchWait = 5 * time.Second
+	orderWatchWait   = 10 * time.Second
+)
+
+// stepsAtOnce bounds the concurrent calls of one batch of steps.
+const stepsAtOnce = 16
+
+// MaintenanceRunner performs the actions of maintenance.
+type MaintenanceRunner struct {
+	platform platform.Platform
+	clock    func() time.Time
+	// Patience bounds the wait of a watch; zero means the usual times.
+	Patience time.Duration
+}
+
+// NewMaintenanceRunner returns a runner for p.
+func NewMaintenanceRunner(p platform.Platform, clock func() time.Time) *MaintenanceRunner {
+	return &MaintenanceRunner{platform: p, clock: clock}
+}
+
+// Run performs an action of maintenance. It reports false for other actions.
+func (r *MaintenanceRunner) Run(ctx context.Context, a fleet.Action) (fleet.Event, bool) {
+	switch a := a.(type) {
+	case fleet.SeekPlanner:
+		return r.seek(ctx, a), true
+	case fleet.KeepPlanner:
+		return r.keep(ctx, a), true
+	case fleet.LoadRecords:
+		return r.load(ctx, a), true
+	case fleet.WatchOrders:
+		return r.watchOrders(ctx, a), true
+	case fleet.WatchMachines:
+		return r.watchMachines(ctx, a), true
+	case fleet.RunSteps:
+		return r.runSteps(ctx, a), true
+	case fleet.PutStatus:
+		_ = r.putStatus(ctx, a.Status)
+		return nil, true
+	default:
+		return nil, false
+	}
+}
+
+func (r *MaintenanceRunner) wait(usual time.Duration) time.Duration {
+	if r.Patience > 0 {
+		return min(usual, r.Patience)
+	}
+	return usual
+}
+
+// plannerLease is the value of the planner's lease key.
+type plannerLease struct {
+	Holder string           `json:"holder"`
+	Lease  platform.LeaseID `json:"lease"`
+}
+
+// seek takes the lease when it is free, else waits until it changes.
+func (r *MaintenanceRunner) seek(ctx context.Context, a fleet.SeekPlanner) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	record, err := r.platform.Get(ctx, PlannerLeaseKey)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return r.take(ctx, a.Self)
+	case err != nil:
+		return fleet.PlannerElsewhere{Delay: fleet.RetryDelay}
+	}
+	_, _ = r.platform.Watch(ctx, PlannerLeaseKey, record.Version, r.wait(plannerWatchWait))
+	return fleet.PlannerElsewhere{}
+}
+
+// take creates the lease key. After a lost answer the key lapses by itself,
+// since its lease is not renewed.
+func (r *MaintenanceRunner) take(ctx context.Context, self string) fleet.Event {
+	sent := r.clock()
+	lease, err := r.platform.Grant(ctx, fleet.PlannerTTL)
+	if err != nil {
+		return fleet.PlannerElsewhere{Delay: fleet.RetryDelay}
+	}
+	value, err := json.Marshal(plannerLease{Holder: self, Lease: lease})
+	if err != nil {
+		return fleet.PlannerElsewhere{Delay: fleet.RetryDelay}
+	}
+	if _, err := r.platform.Swap(ctx, PlannerLeaseKey, 0, value, lease); err != nil {
+		return fleet.PlannerElsewhere{Delay: fleet.RetryDelay}
+	}
+	return fleet.PlannerTaken{Lease: uint64(lease), Until: sent.Add(fleet.PlannerTTL)}
+}
+
+// keep renews the lease. A failed call is repeated until the lease is known to
+// be lost; the holder stops planning by its own clock meanwhile.
+func (r *MaintenanceRunner) keep(ctx context.Context, a fleet.KeepPlanner) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	sent := r.clock()
+	switch err := r.platform.KeepAlive(ctx, platform.LeaseID(a.Lease)); {
+	case err == nil:
+		return fleet.PlannerKept{Term: a.Term, Until: sent.Add(fleet.PlannerTTL)}
+	case errors.Is(err, platform.ErrLeaseLost):
+		return fleet.PlannerLost{Term: a.Term}
+	default:
+		return fleet.PlannerKept{Term: a.Term}
+	}
+}
+
+func (r *MaintenanceRunner) load(ctx context.Context, a fleet.LoadRecords) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	loaded, err := ReadRecords(ctx, r.platform)
+	if err != nil {
+		return fleet.RecordsFailed{Term: a.Term}
+	}
+	loaded.Term = a.Term
+	return loaded
+}
+
+// ReadRecords reads all records of maintenance, budgets before instances.
+func ReadRecords(ctx context.Context, s platform.Store) (fleet.RecordsLoaded, error) {
+	var loaded fleet.RecordsLoaded
+	var err error
+	if loaded.Budgets, err = ReadBudgets(ctx, s); err != nil {
+		return loaded, err
+	}
+	if loaded.Instances, err = ReadInstances(ctx, s); err != nil {
+		return loaded, err
+	}
+	loaded.Waves, loaded.Moves, err = ReadOrders(ctx, s)
+	return loaded, err
+}
+
+// ReadInstances reads the records of all instances.
+func ReadInstances(ctx context.Context, s platform.Store) ([]machine.Instance, error) {
+	return readAll(ctx, s, InstancePrefix, func(i *machine.Instance, v platform.Version) { i.Revision = uint64(v) })
+}
+
+// ReadBudgets reads the records of all budgets.
+func ReadBudgets(ctx context.Context, s platform.Store) ([]contract.BudgetRecord, error) {
+	return readAll(ctx, s, BudgetPrefix, func(b *contract.BudgetRecord, v platform.Version) { b.Revision = uint64(v) })
+}
+
+// ReadOrders reads the operators' orders.
+func ReadOrders(ctx context.Context, s platform.Store) ([]machine.Wave, []machine.MoveOrder, error) {
+	waves, err := readAll(ctx, s, WavePrefix, func(w *machine.Wave, v platform.Version) { w.Revision = uint64(v) })
+	if err != nil {
+		return nil, nil, err
+	}
+	moves, err := readAll(ctx, s, MovePrefix, func(m *machine.MoveOrder, v platform.Version) { m.Revision = uint64(v) })
+	return waves, moves, err
+}
+
+func readAll[T any](ctx context.Context, s platform.Store, prefix string, stamp func(*T, platform.Version)) ([]T, error) {
+	records, err := s.List(ctx, prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list "+prefix)
+	}
+	list := make([]T, len(records))
+	for n, record := range records {
+		if err := json.Unmarshal(record.Value, &list[n]); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", record.Key)
+		}
+		stamp(&list[n], record.Version)
+	}
+	return list, nil
+}
+
+func (r *MaintenanceRunner) watchOrders(ctx context.Context, a fleet.WatchOrders) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	head, err := r.platform.Watch(ctx, OrderHeadKey, platform.Version(a.After), r.wait(orderWatchWait))
+	if err != nil {
+		return fleet.OrdersFailed{Term: a.Term, After: a.After}
+	}
+	waves, moves, err := ReadOrders(ctx, r.platform)
+	if err != nil {
+		return fleet.OrdersFailed{Term: a.Term, After: a.After}
+	}
+	return fleet.OrdersSeen{Term: a.Term, Version: uint64(head.Version), Waves: waves, Moves: moves}
+}
+
+func (r *MaintenanceRunner) watchMachines(ctx context.Context, a fleet.WatchMachines) fleet.Event {
+	if !pause(ctx, a.Delay) {
+		return nil
+	}
+	list, err := r.platform.WatchMachines(ctx, a.After, r.wait(WatchWait))
+	if err != nil {
+		return fleet.MachinesFailed{Term: a.Term, After: a.After}
+	}
+	seen := fleet.MachinesSeen{Term: a.Term, Version: list.Version, Full: list.Full}
+	for _, m := range list.Machines {
+		seen.Machines = append(seen.Machines, observedOf(m))
+	}
+	return seen
+}
+
+func observedOf(m platform.Machine) machine.Observed {
+	return machine.Observed{
+		ID: m.ID, DataCentre: m.DataCentre, Rack: m.Rack, Pool: m.Pool,
+		State: machine.MachineState(m.State), Healthy: m.Healthy, Operation: m.Operation, Missing: m.Gone,
+	}
+}
+
+// runSteps carries out a batch: budgets one after the other in the order given,
+// up to the first that fails, then all other steps concurrently. They are on
+// different records.
+func (r *MaintenanceRunner) runSteps(ctx context.Context, a fleet.RunSteps) fleet.Event {
+	outcomes := make([]zone.Outcome, len(a.Steps))
+	n := 0
+	for ; n < len(a.Steps) && a.Steps[n].Budget != nil; n++ {
+		outcomes[n] = r.RunStep(ctx, a.Steps[n], a.Until)
+		if outcomes[n].Result != zone.StepDone {
+			n++
+			break
+		}
+	}
+	group := new(errgroup.Group)
+	group.SetLimit(stepsAtOnce)
+	for ; n < len(a.Steps); n++ {
+		if a.Steps[n].Budget != nil {
+			outcomes[n] = zone.Outcome{Step: a.Steps[n], Result: zone.StepFailed}
+			continue
+		}
+		group.Go(func() error {
+			outcomes[n] = r.RunStep(ctx, a.Steps[n], a.Until)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return fleet.StepsRun{Term: a.Term, Outcomes: outcomes}
+}
+
+// RunStep carries out one step unless the lease has ended. A write is a
+// compare-and-swap; a command is sent only when the record that it follows from
+// is unchanged.
+func (r *MaintenanceRunner) RunStep(ctx context.Context, s zone.Step, until time.Time) zone.Outcome {
+	outcome := zone.Outcome{Step: s, Result: zone.StepExpired}
+	if !r.clock().Before(until) {
+		return outcome
+	}
+	version, err := r.effect(ctx, s)
+	outcome.Result, outcome.Revision = resultOf(err), uint64(version)
+	return outcome
+}
+
+func (r *MaintenanceRunner) effect(ctx context.Context, s zone.Step) (platform.Version, error) {
+	expect := platform.Version(s.Revision)
+	switch {
+	case s.Instance != nil:
+		return r.swap(ctx, InstancePrefix+s.Subject, expect, s.Instance)
+	case s.Budget != nil:
+		return r.swap(ctx, BudgetPrefix+s.Subject, expect, s.Budget)
+	case s.Wave != nil:
+		return r.swap(ctx, WavePrefix+s.Subject, expect, s.Wave)
+	case s.Move != nil:
+		return 0, r.platform.Delete(ctx, MovePrefix+s.Subject, expect)
+	case s.Command != nil:
+		return 0, r.command(ctx, *s.Command, expect)
+	default:
+		return 0, r.platform.Delete(ctx, InstancePrefix+s.Subject, expect)
+	}
+}
+
+func (r *MaintenanceRunner) swap(ctx context.Context, key string, expect platform.Version, value any) (platform.Version, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode "+key)
+	}
+	return r.platform.Swap(ctx, key, expect, data, 0)
+}
+
+// command checks the record and sends the command. Should the process stop
+// between the two, the operation number makes the late command void.
+func (r *MaintenanceRunner) command(ctx context.Context, c machine.Command, expect platform.Version) error {
+	record, err := r.platform.Get(ctx, InstancePrefix+c.Instance)
+	if err != nil {
+		return err
+	}
+	if record.Version != expect {
+		return platform.ErrConflict
+	}
+	err = r.send(ctx, c)
+	if errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrap(platform.ErrUnavailable, "no machine "+c.Instance)
+	}
+	return err
+}
+
+func (r *MaintenanceRunner) send(ctx context.Context, c machine.Command) error {
+	switch c.Kind {
+	case machine.CommandDrain:
+		return r.platform.Drain(ctx, c.Instance, c.Operation)
+	case machine.CommandReboot:
+		return r.platform.Reboot(ctx, c.Instance, c.Operation)
+	default:
+		return r.platform.Fill(ctx, c.Instance, c.Pool, c.Operation)
+	}
+}
+
+func resultOf(err error) zone.StepResult {
+	switch {
+	case err == nil:
+		return zone.StepDone
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		return zone.StepConflict
+	case errors.Is(err, platform.ErrUnknown):
+		return zone.StepUnknown
+	default:
+		return zone.StepFailed
+	}
+}
+
+func (r *MaintenanceRunner) putStatus(ctx context.Context, s fleet.PlannerStatus) error {
+	record, err := r.platform.Get(ctx, PlannerStatusKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	_, err = r.swap(ctx, PlannerStatusKey, record.Version, s)
+	return err
+}
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -30,11 +30,13 @@
 	platform platform.Platform
 	log      *logrus.Entry
 	clock    func() time.Time
+
+	maintenance *MaintenanceRunner
 }
 
 // NewPlatformRunner returns a runner for p.
 func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
-	return &PlatformRunner{platform: p, log: log, clock: clock}
+	return &PlatformRunner{platform: p, log: log, clock: clock, maintenance: NewMaintenanceRunner(p, clock)}
 }
 
 // Run implements Runner.
@@ -47,6 +49,9 @@
 	case fleet.WatchEndpoints:
 		return r.watchEndpoints(ctx, a)
 	default:
+		if e, ok := r.maintenance.Run(ctx, a); ok {
+			return e
+		}
 		r.log.Errorf("control: no runner for action %T", a)
 		return nil
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 		Loop:      loop,
 		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
 		Committer: control.NewCommitter(p),
+		Orders:    control.NewOrders(p, time.Now),
 		Log:       log,
 		Clock:     time.Now,
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,7 @@
 	centres  map[string]*zone.DataCentre
 	config   configState
 	journal  journal
+	planner  planner
 	dirty    bool
 }
 
@@ -47,6 +48,7 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
+		planner:  newPlanner(),
 		dirty:    true,
 	}
 	for name, region := range o.DataCentres {
@@ -57,14 +59,27 @@
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}}
+	return []Action{LoadConfig{}, WatchEndpoints{}, SeekPlanner{Self: f.plannerName()}}
 }
 
 // Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
+func (f *Fleet) Tick(now time.Time) []Action {
+	return append(f.tickConfig(now), f.tickMaintenance(now)...)
+}
 
 // NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
+func (f *Fleet) NextWake() time.Time { return earliest(f.config.wakeAt, f.planner.wakeAt) }
+
+// earliest returns the earliest of the times that are not zero.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, t := range times {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
 type EndpointsSeen struct {
--- /dev/null
+++ b/internal/fleet/instances.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// WatchMachines waits until the platform's list of machines has a version above
+// After. The result is MachinesSeen or MachinesFailed.
+type WatchMachines struct {
+	Term  uint64
+	After uint64
+	Delay time.Duration
+}
+
+func (WatchMachines) isAction() {}
+
+// MachinesSeen holds the machines that changed, or all of them.
+type MachinesSeen struct {
+	Term     uint64
+	Version  uint64
+	Full     bool
+	Machines []machine.Observed
+}
+
+// Apply implements Event.
+func (e MachinesSeen) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	f.planner.view.Observe(e.Machines, e.Full, now)
+	return append(f.plan(now), WatchMachines{Term: e.Term, After: e.Version})
+}
+
+// MachinesFailed reports that the list of machines could not be read.
+type MachinesFailed struct {
+	Term  uint64
+	After uint64
+}
+
+// Apply implements Event. The list ages; planning stops when it is too old.
+func (e MachinesFailed) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	return append(f.plan(now), WatchMachines{Term: e.Term, After: e.After, Delay: RetryDelay})
+}
--- /dev/null
+++ b/internal/fleet/maintenance.go
@@ -0,0 +1,417 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// Times of the planner's lease. The holder renews it three times within its
+// life; a paused holder is succeeded after at most PlannerTTL.
+const (
+	PlannerTTL   = 6 * time.Second
+	plannerRenew = 2 * time.Second
+)
+
+// reloadEvery is how often the holder reads all records again, besides after
+// each conflict. At the target size one read is about 300 KB.
+const reloadEvery = 5 * time.Minute
+
+// Kinds of subjects of maintenance besides instances.
+const (
+	SubjectBudget  SubjectKind = "budget"
+	SubjectWave    SubjectKind = "wave"
+	SubjectPlanner SubjectKind = "planner"
+)
+
+// planner is the state of maintenance in one process. Only the holder of the
+// platform's lease plans.
+type planner struct {
+	view *zone.Maintenance
+	// term counts the times that this process took the lease. Results of actions
+	// from an earlier term are dropped.
+	term  uint64
+	held  bool
+	lease uint64
+	// until is when the lease ends, by this process's clock and counted from
+	// when the last renewal was sent.
+	until    time.Time
+	loaded   bool
+	loading  bool
+	running  bool
+	loadedAt time.Time
+	wakeAt   time.Time
+	// configRevision is the revision of the configuration in the view.
+	configRevision uint64
+	status         PlannerStatus
+	refused        map[string]string
+}
+
+func newPlanner() planner {
+	return planner{view: zone.NewMaintenance(zone.DefaultMaintenanceLimits()), refused: make(map[string]string)}
+}
+
+// current reports whether the result of an action of the given term counts.
+func (p *planner) current(term uint64) bool { return p.held && p.term == term }
+
+// PlannerStatus is what the planner reports to operators, the value of the
+// record planner/status. It is written when it changes.
+type PlannerStatus struct {
+	Holder string `json:"holder"`
+	// Hold says why planned disruption is stopped; empty while it is not.
+	Hold string `json:"hold,omitempty"`
+	// GivenUp lists the instances that repair did not bring back.
+	GivenUp []string  `json:"given_up,omitempty"`
+	Since   time.Time `json:"since"`
+}
+
+// SeekPlanner waits until the planner's lease is free and takes it. The result
+// is PlannerTaken or PlannerElsewhere.
+type SeekPlanner struct {
+	Self  string
+	Delay time.Duration
+}
+
+func (SeekPlanner) isAction() {}
+
+// KeepPlanner renews the planner's lease after Delay. The result is PlannerKept
+// or PlannerLost.
+type KeepPlanner struct {
+	Term  uint64
+	Lease uint64
+	Delay time.Duration
+}
+
+func (KeepPlanner) isAction() {}
+
+// LoadRecords reads all records of maintenance. The result is RecordsLoaded or
+// RecordsFailed.
+type LoadRecords struct {
+	Term  uint64
+	Delay time.Duration
+}
+
+func (LoadRecords) isAction() {}
+
+// WatchOrders waits for new orders of operators and reads them. The result is
+// OrdersSeen or OrdersFailed.
+type WatchOrders struct {
+	Term  uint64
+	After uint64
+	Delay time.Duration
+}
+
+func (WatchOrders) isAction() {}
+
+// RunSteps carries out steps while the lease lasts. The result is StepsRun.
+type RunSteps struct {
+	Term  uint64
+	Until time.Time
+	Steps []zone.Step
+}
+
+func (RunSteps) isAction() {}
+
+// PutStatus writes the planner's status. It has no result.
+type PutStatus struct{ Status PlannerStatus }
+
+func (PutStatus) isAction() {}
+
+// PlannerTaken reports that this process holds the planner's lease.
+type PlannerTaken struct {
+	Lease uint64
+	Until time.Time
+}
+
+// Apply implements Event. A new holder knows nothing: it reads the records and
+// goes on from them.
+func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
+	p := newPlanner()
+	p.term, p.held, p.lease, p.until, p.loading = f.planner.term+1, true, e.Lease, e.Until, true
+	f.planner = p
+	f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "take", Reason: "took the planner's lease"})
+	return []Action{
+		KeepPlanner{Term: p.term, Lease: e.Lease, Delay: plannerRenew},
+		LoadRecords{Term: p.term},
+		WatchMachines{Term: p.term},
+		WatchOrders{Term: p.term},
+	}
+}
+
+// PlannerElsewhere reports that another process holds the lease, or that the
+// platform did not answer.
+type PlannerElsewhere struct{ Delay time.Duration }
+
+// Apply implements Event.
+func (e PlannerElsewhere) Apply(f *Fleet, now time.Time) []Action {
+	return []Action{SeekPlanner{Self: f.plannerName(), Delay: e.Delay}}
+}
+
+// PlannerKept reports a renewal of the lease.
+type PlannerKept struct {
+	Term  uint64
+	Until time.Time
+}
+
+// Apply implements Event.
+func (e PlannerKept) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	if e.Until.After(f.planner.until) {
+		f.planner.until = e.Until
+	}
+	return append(f.plan(now), KeepPlanner{Term: e.Term, Lease: f.planner.lease, Delay: plannerRenew})
+}
+
+// PlannerLost reports that the lease has ended.
+type PlannerLost struct{ Term uint64 }
+
+// Apply implements Event.
+func (e PlannerLost) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	f.planner.held = false
+	f.planner.wakeAt = time.Time{}
+	f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "lose", Reason: "the planner's lease has ended"})
+	return []Action{SeekPlanner{Self: f.plannerName()}}
+}
+
+// plannerName identifies this incarnation of the process as holder.
+func (f *Fleet) plannerName() string { return f.self.ID }
+
+// RecordsLoaded are all records of maintenance. Budgets were read before
+// instances, so that a budget record that is swapped at its revision covers
+// every instance that was known to be charged when the instances were read.
+type RecordsLoaded struct {
+	Term      uint64
+	Instances []machine.Instance
+	Budgets   []contract.BudgetRecord
+	Waves     []machine.Wave
+	Moves     []machine.MoveOrder
+}
+
+// Apply implements Event.
+func (e RecordsLoaded) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	view := f.planner.view
+	clear(view.Instances)
+	for _, i := range e.Instances {
+		view.Instances[i.ID] = i
+	}
+	clear(view.Budgets)
+	for _, b := range e.Budgets {
+		view.Budgets[b.Service] = b
+	}
+	view.SetOrders(e.Waves, e.Moves)
+	f.planner.loaded, f.planner.loading, f.planner.loadedAt = true, false, now
+	return f.plan(now)
+}
+
+// RecordsFailed reports that the records could not be read.
+type RecordsFailed struct{ Term uint64 }
+
+// Apply implements Event.
+func (e RecordsFailed) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	return []Action{LoadRecords{Term: e.Term, Delay: RetryDelay}}
+}
+
+// OrdersSeen are the operators' orders. Version is that of the key that every
+// order changes.
+type OrdersSeen struct {
+	Term    uint64
+	Version uint64
+	Waves   []machine.Wave
+	Moves   []machine.MoveOrder
+}
+
+// Apply implements Event.
+func (e OrdersSeen) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	f.planner.view.SetOrders(e.Waves, e.Moves)
+	return append(f.plan(now), WatchOrders{Term: e.Term, After: e.Version})
+}
+
+// OrdersFailed reports that the orders could not be read.
+type OrdersFailed struct {
+	Term  uint64
+	After uint64
+}
+
+// Apply implements Event. The known orders stay in force.
+func (e OrdersFailed) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	return []Action{WatchOrders{Term: e.Term, After: e.After, Delay: RetryDelay}}
+}
+
+// StepsRun are the outcomes of a batch of steps.
+type StepsRun struct {
+	Term     uint64
+	Outcomes []zone.Outcome
+}
+
+// Apply implements Event. After any outcome but "done" all records are read
+// again before the next plan. A command needs that only when its record
+// changed; otherwise it is sent again after a pause while its effect is missing.
+func (e StepsRun) Apply(f *Fleet, now time.Time) []Action {
+	if !f.planner.current(e.Term) {
+		return nil
+	}
+	f.planner.running = false
+	reload := false
+	for _, o := range e.Outcomes {
+		if o.Result != zone.StepDone {
+			f.explainStep(o.Step, string(o.Result), now)
+		}
+		if o.Result == zone.StepDone || o.Step.Command != nil {
+			f.planner.view.Done(o, now)
+		}
+		settled := o.Step.Command != nil && o.Result != zone.StepConflict
+		reload = reload || o.Result != zone.StepDone && !settled
+	}
+	if reload {
+		f.planner.loading = true
+		return []Action{LoadRecords{Term: e.Term, Delay: RetryDelay}}
+	}
+	return f.plan(now)
+}
+
+// plan derives the next steps and starts them. There is one batch at a time:
+// each plan starts from records that include the results of the one before.
+func (f *Fleet) plan(now time.Time) []Action {
+	p := &f.planner
+	if !p.held || !p.loaded || p.loading || p.running || !f.config.loaded || !now.Before(p.until) {
+		return nil
+	}
+	if !now.Before(p.loadedAt.Add(reloadEvery)) {
+		p.loading = true
+		return []Action{LoadRecords{Term: p.term}}
+	}
+	f.refreshView()
+	plan := p.view.Plan(now)
+	p.wakeAt = plan.Wake
+	if next := p.loadedAt.Add(reloadEvery); p.wakeAt.IsZero() || next.Before(p.wakeAt) {
+		p.wakeAt = next
+	}
+	f.explainPlan(plan, now)
+	actions := f.report(plan, now)
+	if len(plan.Steps) == 0 {
+		return actions
+	}
+	p.running = true
+	p.wakeAt = time.Time{}
+	return append(actions, RunSteps{Term: p.term, Until: p.until, Steps: plan.Steps})
+}
+
+func (f *Fleet) tickMaintenance(now time.Time) []Action {
+	if f.planner.wakeAt.IsZero() || now.Before(f.planner.wakeAt) {
+		return nil
+	}
+	f.planner.wakeAt = time.Time{}
+	return f.plan(now)
+}
+
+// refreshView takes the configuration into the view when it changed.
+func (f *Fleet) refreshView() {
+	view := f.planner.view
+	if f.planner.configRevision == f.register.Revision() && view.Documents != nil {
+		return
+	}
+	f.planner.configRevision = f.register.Revision()
+	view.Documents = []contract.Document{}
+	for _, o := range f.register.List(contract.KindDocument) {
+		view.Documents = append(view.Documents, *o.Document)
+	}
+	clear(view.Pools)
+	for _, o := range f.register.List(contract.KindPool) {
+		view.Pools[o.Pool.Name] = *o.Pool
+	}
+	clear(view.Out)
+	for name, centre := range f.centres {
+		if centre.Out {
+			view.Out[name] = true
+		}
+	}
+}
+
+// explainPlan records the steps, and each refusal when its reason changed.
+func (f *Fleet) explainPlan(plan zone.Plan, now time.Time) {
+	for _, step := range plan.Steps {
+		f.explainStep(step, "", now)
+	}
+	refused := make(map[string]string, len(plan.Refusals))
+	for _, r := range plan.Refusals {
+		refused[r.Instance] = r.Reason
+		if f.planner.refused[r.Instance] != r.Reason {
+			f.Explain(Decision{
+				At: now, Subject: Subject{SubjectInstance, r.Instance}, Action: "refuse", Reason: r.Reason, Inputs: inputsOf(r.Facts),
+			})
+		}
+	}
+	f.planner.refused = refused
+}
+
+func (f *Fleet) explainStep(s zone.Step, result string, now time.Time) {
+	kind := SubjectInstance
+	switch {
+	case s.Budget != nil:
+		kind = SubjectBudget
+	case s.Wave != nil:
+		kind = SubjectWave
+	}
+	d := Decision{At: now, Subject: Subject{kind, s.Subject}, Action: string(s.Kind), Reason: s.Reason, Inputs: inputsOf(s.Facts)}
+	if result != "" {
+		d.Action += " " + result
+	}
+	f.Explain(d)
+}
+
+func inputsOf(facts []zone.Fact) []Input {
+	inputs := make([]Input, 0, len(facts))
+	for _, fact := range facts {
+		inputs = append(inputs, Input(fact))
+	}
+	return inputs
+}
+
+// report writes the status when it changed.
+func (f *Fleet) report(plan zone.Plan, now time.Time) []Action {
+	status := PlannerStatus{Holder: f.self.ID, Hold: plan.Hold, GivenUp: f.planner.view.GivenUp(), Since: now}
+	old := f.planner.status
+	if old.Holder == status.Holder && old.Hold == status.Hold && equalNames(old.GivenUp, status.GivenUp) {
+		return nil
+	}
+	f.planner.status = status
+	if old.Hold != status.Hold {
+		reason := status.Hold
+		if reason == "" {
+			reason = "planned disruption goes on"
+		}
+		f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "hold", Reason: reason})
+	}
+	return []Action{PutStatus{Status: status}}
+}
+
+func equalNames(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -49,7 +49,7 @@
 }
 
 func (f *Fleet) fillConfig(s *Snapshot) {
-	kinds := []contract.Kind{contract.KindTeam, contract.KindDocument, contract.KindKey, contract.KindDataCentre}
+	kinds := []contract.Kind{contract.KindTeam, contract.KindDocument, contract.KindKey, contract.KindDataCentre, contract.KindPool}
 	for _, kind := range kinds {
 		s.objects[kind] = f.register.List(kind)
 	}
--- /dev/null
+++ b/internal/front/maintenance.go
@@ -0,0 +1,304 @@
+package front
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/strictjson"
+)
+
+// orderTimeout bounds one operator's order or view of maintenance.
+const orderTimeout = 10 * time.Second
+
+// MoveRequest is the body of POST /v1/maintenance/move.
+type MoveRequest struct {
+	Instance string `json:"instance"`
+	Pool     string `json:"pool"`
+	Author   string `json:"author"`
+}
+
+// WaveRequest is the body of POST /v1/maintenance/wave/start.
+type WaveRequest struct {
+	Name     string   `json:"name"`
+	Pools    []string `json:"pools"`
+	OneByOne bool     `json:"one_by_one,omitempty"`
+	Author   string   `json:"author"`
+}
+
+// InstanceList is the answer to GET /v1/maintenance/instances.
+type InstanceList struct {
+	Instances []machine.Instance  `json:"instances"`
+	Moves     []machine.MoveOrder `json:"moves"`
+}
+
+// BudgetView is one budget with the number of its pool's members.
+type BudgetView struct {
+	contract.BudgetRecord
+	Members int `json:"members"`
+	// Unavailable counts the members that are charged or in a data centre that
+	// is out.
+	Unavailable int `json:"unavailable"`
+}
+
+// PoolView is one pool with its members counted by phase.
+type PoolView struct {
+	contract.PoolOrder
+	Members int                   `json:"members"`
+	Phases  map[machine.Phase]int `json:"phases"`
+}
+
+// PoolList is the answer to GET /v1/maintenance/pools.
+type PoolList struct {
+	Pools   []PoolView          `json:"pools"`
+	Planner fleet.PlannerStatus `json:"planner"`
+}
+
+// WaveView is one wave with its progress, in instances.
+type WaveView struct {
+	machine.Wave
+	Total   int `json:"total"`
+	Done    int `json:"done"`
+	Out     int `json:"out"`
+	Skipped int `json:"skipped"`
+}
+
+// WaveList is the answer to GET /v1/maintenance/waves.
+type WaveList struct {
+	Waves   []WaveView          `json:"waves"`
+	Planner fleet.PlannerStatus `json:"planner"`
+}
+
+func (s *Server) maintenanceRoutes() []route {
+	get, post := fasthttp.MethodGet, fasthttp.MethodPost
+	return []route{
+		{method: get, prefix: "/v1/maintenance/instances", handle: s.listInstances},
+		{method: get, prefix: "/v1/maintenance/budgets", handle: s.listBudgets},
+		{method: get, prefix: "/v1/maintenance/pools", handle: s.listPools},
+		{method: get, prefix: "/v1/maintenance/waves", handle: s.listWaves},
+		{method: post, prefix: "/v1/maintenance/move", handle: s.moveInstance},
+		{method: post, prefix: "/v1/maintenance/wave/start", handle: s.startWave},
+		{method: post, prefix: "/v1/maintenance/wave/pause/", handle: s.pauseWave},
+		{method: post, prefix: "/v1/maintenance/wave/resume/", handle: s.resumeWave},
+	}
+}
+
+// writeOrder writes the result of an order or view.
+func writeOrder(ctx *fasthttp.RequestCtx, value any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(ctx, fasthttp.StatusOK, value)
+	case errors.Is(err, control.ErrRefused):
+		writeError(ctx, fasthttp.StatusConflict, Error{Code: "refused", Reason: err.Error()})
+	case errors.Is(err, platform.ErrUnknown):
+		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "unknown", Reason: err.Error()})
+	default:
+		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "not-accepted", Reason: err.Error(), RetryAfterMS: 1000})
+	}
+}
+
+func badRequest(ctx *fasthttp.RequestCtx, reason string) {
+	writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
+}
+
+func orderContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), orderTimeout)
+}
+
+func (s *Server) knownPool(name string) bool {
+	for _, o := range s.parts.Loop.Snapshot().Objects(contract.KindPool) {
+		if o.Pool.Name == name || o.Pool.Spare == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) moveInstance(ctx *fasthttp.RequestCtx, _ string) {
+	var r MoveRequest
+	if err := strictjson.Decode(ctx.PostBody(), &r); err != nil {
+		badRequest(ctx, err.Error())
+		return
+	}
+	if r.Instance == "" || strings.Contains(r.Instance, "/") || r.Author == "" {
+		badRequest(ctx, "instance and author are required")
+		return
+	}
+	if !s.knownPool(r.Pool) {
+		badRequest(ctx, "no pool "+r.Pool+" in the configuration")
+		return
+	}
+	limited, cancel := orderContext()
+	defer cancel()
+	order, err := s.parts.Orders.Move(limited, r.Instance, r.Pool, r.Author)
+	writeOrder(ctx, order, err)
+}
+
+func (s *Server) startWave(ctx *fasthttp.RequestCtx, _ string) {
+	var r WaveRequest
+	if err := strictjson.Decode(ctx.PostBody(), &r); err != nil {
+		badRequest(ctx, err.Error())
+		return
+	}
+	if r.Name == "" || strings.Contains(r.Name, "/") || r.Author == "" || len(r.Pools) == 0 {
+		badRequest(ctx, "name, author and at least one pool are required")
+		return
+	}
+	for _, pool := range r.Pools {
+		if !s.knownPool(pool) {
+			badRequest(ctx, "no pool "+pool+" in the configuration")
+			return
+		}
+	}
+	limited, cancel := orderContext()
+	defer cancel()
+	w, err := s.parts.Orders.StartWave(limited, machine.Wave{Name: r.Name, Pools: r.Pools, OneByOne: r.OneByOne, Author: r.Author})
+	writeOrder(ctx, w, err)
+}
+
+func (s *Server) pauseWave(ctx *fasthttp.RequestCtx, name string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	w, err := s.parts.Orders.PauseWave(limited, name)
+	writeOrder(ctx, w, err)
+}
+
+func (s *Server) resumeWave(ctx *fasthttp.RequestCtx, name string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	w, err := s.parts.Orders.ResumeWave(limited, name)
+	writeOrder(ctx, w, err)
+}
+
+func (s *Server) listInstances(ctx *fasthttp.RequestCtx, _ string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	instances, err := s.parts.Orders.Instances(limited)
+	if err != nil {
+		writeOrder(ctx, nil, err)
+		return
+	}
+	moves, err := s.parts.Orders.Moves(limited)
+	writeOrder(ctx, InstanceList{Instances: instances, Moves: moves}, err)
+}
+
+func (s *Server) listBudgets(ctx *fasthttp.RequestCtx, _ string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	budgets, err := s.parts.Orders.Budgets(limited)
+	if err != nil {
+		writeOrder(ctx, nil, err)
+		return
+	}
+	instances, err := s.parts.Orders.Instances(limited)
+	views := make([]BudgetView, 0, len(budgets))
+	for _, b := range budgets {
+		views = append(views, viewBudget(b, instances))
+	}
+	writeOrder(ctx, views, err)
+}
+
+func viewBudget(b contract.BudgetRecord, instances []machine.Instance) BudgetView {
+	view := BudgetView{BudgetRecord: b}
+	out := make(map[string]bool)
+	for _, centre := range b.Out {
+		out[centre] = true
+	}
+	for _, i := range instances {
+		if i.Pool != b.Pool {
+			continue
+		}
+		view.Members++
+		if _, charged := b.Charges[i.ID]; charged || out[i.DataCentre] {
+			view.Unavailable++
+		}
+	}
+	return view
+}
+
+func (s *Server) listPools(ctx *fasthttp.RequestCtx, _ string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	instances, err := s.parts.Orders.Instances(limited)
+	if err != nil {
+		writeOrder(ctx, nil, err)
+		return
+	}
+	list := PoolList{Pools: viewPools(s.parts.Loop.Snapshot().Objects(contract.KindPool), instances)}
+	list.Planner, err = s.parts.Orders.Status(limited)
+	writeOrder(ctx, list, err)
+}
+
+// viewPools counts the members of the configured pools, in their order, and of
+// pools that only records or spare settings name.
+func viewPools(objects []contract.Object, instances []machine.Instance) []PoolView {
+	var names []string
+	views := make(map[string]*PoolView)
+	add := func(o contract.PoolOrder) {
+		if views[o.Name] == nil {
+			names = append(names, o.Name)
+			views[o.Name] = &PoolView{PoolOrder: o, Phases: make(map[machine.Phase]int)}
+		}
+	}
+	for _, o := range objects {
+		add(*o.Pool)
+	}
+	for _, i := range instances {
+		add(contract.PoolOrder{Name: i.Pool})
+		views[i.Pool].Members++
+		views[i.Pool].Phases[i.Phase]++
+	}
+	list := make([]PoolView, 0, len(names))
+	for _, name := range names {
+		list = append(list, *views[name])
+	}
+	return list
+}
+
+func (s *Server) listWaves(ctx *fasthttp.RequestCtx, _ string) {
+	limited, cancel := orderContext()
+	defer cancel()
+	waves, err := s.parts.Orders.Waves(limited)
+	if err != nil {
+		writeOrder(ctx, nil, err)
+		return
+	}
+	instances, err := s.parts.Orders.Instances(limited)
+	if err != nil {
+		writeOrder(ctx, nil, err)
+		return
+	}
+	list := WaveList{Waves: make([]WaveView, 0, len(waves))}
+	for _, w := range waves {
+		list.Waves = append(list.Waves, viewWave(w, instances))
+	}
+	list.Planner, err = s.parts.Orders.Status(limited)
+	writeOrder(ctx, list, err)
+}
+
+func viewWave(w machine.Wave, instances []machine.Instance) WaveView {
+	view := WaveView{Wave: w}
+	for _, i := range instances {
+		if !w.Covers(i.Pool) {
+			continue
+		}
+		view.Total++
+		switch w.Name {
+		case i.Maintained:
+			view.Done++
+		case i.Skipped:
+			view.Skipped++
+		case i.Goal.Wave:
+			view.Out++
+		}
+	}
+	return view
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,6 +32,7 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
+	Orders    *control.Orders
 	Log       *logrus.Entry
 	Clock     func() time.Time
 }
@@ -58,6 +59,7 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -94,4 +94,5 @@
 type Platform interface {
 	Store
 	Directory
+	Machines
 }
--- /dev/null
+++ b/internal/platform/rest/machines.go
@@ -0,0 +1,48 @@
+package rest
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+)
+
+// Paths of the machines.
+const (
+	PathMachines = "/v1/machines/watch"
+	PathDrain    = "/v1/machines/drain"
+	PathReboot   = "/v1/machines/reboot"
+	PathFill     = "/v1/machines/fill"
+)
+
+// WatchMachines implements platform.Machines.
+func (c *Client) WatchMachines(ctx context.Context, after uint64, wait time.Duration) (platform.MachineList, error) {
+	answer, err := c.call(ctx, PathMachines, Call{After: after, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		return platform.MachineList{}, err
+	}
+	if answer.Machines == nil {
+		return platform.MachineList{}, errors.Wrap(platform.ErrUnknown, "answer without machines")
+	}
+	return *answer.Machines, nil
+}
+
+// Drain implements platform.Machines.
+func (c *Client) Drain(ctx context.Context, id string, operation uint64) error {
+	_, err := c.call(ctx, PathDrain, Call{Machine: id, Operation: operation})
+	return err
+}
+
+// Reboot implements platform.Machines.
+func (c *Client) Reboot(ctx context.Context, id string, operation uint64) error {
+	_, err := c.call(ctx, PathReboot, Call{Machine: id, Operation: operation})
+	return err
+}
+
+// Fill implements platform.Machines.
+func (c *Client) Fill(ctx context.Context, id, pool string, operation uint64) error {
+	_, err := c.call(ctx, PathFill, Call{Machine: id, Pool: pool, Operation: operation})
+	return err
+}
--- a/internal/platform/rest/protocol.go
+++ b/internal/platform/rest/protocol.go
@@ -29,6 +29,10 @@
 	// WaitMS and TTLMS are in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
 	TTLMS  int64 `json:"ttl_ms,omitempty"`
+	// Machine, Pool and Operation belong to the commands to machines.
+	Machine   string `json:"machine,omitempty"`
+	Pool      string `json:"pool,omitempty"`
+	Operation uint64 `json:"operation,omitempty"`
 }
 
 // Answer is the response body of every path.
@@ -39,6 +43,7 @@
 	Version   platform.Version       `json:"version,omitempty"`
 	Lease     platform.LeaseID       `json:"lease,omitempty"`
 	Instances *platform.InstanceList `json:"instances,omitempty"`
+	Machines  *platform.MachineList  `json:"machines,omitempty"`
 }
 
 // Values of Answer.Error.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -40,7 +40,7 @@
 func (p *PlatformServer) Shutdown(ctx context.Context) error { return p.http.ShutdownWithContext(ctx) }
 
 func (p *PlatformServer) serve(ctx *fasthttp.RequestCtx) {
-	if p.control(ctx) {
+	if p.control(ctx) || p.controlMachines(ctx) {
 		return
 	}
 	var call rest.Call
@@ -126,6 +126,6 @@
 		list, err := p.store.WatchInstances(ctx, call.After, wait)
 		return rest.Answer{Instances: &list}, err
 	default:
-		return rest.Answer{}, platform.ErrNotFound
+		return p.answerMachines(ctx, path, call)
 	}
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -58,6 +58,7 @@
 	faults    Faults
 	calls     Calls
 	instances platform.InstanceList
+	machines  machinePark
 }
 
 var _ platform.Platform = (*Store)(nil)
