--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -37,6 +37,7 @@
 			waveCommand(),
 			instanceCommand(),
 			budgetCommand(),
+			demoCommand(),
 		},
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
 
@@ -33,6 +34,7 @@
 	Traffic   *traffic.Handler
 	Committer *control.Committer
 	Orders    *control.Orders
+	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
 	Clock     func() time.Time
 }
@@ -60,6 +62,7 @@
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.maintenanceRoutes()...)
+	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
