--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -154,5 +154,8 @@
 	if err != nil {
 		return status, err
 	}
-	return status, errors.Wrap(json.Unmarshal(record.Value, &status), "decode status")
+	if err := json.Unmarshal(record.Value, &status); err != nil {
+		return status, errors.Wrap(err, "decode status")
+	}
+	return status, nil
 }
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -30,7 +30,12 @@
 		return nil
 	}
 	f.planner.view.Observe(e.Machines, e.Full, now)
-	return append(f.plan(now), WatchMachines{Term: e.Term, After: e.Version})
+	next := WatchMachines{Term: e.Term, After: e.Version}
+	sameConfig := f.planner.configRevision == f.register.Revision()
+	if len(e.Machines) == 0 && sameConfig && f.planner.status.Hold == "" && !f.planner.due(now) {
+		return []Action{next}
+	}
+	return append(f.plan(now), next)
 }
 
 // MachinesFailed reports that the list of machines could not be read.
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -160,10 +160,15 @@
 	if !f.planner.current(e.Term) {
 		return nil
 	}
+	expired := !now.Before(f.planner.until)
 	if e.Until.After(f.planner.until) {
 		f.planner.until = e.Until
 	}
-	return append(f.plan(now), KeepPlanner{Term: e.Term, Lease: f.planner.lease, Delay: plannerRenew})
+	keep := KeepPlanner{Term: e.Term, Lease: f.planner.lease, Delay: plannerRenew}
+	if !expired {
+		return []Action{keep}
+	}
+	return append(f.plan(now), keep)
 }
 
 // PlannerLost reports that the lease has ended.
@@ -200,14 +205,7 @@
 		return nil
 	}
 	view := f.planner.view
-	clear(view.Instances)
-	for _, i := range e.Instances {
-		view.Instances[i.ID] = i
-	}
-	clear(view.Budgets)
-	for _, b := range e.Budgets {
-		view.Budgets[b.Service] = b
-	}
+	view.SetRecords(e.Instances, e.Budgets, now)
 	view.SetOrders(e.Waves, e.Moves)
 	f.planner.loaded, f.planner.loading, f.planner.loadedAt = true, false, now
 	return f.plan(now)
@@ -315,8 +313,11 @@
 	return append(actions, RunSteps{Term: p.term, Until: p.until, Steps: plan.Steps})
 }
 
+// due reports whether time alone makes the next plan due.
+func (p *planner) due(now time.Time) bool { return !p.wakeAt.IsZero() && !now.Before(p.wakeAt) }
+
 func (f *Fleet) tickMaintenance(now time.Time) []Action {
-	if f.planner.wakeAt.IsZero() || now.Before(f.planner.wakeAt) {
+	if !f.planner.due(now) {
 		return nil
 	}
 	f.planner.wakeAt = time.Time{}
--- a/internal/front/maintenance.go
+++ b/internal/front/maintenance.go
@@ -291,12 +291,12 @@
 			continue
 		}
 		view.Total++
-		switch w.Name {
-		case i.Maintained:
+		switch {
+		case w.Rebooted(&i):
 			view.Done++
-		case i.Skipped:
+		case w.Skipped(&i):
 			view.Skipped++
-		case i.Goal.Wave:
+		case i.Goal.Wave == w.Name:
 			view.Out++
 		}
 	}
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -66,14 +66,15 @@
 	Goal  Goal   `json:"goal,omitzero"`
 	// Since is when the phase began, by the clock of the planner that wrote it.
 	Since time.Time `json:"since"`
+	// FailedAt is when the instance failed; zero once it serves again.
+	FailedAt time.Time `json:"failed_at,omitzero"`
 	// Attempts counts repairs in a row that did not bring the instance back.
 	Attempts int `json:"attempts,omitempty"`
-	// Maintained is the last wave that rebooted the instance.
-	Maintained string `json:"maintained,omitempty"`
-	// Skipped is the last wave that gave the instance up.
-	Skipped string `json:"skipped,omitempty"`
-	// GaveUp is when the last drain was given up. A move is tried again after a
-	// pause.
+	// RebootedAt is when the last reboot began. It counts for every wave that
+	// started before, so that waves that overlap share their reboots.
+	RebootedAt time.Time `json:"rebooted_at,omitzero"`
+	// GaveUp is when the last drain was given up. Waves that started before pass
+	// the instance over; a move is tried again after a pause.
 	GaveUp time.Time `json:"gave_up,omitzero"`
 	// Lent is true while the instance stands in for a member of its pool and
 	// belongs back in the spare pool once it is surplus.
@@ -112,11 +113,9 @@
 }
 
 // GiveUp returns the record of an instance that did not finish its drain. It
-// goes back to service, so that no request is cut off, and its wave passes it
-// over.
+// goes back to service, so that no request is cut off.
 func (i Instance) GiveUp(now time.Time, reason string) Instance {
-	i.Skipped, i.GaveUp = i.Goal.Wave, now
-	i.Goal = Goal{}
+	i.GaveUp, i.Goal = now, Goal{}
 	return i.To(PhaseFilling, now, reason)
 }
 
@@ -127,17 +126,15 @@
 	return i.To(PhaseFilling, now, reason)
 }
 
-// Fail returns the record of an instance that stopped by itself. The wave of a
-// reboot that was under way stays known, so that the repair counts for it.
+// Fail returns the record of an instance that stopped by itself.
 func (i Instance) Fail(now time.Time, reason string) Instance {
 	if i.Phase == PhaseRebooting || i.Phase == PhaseFilling {
 		i.Attempts++
 	}
-	wave := i.Goal.Wave
-	if i.Phase == PhaseDraining {
-		wave = ""
+	i.Goal = Goal{Kind: GoalRepair}
+	if i.FailedAt.IsZero() {
+		i.FailedAt = now
 	}
-	i.Goal = Goal{Kind: GoalRepair, Wave: wave}
 	return i.To(PhaseFailed, now, reason)
 }
 
@@ -157,12 +154,25 @@
 	return next
 }
 
+// Reboot returns the record of an instance that is drained or failed and is now
+// rebooted.
+func (i Instance) Reboot(now time.Time, reason string) Instance {
+	i.RebootedAt = now
+	return i.To(PhaseRebooting, now, reason)
+}
+
+// Refill returns the record of a rebooted instance that fills the given pool. It
+// needs no drain, since the instance does not serve yet.
+func (i Instance) Refill(pool string, now time.Time, reason string) Instance {
+	if pool != i.Pool {
+		i.Pool, i.Lent = pool, false
+	}
+	return i.To(PhaseFilling, now, reason)
+}
+
 // Serve returns the record of an instance that was seen healthy after its fill.
 func (i Instance) Serve(now time.Time, reason string) Instance {
-	if i.Goal.Wave != "" {
-		i.Maintained = i.Goal.Wave
-	}
-	i.Goal, i.Attempts = Goal{}, 0
+	i.Goal, i.Attempts, i.FailedAt = Goal{}, 0, time.Time{}
 	return i.To(PhaseServing, now, reason)
 }
 
--- a/internal/machine/wave.go
+++ b/internal/machine/wave.go
@@ -35,10 +35,20 @@
 // Covers reports whether the wave includes a pool.
 func (w *Wave) Covers(pool string) bool { return slices.Contains(w.Pools, pool) }
 
+// Rebooted reports whether the instance is back from a reboot that began after
+// the wave started.
+func (w *Wave) Rebooted(i *Instance) bool {
+	return i.Phase == PhaseServing && !i.RebootedAt.Before(w.Started)
+}
+
+// Skipped reports whether a drain of the instance was given up since the wave
+// started.
+func (w *Wave) Skipped(i *Instance) bool { return !i.GaveUp.Before(w.Started) }
+
 // Owes reports whether the wave still has to reboot the instance. An instance
 // on loan is left to a wave of the spare pool that it came from.
 func (w *Wave) Owes(i *Instance, spare string) bool {
-	if !w.Covers(i.Pool) || i.Maintained == w.Name || i.Skipped == w.Name {
+	if !w.Covers(i.Pool) || w.Rebooted(i) || w.Skipped(i) {
 		return false
 	}
 	return !i.Lent || w.Covers(spare)
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -50,6 +50,8 @@
 	// Kind is drain, drained, reboot, ready, fill, serving, down or up.
 	Kind string `json:"kind"`
 	Pool string `json:"pool,omitempty"`
+	// Operation is the number of the command, 0 when there was none.
+	Operation uint64 `json:"operation,omitempty"`
 	// Cut is true for a reboot that cut off running requests.
 	Cut bool `json:"cut,omitempty"`
 }
@@ -57,7 +59,10 @@
 // parked is one machine with the time when its running command ends.
 type parked struct {
 	platform.Machine
-	faults  MachineFaults
+	faults MachineFaults
+	// back is the state that the machine has when it comes back by itself: a
+	// machine that was told to drain does not serve again without a fill.
+	back    string
 	until   time.Time
 	changed uint64
 	// listed is the machine as the list shows it, history what it is yet to show.
@@ -113,7 +118,7 @@
 	}
 	s.machines.version++
 	for _, m := range list {
-		s.machines.machines[m.ID] = &parked{Machine: m, listed: m, changed: s.machines.version}
+		s.machines.machines[m.ID] = &parked{Machine: m, listed: m, back: stateServing, changed: s.machines.version}
 	}
 	s.wake()
 }
@@ -139,6 +144,9 @@
 	if !ok {
 		return
 	}
+	if m.Gone {
+		return
+	}
 	was := m.faults
 	m.faults = f
 	switch {
@@ -146,10 +154,11 @@
 		m.State, m.Healthy, m.until = stateDown, false, time.Time{}
 		s.note(m, "down")
 	case !f.Down && was.Down:
-		// The machine comes back by itself, as after a power cut, and serves
-		// unless it was told to drain.
-		m.State, m.Healthy = stateServing, true
-		s.note(m, "up")
+		// The machine comes back by itself, as after a power cut.
+		m.State, m.Healthy = m.back, true
+		if m.back == stateServing {
+			s.note(m, "up")
+		}
 	}
 	s.show(m)
 }
@@ -161,7 +170,9 @@
 	s.advance()
 	var list []platform.Machine
 	for _, id := range s.machineIDs() {
-		list = append(list, s.machines.machines[id].Machine)
+		if m := s.machines.machines[id]; !m.Gone {
+			list = append(list, m.Machine)
+		}
 	}
 	return list
 }
@@ -175,12 +186,23 @@
 	return ids
 }
 
-func (s *Store) note(m *parked, kind string) {
+func (s *Store) note(m *parked, kind string) { s.noteCommand(m, kind, 0, false) }
+
+func (s *Store) noteCommand(m *parked, kind string, operation uint64, cut bool) {
 	if s.machines.record {
-		s.machines.effects = append(s.machines.effects, Effect{At: s.clock(), Machine: m.ID, Kind: kind, Pool: m.Pool})
+		e := Effect{At: s.clock(), Machine: m.ID, Kind: kind, Pool: m.Pool, Operation: operation, Cut: cut}
+		s.machines.effects = append(s.machines.effects, e)
 	}
 }
 
+// Peek returns a record without a call, regardless of faults.
+func (s *Store) Peek(key string) (platform.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	return platform.Record{Key: key, Value: e.value, Version: e.version}, ok
+}
+
 // show puts the present state of a machine into the list, after the lag.
 func (s *Store) show(m *parked) {
 	lag := time.Duration(s.machines.options.LagMS) * time.Millisecond
@@ -258,13 +280,14 @@
 // Drain implements platform.Machines.
 func (s *Store) Drain(ctx context.Context, id string, operation uint64) error {
 	return s.take(ctx, id, operation, func(m *parked) {
+		m.back = stateDrained
 		if m.faults.Down {
 			return
 		}
 		if m.State == stateServing {
 			m.State = stateDraining
 		}
-		s.note(m, "drain")
+		s.noteCommand(m, "drain", operation, false)
 		if m.State == stateDraining && !m.faults.Stuck {
 			m.until = s.after(s.machines.options.DrainMS)
 		}
@@ -274,11 +297,9 @@
 // Reboot implements platform.Machines.
 func (s *Store) Reboot(ctx context.Context, id string, operation uint64) error {
 	return s.take(ctx, id, operation, func(m *parked) {
+		m.back = stateReady
 		cut := m.State == stateServing || m.State == stateDraining
-		s.note(m, "reboot")
-		if n := len(s.machines.effects); s.machines.record && n > 0 {
-			s.machines.effects[n-1].Cut = cut && m.Healthy
-		}
+		s.noteCommand(m, "reboot", operation, cut && m.Healthy)
 		if m.faults.Down {
 			return
 		}
@@ -290,8 +311,8 @@
 // Fill implements platform.Machines.
 func (s *Store) Fill(ctx context.Context, id, pool string, operation uint64) error {
 	return s.take(ctx, id, operation, func(m *parked) {
-		m.Pool = pool
-		s.note(m, "fill")
+		m.Pool, m.back = pool, stateServing
+		s.noteCommand(m, "fill", operation, false)
 		if m.faults.Down || m.State == stateServing {
 			return
 		}
--- a/internal/zone/disrupt.go
+++ b/internal/zone/disrupt.go
@@ -129,9 +129,9 @@
 	}
 	borrow := p.borrow(pool)
 	p.draw(pool, pool.Draws(len(lost), borrow, p.incoming(pool.Name)))
-	surplus := pool.Surplus(borrow)
-	for _, i := range lost[:min(surplus, len(lost))] {
-		if !p.touched[i.ID] {
+	surplus := pool.Surplus(borrow) - p.reassigned[pool.Name]
+	for _, i := range lost[:max(0, min(surplus, len(lost)))] {
+		if i.Phase == machine.PhaseFailed && !p.touched[i.ID] {
 			p.write(StepReplace, i.Reassign(pool.Spare, p.now, "replaced in "+pool.Name))
 		}
 	}
@@ -200,13 +200,20 @@
 }
 
 // borrow returns how many additional members a wave needs in the pool, because
-// the budgets leave no headroom at the target size.
+// the budgets leave no headroom at the target size, or at the present size when
+// that is smaller.
 func (p *planning) borrow(pool *machine.Pool) int {
 	most := 0
 	for _, b := range p.budgets[pool.Name] {
 		most = max(most, b.Record.MinAvailable)
 	}
-	if pool.Target > most {
+	own := 0
+	for _, i := range pool.Members {
+		if !i.Lent {
+			own++
+		}
+	}
+	if min(pool.Target, own) > most {
 		return 0
 	}
 	for _, w := range p.Waves {
--- a/internal/zone/maintenance.go
+++ b/internal/zone/maintenance.go
@@ -127,14 +127,39 @@
 		m.Observed[o.ID] = m.Observed[o.ID].Next(o, now)
 	}
 	m.ListedAt = now
-	if !full {
+	if full {
+		for id, o := range m.Observed {
+			if !listed[id] {
+				gone := o
+				gone.Missing = true
+				m.Observed[id] = o.Next(gone, now)
+			}
+		}
+	}
+	m.miss(now)
+}
+
+// SetRecords replaces the records of instances and budgets.
+func (m *Maintenance) SetRecords(instances []machine.Instance, budgets []contract.BudgetRecord, now time.Time) {
+	clear(m.Instances)
+	for _, i := range instances {
+		m.Instances[i.ID] = i
+	}
+	clear(m.Budgets)
+	for _, b := range budgets {
+		m.Budgets[b.Service] = b
+	}
+	m.miss(now)
+}
+
+// miss notes the instances that have a record and are not in the list.
+func (m *Maintenance) miss(now time.Time) {
+	if m.ListedAt.IsZero() {
 		return
 	}
-	for id, o := range m.Observed {
-		if !listed[id] {
-			gone := o
-			gone.Missing = true
-			m.Observed[id] = o.Next(gone, now)
+	for id := range m.Instances {
+		if _, ok := m.Observed[id]; !ok {
+			m.Observed[id] = machine.Observed{}.Next(machine.Observed{ID: id, Missing: true}, now)
 		}
 	}
 }
--- a/internal/zone/planning.go
+++ b/internal/zone/planning.go
@@ -33,6 +33,8 @@
 	// joining holds the instances that are about to join each pool.
 	joining     map[string][]machine.Instance
 	rackRepairs map[string]int
+	// reassigned counts the members that leave each pool in this plan.
+	reassigned map[string]int
 }
 
 // Plan returns the next steps. It is a pure function of the view and the time.
@@ -44,7 +46,7 @@
 		members: make(map[string][]machine.Instance), budgets: make(map[string][]*contract.Budget),
 		touched: make(map[string]bool), kept: make(map[string]bool),
 		rackDown: make(map[string]int), centreDown: make(map[string]int), centreSize: make(map[string]int),
-		rackRepairs: make(map[string]int), joining: make(map[string][]machine.Instance),
+		rackRepairs: make(map[string]int), reassigned: make(map[string]int), joining: make(map[string][]machine.Instance),
 	}
 	p.index()
 	if p.hold(); p.blind() {
--- a/internal/zone/progress.go
+++ b/internal/zone/progress.go
@@ -13,10 +13,7 @@
 func (p *planning) progress() {
 	for _, id := range slices.Sorted(maps.Keys(p.Instances)) {
 		i := p.Instances[id]
-		o, seen := p.Observed[id]
-		if !seen {
-			o = machine.Observed{ID: id, Missing: true, BadSince: p.ListedAt, IdleSince: p.ListedAt}
-		}
+		o := p.Observed[id]
 		switch i.Phase {
 		case machine.PhaseServing:
 			p.serving(i, o)
@@ -78,7 +75,7 @@
 		p.write(StepMove, i.To(machine.PhaseMoving, p.now, "drained, moves to "+i.Goal.Pool))
 		return
 	}
-	p.write(StepReboot, i.To(machine.PhaseRebooting, p.now, "drained"))
+	p.write(StepReboot, i.Reboot(p.now, "drained"))
 }
 
 // moving swaps the pool once every service of the new pool counts the instance,
@@ -99,7 +96,7 @@
 func (p *planning) rebooting(i machine.Instance, o machine.Observed) {
 	switch {
 	case o.Took(i.Epoch) && o.State == machine.MachineReady && o.Healthy:
-		p.write(StepFill, i.To(machine.PhaseFilling, p.now, "rebooted"))
+		p.write(StepFill, i.Refill(p.poolAfterRepair(&i), p.now, "rebooted"), Fact{"pool", i.Pool})
 	case p.passed(i.Since, p.Limits.BootTimeout):
 		p.write(StepFail, i.Fail(p.now, "not back "+p.Limits.BootTimeout.String()+" after its reboot"), seenFacts(o)...)
 	default:
@@ -118,6 +115,17 @@
 	}
 }
 
+// poolAfterRepair returns the pool that a rebooted instance fills: the spare
+// pool when the instance was replaced meanwhile.
+func (p *planning) poolAfterRepair(i *machine.Instance) string {
+	pool := p.pool(i.Pool)
+	if i.Goal.Kind != machine.GoalRepair || pool.Surplus(p.borrow(pool)) <= p.reassigned[i.Pool] {
+		return i.Pool
+	}
+	p.reassigned[i.Pool]++
+	return pool.Spare
+}
+
 // failed brings an instance back: at once when it is healthy by itself, else by
 // a reboot within the limits of repair.
 func (p *planning) failed(i machine.Instance, o machine.Observed) {
@@ -141,7 +149,7 @@
 		return
 	}
 	if o.Took(i.Epoch) {
-		p.write(StepReboot, i.To(machine.PhaseRebooting, p.now, "repair"), seenFacts(o)...)
+		p.write(StepReboot, i.Reboot(p.now, "repair"), seenFacts(o)...)
 		return
 	}
 	if !p.inRepair(&i, o) {
@@ -180,11 +188,12 @@
 	return 0
 }
 
-// replaceable reports whether a failed instance is to be replaced from the spare
-// pool.
+// replaceable reports whether an instance that failed is to be replaced from the
+// spare pool.
 func (p *planning) replaceable(i *machine.Instance) bool {
-	if i.Phase != machine.PhaseFailed || p.Out[i.DataCentre] {
+	repaired := i.Phase == machine.PhaseRebooting && i.Goal.Kind == machine.GoalRepair
+	if i.Phase != machine.PhaseFailed && !repaired || p.Out[i.DataCentre] {
 		return false
 	}
-	return !p.correlated(i) || p.passed(i.Since, p.Limits.Grace)
+	return !p.correlated(i) || p.passed(i.FailedAt, p.Limits.Grace)
 }
