--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -38,6 +38,7 @@
 			instanceCommand(),
 			budgetCommand(),
 			demoCommand(),
+			certificateCommand(),
 		},
 	}
 }
--- a/internal/contract/pool.go
+++ b/internal/contract/pool.go
@@ -12,15 +12,14 @@
 	Target int `json:"target" cbor:"target"`
 }
 
-func (o *Object) checkPool() error {
+func (c *checker) pool(o *Object) {
 	p := o.Pool
 	if p == nil || p.Name != o.Ref.Name {
-		return missing("pool.name", o.Ref.Name)
+		c.missing("pool.name", o.Ref.Name)
+		return
 	}
 	if p.Spare != "" {
-		if err := checkName("pool.spare", p.Spare); err != nil {
-			return err
-		}
+		c.name("pool.spare", p.Spare)
 	}
-	return checkRange("pool.target", int64(p.Target), 0, MaxPoolSize, "instances")
+	c.number("pool.target", int64(p.Target), 0, MaxPoolSize, "instances")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
@@ -36,9 +37,21 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Peer,
 	}
-	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
-	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
-	metrics, err := newMetrics(loop)
+	f := fleet.New(fleet.Options{
+		Self: self, DataCentres: s.DataCentres, Seeds: seeds(s.Seeds), Horizon: s.FreshnessHorizon(),
+	})
+	node, err := peer.NewNode(peer.Options{
+		Self:  self,
+		Files: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		Log:   log,
+	})
+	if err != nil {
+		return err
+	}
+	peers := peer.NewRunner(node, log, time.Now)
+	loop := control.NewLoop(f, runner{platform: control.NewPlatformRunner(p, log, time.Now), peers: peers}, time.Now)
+	peers.Attach(loop)
+	metrics, err := newMetrics(loop, node)
 	if err != nil {
 		return err
 	}
@@ -46,23 +59,28 @@
 		Loop:      loop,
 		Metrics:   metrics,
 		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
-		Committer: control.NewCommitter(p),
+		Committer: control.NewCheckedCommitter(p, control.CheckWith(loop)),
 		Orders:    control.NewOrders(p, time.Now),
-		Log:       log,
-		Clock:     time.Now,
+		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
+			return peers.Spread(ctx, loop, plan)
+		},
+		Log:   log,
+		Clock: time.Now,
 	})
-	return serve(ctx, loop, server, listener, log)
+	return serve(ctx, loop, node, server, listener, log)
 }
 
-// serve runs the loop and the server. The loop ends after the server, so that
-// running requests can release their slots.
-func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, log *logrus.Entry) error {
+// serve runs the loop, the peer node and the server. The loop and the node end
+// after the server, so that running requests can release their slots.
+func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, log *logrus.Entry) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loop.Run(loopCtx) })
+	group.Go(func() error { return node.Serve(loopCtx) })
 	group.Go(func() error { return server.Serve(l) })
 	group.Go(func() error {
+		defer func() { _ = node.Close() }()
 		defer stopLoop()
 		<-groupCtx.Done()
 		log.Info("front: stopping")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,10 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// Seeds are peers known from the settings.
+	Seeds []link.Member
+	// Horizon is the freshness horizon, 0 for DefaultHorizon.
+	Horizon time.Duration
 }
 
 // Fleet is the control state of one entry instance.
@@ -39,7 +43,13 @@
 	config   configState
 	journal  journal
 	planner  planner
+	wakes    wakes
+	peers    peersState
+	start    StartRule
+	cache    snapshotCache
 	dirty    bool
+	// freshDirty is set when only the freshness changed.
+	freshDirty bool
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -48,37 +58,26 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
-		planner:  newPlanner(),
 		dirty:    true,
 	}
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
+	horizon := o.Horizon
+	if horizon == 0 {
+		horizon = DefaultHorizon
+	}
+	f.start.fresh = link.NewFreshness(horizon)
+	f.peers = newPeersState(f, o.Seeds)
+	f.planner = newPlanner(f.wakes.register(f.plan))
 	return f
 }
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}, SeekPlanner{Self: f.plannerName()}}
-}
-
-// Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action {
-	return append(f.tickConfig(now), f.tickMaintenance(now)...)
-}
-
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return earliest(f.config.wakeAt, f.planner.wakeAt) }
-
-// earliest returns the earliest of the times that are not zero.
-func earliest(times ...time.Time) time.Time {
-	var first time.Time
-	for _, t := range times {
-		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
-			first = t
-		}
-	}
-	return first
+	f.config.busy = true
+	f.peers.probeWake.set(now)
+	return []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}, SeekPlanner{Self: f.plannerName()}}
 }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -42,15 +42,15 @@
 	loading  bool
 	running  bool
 	loadedAt time.Time
-	wakeAt   time.Time
+	wake     *wake
 	// configRevision is the revision of the configuration in the view.
 	configRevision uint64
 	status         PlannerStatus
 	refused        map[string]string
 }
 
-func newPlanner() planner {
-	return planner{view: zone.NewMaintenance(zone.DefaultMaintenanceLimits()), refused: make(map[string]string)}
+func newPlanner(w *wake) planner {
+	return planner{wake: w, view: zone.NewMaintenance(zone.DefaultMaintenanceLimits()), refused: make(map[string]string)}
 }
 
 // current reports whether the result of an action of the given term counts.
@@ -128,7 +128,7 @@
 // Apply implements Event. A new holder knows nothing: it reads the records and
 // goes on from them.
 func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
-	p := newPlanner()
+	p := newPlanner(f.planner.wake)
 	p.term, p.held, p.lease, p.until, p.loading = f.planner.term+1, true, e.Lease, e.Until, true
 	f.planner = p
 	f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "take", Reason: "took the planner's lease"})
@@ -180,7 +180,7 @@
 		return nil
 	}
 	f.planner.held = false
-	f.planner.wakeAt = time.Time{}
+	f.planner.wake.set(time.Time{})
 	f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "lose", Reason: "the planner's lease has ended"})
 	return []Action{SeekPlanner{Self: f.plannerName()}}
 }
@@ -299,30 +299,20 @@
 	}
 	f.refreshView()
 	plan := p.view.Plan(now)
-	p.wakeAt = plan.Wake
-	if next := p.loadedAt.Add(reloadEvery); p.wakeAt.IsZero() || next.Before(p.wakeAt) {
-		p.wakeAt = next
-	}
+	p.wake.set(plan.Wake)
+	p.wake.setEarlier(p.loadedAt.Add(reloadEvery))
 	f.explainPlan(plan, now)
 	actions := f.report(plan, now)
 	if len(plan.Steps) == 0 {
 		return actions
 	}
 	p.running = true
-	p.wakeAt = time.Time{}
+	p.wake.set(time.Time{})
 	return append(actions, RunSteps{Term: p.term, Until: p.until, Steps: plan.Steps})
 }
 
 // due reports whether time alone makes the next plan due.
-func (p *planner) due(now time.Time) bool { return !p.wakeAt.IsZero() && !now.Before(p.wakeAt) }
-
-func (f *Fleet) tickMaintenance(now time.Time) []Action {
-	if !f.planner.due(now) {
-		return nil
-	}
-	f.planner.wakeAt = time.Time{}
-	return f.plan(now)
-}
+func (p *planner) due(now time.Time) bool { return !p.wake.at.IsZero() && !now.Before(p.wake.at) }
 
 // refreshView takes the configuration into the view when it changed.
 func (f *Fleet) refreshView() {
