--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -239,25 +239,22 @@
 // different records.
 func (r *MaintenanceRunner) runSteps(ctx context.Context, a fleet.RunSteps) fleet.Event {
 	outcomes := make([]zone.Outcome, len(a.Steps))
-	n := 0
-	for ; n < len(a.Steps) && a.Steps[n].Budget != nil; n++ {
-		outcomes[n] = r.RunStep(ctx, a.Steps[n], a.Until)
-		if outcomes[n].Result != zone.StepDone {
-			n++
-			break
-		}
-	}
 	group := new(errgroup.Group)
 	group.SetLimit(stepsAtOnce)
-	for ; n < len(a.Steps); n++ {
-		if a.Steps[n].Budget != nil {
-			outcomes[n] = zone.Outcome{Step: a.Steps[n], Result: zone.StepFailed}
-			continue
+	failed := false
+	for n, step := range a.Steps {
+		switch {
+		case step.Budget != nil && failed:
+			outcomes[n] = zone.Outcome{Step: step, Result: zone.StepFailed}
+		case step.Budget != nil:
+			outcomes[n] = r.RunStep(ctx, step, a.Until)
+			failed = outcomes[n].Result != zone.StepDone
+		default:
+			group.Go(func() error {
+				outcomes[n] = r.RunStep(ctx, step, a.Until)
+				return nil
+			})
 		}
-		group.Go(func() error {
-			outcomes[n] = r.RunStep(ctx, a.Steps[n], a.Until)
-			return nil
-		})
 	}
 	_ = group.Wait()
 	return fleet.StepsRun{Term: a.Term, Outcomes: outcomes}
--- /dev/null
+++ b/internal/control/maintenance_test.go
@@ -0,0 +1,60 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/standin"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// TestBatchStopsAtTheFirstBudgetThatFails guards against charges that are taken
+// in another order than that of the services, and against outcomes that belong
+// to another step.
+func TestBatchStopsAtTheFirstBudgetThatFails(t *testing.T) {
+	now := time.Unix(0, 0)
+	store := standin.NewStore(func() time.Time { return now })
+	r := control.NewMaintenanceRunner(store, func() time.Time { return now })
+	a := fleet.RunSteps{Term: 1, Until: now.Add(time.Second)}
+	for n, service := range []string{"a", "b", "c"} {
+		// The second record does not have the expected revision.
+		revision := uint64(0)
+		if n == 1 {
+			revision = 7
+		}
+		a.Steps = append(a.Steps, zone.Step{Kind: zone.StepBudget, Subject: service, Revision: revision, Budget: &contract.BudgetRecord{Service: service}})
+	}
+	for n := range 40 {
+		id := fmt.Sprint(n)
+		a.Steps = append(a.Steps, zone.Step{Kind: zone.StepAdopt, Subject: id, Instance: &machine.Instance{ID: id}})
+	}
+	e, _ := r.Run(context.Background(), a)
+	outcomes := e.(fleet.StepsRun).Outcomes
+	want := []zone.StepResult{zone.StepDone, zone.StepConflict, zone.StepFailed}
+	for n, o := range outcomes {
+		result := zone.StepDone
+		if n < len(want) {
+			result = want[n]
+		}
+		if o.Step.Subject != a.Steps[n].Subject || o.Result != result {
+			t.Errorf("step %d (%s): %s of %s", n, a.Steps[n].Subject, o.Result, o.Step.Subject)
+		}
+	}
+}
+
+// TestStepsExpireWithTheLease guards against steps that start after the lease.
+func TestStepsExpireWithTheLease(t *testing.T) {
+	now := time.Unix(0, 0)
+	store := standin.NewStore(func() time.Time { return now })
+	r := control.NewMaintenanceRunner(store, func() time.Time { return now })
+	o := r.RunStep(context.Background(), zone.Step{Subject: "i", Instance: &machine.Instance{ID: "i"}}, now)
+	if o.Result != zone.StepExpired || store.Calls().Writes != 0 {
+		t.Errorf("%s with %d writes", o.Result, store.Calls().Writes)
+	}
+}
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -41,13 +41,17 @@
 	platform platform.Platform
 	log      *logrus.Entry
 	clock    func() time.Time
+	limits   *LimitRunner
 
 	maintenance *MaintenanceRunner
 }
 
 // NewPlatformRunner returns a runner for p.
 func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
-	return &PlatformRunner{platform: p, log: log, clock: clock, maintenance: NewMaintenanceRunner(p, clock)}
+	return &PlatformRunner{
+		platform: p, log: log, clock: clock,
+		limits: NewLimitRunner(p, log, clock), maintenance: NewMaintenanceRunner(p, clock),
+	}
 }
 
 // Run implements Runner.
@@ -67,6 +71,9 @@
 		if e, ok := r.maintenance.Run(ctx, a); ok {
 			return e
 		}
+		if e, ok := r.limits.Run(ctx, a); ok {
+			return e
+		}
 		r.log.Errorf("control: no runner for action %T", a)
 		return nil
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -180,6 +180,8 @@
 		f.cache.centresVersion = f.register.Version(contract.KindDataCentre)
 		f.applyCentreOrders(now)
 	}
+	f.limits.configDue = true
+	f.limits.wakeBy(now)
 	f.dirty = true
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -35,12 +35,13 @@
 	Traffic   *traffic.Handler
 	Committer *control.Committer
 	Orders    *control.Orders
-	Metrics   *telemetry.Metrics
-	Log       *logrus.Entry
-	Clock     func() time.Time
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
-	Spread func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Limits  LimitsReader
+	Metrics *telemetry.Metrics
+	Log     *logrus.Entry
+	Clock   func() time.Time
 }
 
 type handlerFunc func(ctx *fasthttp.RequestCtx, name string)
@@ -67,6 +68,7 @@
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
+	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/test/maintenance/random_test.go
+++ b/test/maintenance/random_test.go
@@ -47,6 +47,7 @@
 // violation that the checkers of I1, I2 and I10 know, and against a fleet that
 // does not come to rest once the faults are over.
 func TestRandomHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		h := &history{world: smallWorld(), faults: make(map[string]standin.MachineFaults)}
 		h.advance(2 * time.Minute)
--- a/test/maintenance/sim_test.go
+++ b/test/maintenance/sim_test.go
@@ -49,8 +49,10 @@
 	instances map[string]machine.Instance
 	// moves, drains and reboots count what was done to instances.
 	moves, drains, reboots int
-	checked                bool
-	err                    error
+	// joined holds "instance pool" for every pool that an instance moved to.
+	joined  map[string]bool
+	checked bool
+	err     error
 }
 
 func newWorld(tick time.Duration) *world {
@@ -58,6 +60,7 @@
 		now: epoch, tick: tick, objects: make(map[contract.Ref]contract.Object), checked: true,
 		budgets: proof.NewBudgets(blind), pools: proof.NewPools(),
 		versions: make(map[string]platform.Version), instances: make(map[string]machine.Instance),
+		joined: make(map[string]bool),
 	}
 	clock := func() time.Time { return w.now }
 	w.store = standin.NewStore(clock)
@@ -84,6 +87,12 @@
 	crashAfter int
 	late       bool
 	dead       bool
+	// loseAfter is the number of further calls until one answer is lost; -1
+	// means never.
+	loseAfter int
+	// pauseAfter is the number of further steps until the process is paused; -1
+	// means never.
+	pauseAfter int
 }
 
 type dueAction struct {
@@ -99,7 +108,7 @@
 }
 
 func (w *world) start(name, centre string) *proc {
-	p := &proc{w: w, name: name, centre: centre, crashAfter: -1}
+	p := &proc{w: w, name: name, centre: centre, crashAfter: -1, loseAfter: -1, pauseAfter: -1}
 	p.fleet = fleet.New(fleet.Options{
 		Self:        link.Member{ID: name, Incarnation: uint64(w.now.UnixNano()), DataCentre: centre},
 		DataCentres: map[string]string{"dc0": "west", "dc1": "west", "dc2": "east", "dc3": "east", "dc4": "east"},
@@ -193,6 +202,11 @@
 			if limit == 0 {
 				return
 			}
+			if p.pauseAfter == 0 {
+				p.pause()
+				return
+			}
+			p.pauseAfter--
 			limit--
 			p.step()
 			continue
@@ -272,7 +286,7 @@
 	for p.batch != nil && !p.dead && len(p.batch.outcomes) < len(p.batch.action.Steps) {
 		p.step()
 	}
-	p.paused = false
+	p.paused, p.pauseAfter = false, -1
 	p.learn()
 }
 
@@ -309,6 +323,10 @@
 	}
 	err := call()
 	t.p.w.observe()
+	if t.p.loseAfter == 0 && err == nil {
+		err = platform.ErrUnknown
+	}
+	t.p.loseAfter--
 	if dies {
 		t.p.dead = true
 		return errDead
@@ -365,6 +383,7 @@
 		w.decode(record.Value, e.Instance)
 		if old, known := w.instances[e.Instance.ID]; known && old.Pool != e.Instance.Pool {
 			w.moves++
+			w.joined[e.Instance.ID+" "+e.Instance.Pool] = true
 		}
 		w.instances[e.Instance.ID] = *e.Instance
 	case strings.HasPrefix(key, control.BudgetPrefix):
@@ -539,3 +558,11 @@
 		}
 	}
 }
+
+// withoutMachineWatch drops the watch of the list of machines.
+func withoutMachineWatch(due []dueAction) []dueAction {
+	return slices.DeleteFunc(due, func(d dueAction) bool {
+		_, ok := d.action.(fleet.WatchMachines)
+		return ok
+	})
+}
--- a/test/maintenance/wave_test.go
+++ b/test/maintenance/wave_test.go
@@ -25,6 +25,7 @@
 // TestWaveRebootsEveryMemberOnce guards against a wave that stops early, leaves
 // an instance out, or breaks a budget.
 func TestWaveRebootsEveryMemberOnce(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.wave(t, "w1", []string{"bookings", "photos", "spare"}, false)
@@ -39,6 +40,7 @@
 // TestOverlappingWavesShareReboots guards against two waves over one pool that
 // reboot its members in turn for ever.
 func TestOverlappingWavesShareReboots(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.wave(t, "w1", twoPools, false)
@@ -51,6 +53,7 @@
 
 // TestMoveOrderEndsInTheNewPool guards against a move that loses its instance.
 func TestMoveOrderEndsInTheNewPool(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	if _, err := w.orders.Move(context.Background(), "i0-00-0", "spare", "op"); err != nil {
@@ -65,6 +68,7 @@
 // TestStuckDrainIsGivenUp guards against a wave that waits for ever for one
 // drain, or that cuts its requests off.
 func TestStuckDrainIsGivenUp(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.store.SetMachineFaults("i0-00-0", standin.MachineFaults{Stuck: true})
@@ -78,6 +82,7 @@
 // TestFailedInstanceIsReplacedAndRepaired guards against a failure that needs an
 // operator.
 func TestFailedInstanceIsReplacedAndRepaired(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.store.SetMachineFaults("i0-00-0", standin.MachineFaults{Down: true})
@@ -110,6 +115,7 @@
 // TestRackFailureLeavesTheSparePoolAlone guards against replacements and reboots
 // for machines that come back together.
 func TestRackFailureLeavesTheSparePoolAlone(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	before := w.moves
@@ -128,6 +134,7 @@
 // TestRackThatStaysDownIsReplaced guards against a fleet that never acts on a
 // correlated failure, and against reboots in bulk.
 func TestRackThatStaysDownIsReplaced(t *testing.T) {
+	t.Parallel()
 	w := newWorld(time.Second)
 	w.fleetOf(4, 3, 4, twoPools, 8, 16)
 	w.start("p1", "dc0").learn()
@@ -159,6 +166,7 @@
 // TestWideFailureHoldsPlannedDisruption guards against acting on a wrong view:
 // when a whole data centre looks failed, nothing more is drained.
 func TestWideFailureHoldsPlannedDisruption(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	for _, rack := range []string{"r00", "r01", "r02"} {
@@ -184,6 +192,7 @@
 // TestWaveStopsInADataCentreThatIsOut guards against planned stops in a data
 // centre that operators took out, and against counting its members as available.
 func TestWaveStopsInADataCentreThatIsOut(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.document("a-bookings", "bookings", 3)
 	w.document("b-bookings", "bookings", 3)
@@ -206,6 +215,7 @@
 // TestPausedWaveTakesNothingOut guards against a pause that is not obeyed or
 // that leaves charges behind.
 func TestPausedWaveTakesNothingOut(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.wave(t, "w1", twoPools, false)
@@ -228,6 +238,7 @@
 // TestWaveBorrowsSparesWithoutHeadroom guards against a wave that stands still
 // because a budget leaves no headroom, and against spares that are not returned.
 func TestWaveBorrowsSparesWithoutHeadroom(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.document("a-bookings", "bookings", 10)
 	w.mustRest(t, 5*time.Minute)
@@ -244,6 +255,7 @@
 // TestReplacedMachineIsAdopted guards against a machine that the platform
 // replaces by a new one: its record must go and the new one must join a pool.
 func TestReplacedMachineIsAdopted(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.store.RemoveMachine("i0-00-0")
@@ -266,6 +278,7 @@
 // TestUnhealthyAfterRebootIsGivenUp guards against an instance that is rebooted
 // for ever, or a wave that waits for it.
 func TestUnhealthyAfterRebootIsGivenUp(t *testing.T) {
+	t.Parallel()
 	w := smallWorld()
 	w.mustRest(t, 5*time.Minute)
 	w.store.SetMachineFaults("i0-00-0", standin.MachineFaults{Sick: true})
