--- a/internal/proof/budget.go
+++ b/internal/proof/budget.go
@@ -1,5 +1,3 @@
-// Package proof holds checkers of the invariants over traces of events. A
-// checker knows what happened, not how it was decided.
 package proof
 
 import (
