--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -54,8 +54,10 @@
 		c.key(o)
 	case KindDataCentre:
 		c.dataCentre(o)
+	case KindPool:
+		c.pool(o)
 	default:
-		c.add("ref.kind", string(o.Ref.Kind), "team, document, key or datacentre")
+		c.add("ref.kind", string(o.Ref.Kind), "team, document, key, datacentre or pool")
 	}
 	return c.result()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,6 +34,7 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
+	Orders    *control.Orders
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
 	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
@@ -65,6 +66,7 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
