Read a peer's refusal when the stream was stopped early

Cause: a receiver that refuses a message stops the stream before its end. When the stop arrived before the sender closed its half, Exchange reported that no reply came, although the refusal was on its way.

Change: the reply is read even when the write or the close fails; the write error counts only when no reply arrives.

Ruled out: waiting for the end of the stream before refusing, which lets a sender of garbage hold the stream open.

Conclusion: a refusal is reported as such whatever the order of arrival.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -86,12 +86,16 @@
 	return reply, err
 }
 
+// exchangeOn reads the reply even when the write fails: a receiver that refuses
+// a message stops the stream before its end, and still says why.
 func exchangeOn(stream *quic.Stream, frame []byte) (Envelope, error) {
-	if _, err := stream.Write(frame); err != nil {
-		return Envelope{}, err
+	_, writeErr := stream.Write(frame)
+	if writeErr == nil {
+		writeErr = stream.Close()
 	}
-	if err := stream.Close(); err != nil {
-		return Envelope{}, err
+	reply, err := Read(stream)
+	if err != nil && writeErr != nil {
+		return Envelope{}, writeErr
 	}
-	return Read(stream)
+	return reply, err
 }
