--- a/internal/contract/allotment_test.go
+++ b/internal/contract/allotment_test.go
@@ -225,3 +225,39 @@
 		t.Errorf("a loan for the last second: %+v", r)
 	}
 }
+
+// TestLateLowerCannotUndoRaise guards against a lowering swap whose answer was
+// lost and that takes effect after the holder uses a larger entry again.
+func TestLateLowerCannotUndoRaise(t *testing.T) {
+	a := NewAllotment(depots, DefaultLimitTerms())
+	a.SetLimit(Limit{Slots: 8, Revision: 1})
+	var record AllotmentRecord
+	swapAll(a, &record, testTime, 8)
+	version := 0
+	now := testTime
+	var late *SwapRequest
+	for late == nil {
+		now = now.Add(time.Second)
+		late = a.Review(now, self, 0, true)
+	}
+	lateRecord, _ := record.Apply(*late)
+	lateExpects := version
+	a.Failed(now, late.Sequence)
+	if a.Granted() != late.Want {
+		t.Fatalf("uses %d after a lowering to %d with unknown outcome", a.Granted(), late.Want)
+	}
+	now = now.Add(outagePause)
+	raise := a.Plan(now, self, 8, true, false)
+	next, changed := record.Apply(*raise)
+	if changed {
+		record = next
+		version++
+	}
+	a.Swapped(now, self, raise.Sequence, record)
+	if lateExpects == version {
+		record = lateRecord
+	}
+	if entry := record.Entry(self).Slots; a.Granted() > entry {
+		t.Errorf("uses %d slots of an entry of %d", a.Granted(), entry)
+	}
+}
