--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -37,16 +37,18 @@
 type Committer struct {
 	store platform.Store
 	check Checker
+	// wait pauses between two attempts; false means that the context ended.
+	wait func(ctx context.Context, d time.Duration) bool
 }
 
 // NewCommitter returns a committer that writes to s and reads all objects for
 // each change.
-func NewCommitter(s platform.Store) *Committer { return &Committer{store: s} }
+func NewCommitter(s platform.Store) *Committer { return NewCheckedCommitter(s, nil) }
 
 // NewCheckedCommitter returns a committer that validates with check, and reads
 // all objects only when the process lacks a revision.
 func NewCheckedCommitter(s platform.Store, check Checker) *Committer {
-	return &Committer{store: s, check: check}
+	return &Committer{store: s, check: check, wait: pause}
 }
 
 // CheckWith returns a Checker that asks the control thread.
@@ -87,7 +89,7 @@
 			return outcome, nil
 		}
 		last = err
-		if !pause(ctx, changePause) {
+		if !c.wait(ctx, changePause) {
 			break
 		}
 	}
--- /dev/null
+++ b/internal/control/change_test.go
@@ -0,0 +1,245 @@
+package control_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/standin"
+)
+
+// checkSeeded runs a property with a fixed seed, so that every run has the same
+// verdict. A seed on the command line takes precedence.
+func checkSeeded(t *testing.T, seed uint64, property func(*rapid.T)) {
+	t.Helper()
+	given := flag.Lookup("rapid.seed").Value
+	if given.String() == "0" {
+		_ = given.Set(fmt.Sprint(seed))
+		defer func() { _ = given.Set("0") }()
+	}
+	rapid.Check(t, property)
+}
+
+// fixedStore is a platform whose leases never lapse.
+func fixedStore() *standin.Store {
+	return standin.NewStore(func() time.Time { return time.Unix(1000, 0) })
+}
+
+// eagerCommitter does not pause between attempts.
+func eagerCommitter(s platform.Store) *control.Committer {
+	c := control.NewCommitter(s)
+	c.SetWait(noWait)
+	return c
+}
+
+func noWait(context.Context, time.Duration) bool { return true }
+
+func teamChange(id string, base uint64, name string, limit int) contract.Change {
+	return contract.Change{ID: id, Author: "operator", Base: base, Object: contract.Object{
+		Ref:  contract.Ref{Kind: contract.KindTeam, Name: name},
+		Team: &contract.Team{Name: name, UpperLimit: limit, Share: 1},
+	}}
+}
+
+func mustCommit(t rapidT, c *control.Committer, change contract.Change) control.ChangeOutcome {
+	outcome, err := c.Commit(context.Background(), change)
+	if err != nil {
+		t.Errorf("%s: %v", change.ID, err)
+	}
+	return outcome
+}
+
+// rapidT is what testing.T and rapid.T have in common here.
+type rapidT interface {
+	Errorf(format string, args ...any)
+}
+
+// TestRacingOperatorsGetOneConflict guards against a change that silently
+// overwrites another one made from the same revision.
+func TestRacingOperatorsGetOneConflict(t *testing.T) {
+	store := fixedStore()
+	for round := range 20 {
+		name := fmt.Sprintf("team-%d", round)
+		results := make([]contract.ChangeResult, 2)
+		var group sync.WaitGroup
+		for i := range results {
+			group.Go(func() {
+				c := teamChange(fmt.Sprintf("%s-%d", name, i), 0, name, i+1)
+				results[i] = mustCommit(t, eagerCommitter(store), c).Result
+			})
+		}
+		group.Wait()
+		if results[0] == results[1] || results[0] != contract.ChangeAccepted && results[1] != contract.ChangeAccepted {
+			t.Errorf("round %d: %v", round, results)
+		}
+	}
+}
+
+// TestLostAnswersAreResolved guards against a change that is committed twice,
+// reported as a conflict with itself, or reported as accepted although its
+// write was lost.
+func TestLostAnswersAreResolved(t *testing.T) {
+	checkSeeded(t, 3, func(t *rapid.T) {
+		store := fixedStore()
+		committer := eagerCommitter(store)
+		accepted := uint64(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			faults := standin.Faults{
+				LoseAnswers: rapid.IntRange(0, 3).Draw(t, "lost answers"),
+				LoseWrites:  rapid.IntRange(0, 3).Draw(t, "lost writes"),
+			}
+			store.SetFaults(faults)
+			outcome := mustCommit(t, committer, teamChange(fmt.Sprintf("c%d", i), accepted, "depots", i))
+			if outcome.Result != contract.ChangeAccepted || outcome.Revision != accepted+1 {
+				t.Fatalf("change %d: %s at revision %d: %s", i, outcome.Result, outcome.Revision, outcome.Reason)
+			}
+			accepted = outcome.Revision
+		}
+	})
+}
+
+// TestOutcomeIsUnknownWhenTheRingMovedOn guards against a change that took
+// effect and is reported as a conflict, because so many others followed that
+// the ring no longer shows it.
+func TestOutcomeIsUnknownWhenTheRingMovedOn(t *testing.T) {
+	store := fixedStore()
+	other := eagerCommitter(store)
+	store.SetFaults(standin.Faults{LoseAnswers: 1})
+	committer := eagerCommitter(store)
+	committer.SetWait(func(context.Context, time.Duration) bool {
+		for i := range contract.RingSize + 1 {
+			mustCommit(t, other, teamChange(fmt.Sprintf("o%d", i), 0, fmt.Sprintf("other-%d", i), 1))
+		}
+		committer.SetWait(noWait)
+		return true
+	})
+	if _, err := committer.Commit(t.Context(), teamChange("c", 0, "depots", 1)); !errors.Is(err, platform.ErrUnknown) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestRefusedWritesAreNotAccepted guards against an outage that is reported as
+// an accepted or unknown change.
+func TestRefusedWritesAreNotAccepted(t *testing.T) {
+	store := fixedStore()
+	store.SetFaults(standin.Faults{Outage: true})
+	if _, err := eagerCommitter(store).Commit(t.Context(), teamChange("c", 0, "depots", 1)); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// interleaved calls between before each read of a platform.
+type interleaved struct {
+	platform.Platform
+	between func()
+}
+
+func (s interleaved) Get(ctx context.Context, key string) (platform.Record, error) {
+	s.between()
+	return s.Platform.Get(ctx, key)
+}
+
+func (s interleaved) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+	s.between()
+	return s.Platform.List(ctx, prefix)
+}
+
+// TestReadsWhileOthersWriteDoNotRevert guards against a process that mixes
+// objects and heads of different times into an older configuration: after each
+// load every object is at least as new as the process's revision says.
+func TestReadsWhileOthersWriteDoNotRevert(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	checkSeeded(t, 4, func(t *rapid.T) {
+		store := fixedStore()
+		writer := eagerCommitter(store)
+		truth := contract.NewRegister()
+		history := map[uint64]contract.Object{}
+		write := func() {
+			for range rapid.IntRange(0, 12).Draw(t, "writes") {
+				name := fmt.Sprintf("team-%d", rapid.IntRange(0, 5).Draw(t, "team"))
+				known, _ := truth.Get(contract.Ref{Kind: contract.KindTeam, Name: name})
+				outcome := mustCommit(t, writer, teamChange(fmt.Sprint(truth.Revision()), known.Revision, name, int(truth.Revision())))
+				truth.ApplyHead(outcome.Head)
+				o, _ := truth.Get(contract.Ref{Kind: contract.KindTeam, Name: name})
+				history[truth.Revision()] = o
+			}
+		}
+		runner := control.NewPlatformRunner(interleaved{store, write}, logrus.NewEntry(log), time.Now)
+		f := fleet.New(fleet.Options{})
+		view := f.TakeSnapshot()
+		for range rapid.IntRange(1, 6).Draw(t, "loads") {
+			loaded := runner.Run(context.Background(), fleet.LoadConfig{})
+			before := view.Revision
+			loaded.Apply(f, time.Unix(1000, 0))
+			if next := f.TakeSnapshot(); next != nil {
+				view = next
+			}
+			if view.Revision < before || view.Revision > truth.Revision() {
+				t.Fatalf("revision %d after %d, head %d", view.Revision, before, truth.Revision())
+			}
+			checkObjects(t, view, history)
+		}
+	})
+}
+
+// checkObjects compares a view with all changes up to its revision.
+func checkObjects(t *rapid.T, view *fleet.Snapshot, history map[uint64]contract.Object) {
+	for revision := uint64(1); revision <= view.Revision; revision++ {
+		want := history[revision]
+		got, ok := contract.Find(view.Objects(contract.KindTeam), want.Ref.Name)
+		if !ok || got.Revision < want.Revision {
+			t.Fatalf("at revision %d %s is at %d, it was changed at %d", view.Revision, want.Ref, got.Revision, want.Revision)
+		}
+		if got.Team.UpperLimit != history[got.Revision].Team.UpperLimit {
+			t.Fatalf("%s at revision %d has another value than was accepted", want.Ref, got.Revision)
+		}
+	}
+}
+
+// TestCommitUsesTheRegister guards against a list of all objects for each
+// change, which costs one read per object at the target size.
+func TestCommitUsesTheRegister(t *testing.T) {
+	store := fixedStore()
+	register := contract.NewRegister()
+	check := func(_ context.Context, head contract.Head, c contract.Change) (fleet.ChangeChecked, error) {
+		register.ApplyHead(head)
+		result, err := register.Validate(c)
+		return fleet.ChangeChecked{Known: true, Result: result, Err: err}, nil
+	}
+	lists := 0
+	counted := countingLists{store, &lists}
+	committer := control.NewCheckedCommitter(counted, check)
+	for i := range 2 * contract.RingSize {
+		mustCommit(t, committer, teamChange(fmt.Sprint(i), 0, fmt.Sprintf("team-%d", i), 1))
+	}
+	if lists != 0 {
+		t.Errorf("%d lists", lists)
+	}
+	outcome := mustCommit(t, committer, teamChange("late", 0, "team-0", 2))
+	if outcome.Result != contract.ChangeConflict {
+		t.Errorf("stale base: %s", outcome.Result)
+	}
+}
+
+type countingLists struct {
+	platform.Store
+	lists *int
+}
+
+func (s countingLists) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+	*s.lists++
+	return s.Store.List(ctx, prefix)
+}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -17,8 +17,10 @@
 	Loaded    bool
 	keys      map[contract.KeyHash]*contract.Key
 	endpoints map[string]EndpointSet
-	objects   map[contract.Kind][]contract.Object
-	start     StartRule
+	// withheld maps services with endpoints in a data centre that is out to it.
+	withheld map[string]string
+	objects  map[contract.Kind][]contract.Object
+	start    StartRule
 }
 
 // EndpointSet holds the endpoints of one service that may get new work.
@@ -83,7 +85,13 @@
 // fillEndpoints groups the endpoints that may get new work by service.
 func (f *Fleet) fillEndpoints(s *Snapshot) {
 	s.endpoints = make(map[string]EndpointSet)
+	s.withheld = make(map[string]string)
 	for name, centre := range f.centres {
+		if centre.Out {
+			for _, e := range centre.Endpoints() {
+				s.withheld[e.Service] = name
+			}
+		}
 		for service, list := range centre.CandidatesByService() {
 			set := s.endpoints[service]
 			if name == f.self.DataCentre {
@@ -123,5 +131,15 @@
 // Endpoints returns the endpoints of a service that may get new work.
 func (s *Snapshot) Endpoints(service string) EndpointSet { return s.endpoints[service] }
 
+// NoEndpoint returns the refusal of work that no endpoint may get.
+func (s *Snapshot) NoEndpoint(d *contract.Document, now time.Time) *Refusal {
+	if centre, ok := s.withheld[d.Service]; ok {
+		if r := s.MayStart(d, d.Idempotent, centre, now); r != nil {
+			return r
+		}
+	}
+	return &Refusal{Code: CodeNoEndpoint, Reason: "no live endpoint for service " + d.Service, RetryAfter: staleRetry}
+}
+
 // Objects returns the configuration objects of one kind, ordered by name.
 func (s *Snapshot) Objects(kind contract.Kind) []contract.Object { return s.objects[kind] }
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -200,14 +200,16 @@
 // TestLossOfTheWatchersDoesNotStopWork guards against a data centre that depends
 // on the instances with the lowest ids.
 func TestLossOfTheWatchersDoesNotStopWork(t *testing.T) {
-	w := newWorld(2, 2, 4)
-	w.setUp()
-	w.run(5 * time.Second)
-	for _, p := range w.procs[:2] {
-		p.pause(span{w.now, w.now.Add(time.Minute)})
-	}
-	if n := w.refusalsDuring(w.procs[2], 30*time.Second); n != 0 {
-		t.Errorf("refused %d times", n)
+	for centres := range 3 {
+		w := newWorld(2, centres+1, 4)
+		w.setUp()
+		w.run(5 * time.Second)
+		for _, p := range w.procs[:2] {
+			p.pause(span{w.now, w.now.Add(time.Minute)})
+		}
+		if n := w.refusalsDuring(w.procs[2], 30*time.Second); n != 0 {
+			t.Errorf("%d data centres: refused %d times", centres+1, n)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestCheckNamesEveryField guards against a check that stops at the first wrong
+// setting, and against certificates that are found missing only at the start.
+func TestCheckNamesEveryField(t *testing.T) {
+	e := Entry{
+		DataCentre: "west", DataCentres: map[string]string{"north": "r"}, HTTP: "here", Peer: "127.0.0.1:1", Platform: "",
+		TLS: TLS{CA: "/missing/ca.pem"}, Seeds: []Seed{{ID: "e2", DataCentre: "north", Address: "x"}}, FreshnessHorizonMS: 100, LogLevel: "loud",
+	}
+	err := e.Check()
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, want := range []string{"id", "datacentre", "http", "platform", "tls.ca", "tls.certificate", "tls.key", "seeds[0].address", "freshness_horizon_ms", "log_level"} {
+		if !strings.Contains(err.Error(), "settings: "+want+":") {
+			t.Errorf("%s is missing in:\n%v", want, err)
+		}
+	}
+	if strings.Contains(err.Error(), "settings: peer:") {
+		t.Errorf("a valid field is named in:\n%v", err)
+	}
+}
+
+// TestValidSettings guards against a check that refuses what the documentation
+// shows.
+func TestValidSettings(t *testing.T) {
+	pem := filepath.Join(t.TempDir(), "x.pem")
+	if err := os.WriteFile(pem, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e := Entry{
+		ID: "e1", DataCentre: "north", DataCentres: map[string]string{"north": "r"},
+		HTTP: "127.0.0.1:1", Peer: "127.0.0.1:2", Platform: "127.0.0.1:3", TLS: TLS{CA: pem, Certificate: pem, Key: pem},
+	}
+	if err := e.Check(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/traffic/start.go
+++ b/internal/traffic/start.go
@@ -21,11 +21,17 @@
 	if refusal == nil {
 		refusal = view.MayStart(document, document.Idempotent && !r.NonIdempotent, e.DataCentre, h.clock())
 	}
-	if refusal != nil {
-		// A full queue may drop the explanation, never the refusal.
-		ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
-		defer cancel()
-		_ = h.loop.Send(ctx, fleet.RefusedAtStart{RequestID: r.ID, Service: r.Service, Refusal: refusal})
+	return h.explained(r, refusal)
+}
+
+// explained records a refusal for the operators and returns it.
+func (h *Handler) explained(r Request, refusal *fleet.Refusal) *fleet.Refusal {
+	if refusal == nil {
+		return nil
 	}
+	// A full queue may drop the explanation, never the refusal.
+	ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
+	defer cancel()
+	_ = h.loop.Send(ctx, fleet.RefusedAtStart{RequestID: r.ID, Service: r.Service, Refusal: refusal})
 	return refusal
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -145,7 +145,7 @@
 func (h *Handler) send(ctx context.Context, view *fleet.Snapshot, document *contract.Document, r Request) Outcome {
 	endpoint, ok := choose(view.Endpoints(document.Service))
 	if !ok {
-		return refused("", &fleet.Refusal{Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + document.Service, RetryAfter: time.Second})
+		return refused("", h.explained(r, view.NoEndpoint(document, h.clock())))
 	}
 	if refusal := h.mayStart(r, endpoint); refusal != nil {
 		return refused("", refusal)
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -28,6 +28,8 @@
 type entryProcess struct {
 	*process
 	address string
+	// seed lets other entry instances find this one without the platform.
+	seed settings.Seed
 }
 
 func startCluster(t *testing.T, work string) *cluster {
@@ -133,17 +135,18 @@
 	return len(ids)
 }
 
-func startEntry(t *testing.T, binary, id, centre, platformAddress string) *entryProcess {
+func startEntry(t *testing.T, binary, id, centre, platformAddress string, seeds ...settings.Seed) *entryProcess {
 	t.Helper()
-	address := freeAddress(t)
+	address, peerAddress := freeAddress(t), freeAddress(t)
 	path := writeSettings(t, settings.Entry{
-		ID: id, DataCentre: centre, HTTP: address, Peer: freeAddress(t), Platform: platformAddress,
+		ID: id, DataCentre: centre, HTTP: address, Peer: peerAddress, Platform: platformAddress,
 		DataCentres: map[string]string{"north": "west", "south": "west"},
 		TLS:         certificates(t, id),
+		Seeds:       seeds,
 	})
 	p := start(t, binary, "entry", "--settings", path)
 	waitListening(t, address)
-	return &entryProcess{process: p, address: address}
+	return &entryProcess{process: p, address: address, seed: settings.Seed{ID: id, DataCentre: centre, Address: peerAddress}}
 }
 
 func change(t *testing.T, entry, id string, object contract.Object) {
