--- a/internal/contract/object.go
+++ b/internal/contract/object.go
@@ -19,6 +19,7 @@
 	KindDocument   Kind = "document"
 	KindKey        Kind = "key"
 	KindDataCentre Kind = "datacentre"
+	KindPool       Kind = "pool"
 )
 
 // Ref identifies one configuration object.
@@ -41,6 +42,7 @@
 	Document   *Document        `json:"document,omitempty" cbor:"document,omitempty"`
 	Key        *Key             `json:"key,omitempty" cbor:"key,omitempty"`
 	DataCentre *DataCentreOrder `json:"datacentre,omitempty" cbor:"datacentre,omitempty"`
+	Pool       *PoolOrder       `json:"pool,omitempty" cbor:"pool,omitempty"`
 }
 
 // objectOverhead is more than the encoded size of an object's short fields, in
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -42,11 +42,16 @@
 	log      *logrus.Entry
 	clock    func() time.Time
 	limits   *LimitRunner
+
+	maintenance *MaintenanceRunner
 }
 
 // NewPlatformRunner returns a runner for p.
 func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
-	return &PlatformRunner{platform: p, log: log, clock: clock, limits: NewLimitRunner(p, log, clock)}
+	return &PlatformRunner{
+		platform: p, log: log, clock: clock,
+		limits: NewLimitRunner(p, log, clock), maintenance: NewMaintenanceRunner(p, clock),
+	}
 }
 
 // Run implements Runner.
@@ -63,6 +68,9 @@
 	case fleet.ListMembers:
 		return r.listMembers(ctx)
 	default:
+		if e, ok := r.maintenance.Run(ctx, a); ok {
+			return e
+		}
 		if e, ok := r.limits.Run(ctx, a); ok {
 			return e
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,7 @@
 	config   configState
 	limits   limitState
 	journal  journal
+	planner  planner
 	wakes    wakes
 	peers    peersState
 	start    StartRule
@@ -71,6 +72,7 @@
 	}
 	f.start.fresh = link.NewFreshness(horizon)
 	f.peers = newPeersState(f, o.Seeds)
+	f.planner = newPlanner(f.wakes.register(f.plan))
 	f.limits = newLimitState(f, o)
 	return f
 }
@@ -79,7 +81,7 @@
 func (f *Fleet) Start(now time.Time) []Action {
 	f.config.busy = true
 	f.peers.probeWake.set(now)
-	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}, SeekPlanner{Self: f.plannerName()}}
 	return append(actions, f.tickLimits(now)...)
 }
 
