Read a peer's refusal although it stopped reading the message

Cause: TestGarbageDoesNotStopTheNode failed once in a full run with "close called for canceled stream": the peer had refused the frame and stopped reading before the sender closed its side.

Change: the reply is read whether or not the rest of the message could be written, and the refusal is sent before the peer stops reading.

--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -86,12 +86,17 @@
 	return reply, err
 }
 
+// exchangeOn writes the request and reads the reply. A peer that refuses a
+// message may stop reading it before it is written, so the reply is read in any
+// case.
 func exchangeOn(stream *quic.Stream, frame []byte) (Envelope, error) {
-	if _, err := stream.Write(frame); err != nil {
-		return Envelope{}, err
+	_, writeErr := stream.Write(frame)
+	if writeErr == nil {
+		writeErr = stream.Close()
 	}
-	if err := stream.Close(); err != nil {
-		return Envelope{}, err
+	reply, err := Read(stream)
+	if err != nil && writeErr != nil {
+		return Envelope{}, writeErr
 	}
-	return Read(stream)
+	return reply, err
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -191,8 +191,8 @@
 	}
 	if err != nil {
 		n.log.WithError(err).Warnf("peer: message from %s refused", connection.RemoteAddr())
-		stream.CancelRead(0)
 		n.reply(stream, Envelope{Error: err.Error()})
+		stream.CancelRead(0)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
