--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -41,11 +41,17 @@
 	platform platform.Platform
 	log      *logrus.Entry
 	clock    func() time.Time
+	limits   *LimitRunner
+
+	maintenance *MaintenanceRunner
 }
 
 // NewPlatformRunner returns a runner for p.
 func NewPlatformRunner(p platform.Platform, log *logrus.Entry, clock func() time.Time) *PlatformRunner {
-	return &PlatformRunner{platform: p, log: log, clock: clock}
+	return &PlatformRunner{
+		platform: p, log: log, clock: clock,
+		limits: NewLimitRunner(p, log, clock), maintenance: NewMaintenanceRunner(p, clock),
+	}
 }
 
 // Run implements Runner.
@@ -62,11 +68,17 @@
 	case fleet.ListMembers:
 		return r.listMembers(ctx)
 	default:
-		e, known := r.runTasks(ctx, a)
-		if !known {
-			r.log.Errorf("control: no runner for action %T", a)
+		if e, ok := r.maintenance.Run(ctx, a); ok {
+			return e
+		}
+		if e, ok := r.limits.Run(ctx, a); ok {
+			return e
 		}
-		return e
+		if e, ok := r.runTasks(ctx, a); ok {
+			return e
+		}
+		r.log.Errorf("control: no runner for action %T", a)
+		return nil
 	}
 }
 
--- a/internal/fleet/dispatch.go
+++ b/internal/fleet/dispatch.go
@@ -78,7 +78,8 @@
 func (f *Fleet) round(s *scheduler, now time.Time) []Action {
 	s.changed, s.waitExplained = false, false
 	s.roundAt = now.Add(roundPause)
-	s.plan = s.centre.Place(zone.Round{Now: now, Weights: f.teamWeights(), Room: f.teamRooms(s, now)})
+	rooms := f.teamRooms(s, now)
+	s.plan = s.centre.Place(zone.Round{Now: now, Weights: f.teamWeights(), Room: rooms})
 	for worker, task := range s.plan.Reservations {
 		s.centre.Workers.Worker(worker).Reserve(task, now.Add(zone.ReserveTime))
 	}
@@ -93,6 +94,7 @@
 		}
 		actions = append(actions, f.carryOut(s, step, now)...)
 	}
+	actions = append(actions, f.wantSlots(s, rooms, now)...)
 	return append(actions, s.record(started)...)
 }
 
@@ -115,7 +117,7 @@
 	}
 	rooms := make(map[string]int)
 	for _, o := range f.register.List(contract.KindTeam) {
-		rooms[o.Team.Name] = f.slotRoom(o.Team.Name)
+		rooms[o.Team.Name] = f.slotRoom(o.Team.Name, now)
 	}
 	for t := range s.unslotted {
 		rooms[t.Team] = 0
@@ -180,7 +182,7 @@
 }
 
 // carryOut turns a step that is no start into actions.
-func (f *Fleet) carryOut(s *scheduler, step zone.Step, now time.Time) []Action {
+func (f *Fleet) carryOut(s *scheduler, step zone.PlacementStep, now time.Time) []Action {
 	switch step := step.(type) {
 	case zone.Checkpoint:
 		if f.MayStart(&contract.Document{}, false, s.centre.Name, now) != nil {
@@ -272,7 +274,7 @@
 		return nil
 	}
 	s.sending[t] = true
-	return []Action{StartTask{Term: s.term, Task: *t, Worker: t.Worker, StartID: zone.StartID(t), NotAfter: s.until}}
+	return []Action{StartTask{Term: s.term, Task: *t, Worker: t.Worker, StartID: zone.StartID(t), NotAfter: earliest(s.until, f.limits.hold.ValidUntil())}}
 }
 
 func (f *Fleet) backToQueue(s *scheduler, t *machine.Task, now time.Time, reason string) bool {
@@ -436,6 +438,11 @@
 		return nil
 	}
 	s.renewAt = now.Add(taskRenew)
+	if !f.limits.hold.Valid(now) {
+		// Others may take over the slots of this process once the tasks' leases
+		// have ended.
+		return nil
+	}
 	var list []WorkerTask
 	for _, r := range s.centre.Workers.Racks() {
 		for _, w := range r.Workers() {
@@ -588,24 +595,108 @@
 	return f.stop(s, running)
 }
 
-// takeSlot asks for one slot of a team's upper limit, for a task.
+// slotsFree returns how many tasks an allotment lets start. Tasks use granted
+// slots only: their leases are renewed for longer than a loan lasts.
+func (f *Fleet) slotsFree(a *contract.Allotment, now time.Time) int {
+	held := f.limits.hold.Valid(now)
+	if !held || f.limits.stopping {
+		return 0
+	}
+	if a.Limit().Unbounded {
+		return a.Free(now, held)
+	}
+	return max(0, min(a.Free(now, held), a.Granted()-a.Lent()-a.Running()))
+}
+
+// takeSlot takes one slot of a team and of a service, for a task.
 func (f *Fleet) takeSlot(team, service string, now time.Time) *Refusal {
-	if limit := f.upperLimit(team); f.schedule.running[team] >= limit {
-		return &Refusal{Code: CodeUpperLimit, Reason: fmt.Sprintf("team %s has %d tasks running of %d slots", team, f.schedule.running[team], limit)}
+	t, s := f.limits.of(f, team, service)
+	for _, a := range []*contract.Allotment{t, s} {
+		if f.slotsFree(a, now) == 0 {
+			refusal := f.limitRefusal(now, a)
+			return &refusal
+		}
 	}
-	f.schedule.running[team]++
+	t.Start()
+	s.Start()
 	return nil
 }
 
-// releaseSlot gives a slot back.
+// releaseSlot gives a slot back. Requests that wait for it are served at the
+// next tick.
 func (f *Fleet) releaseSlot(team, service string) {
-	if f.schedule.running[team]--; f.schedule.running[team] <= 0 {
-		delete(f.schedule.running, team)
+	t, s := f.limits.of(f, team, service)
+	t.Finish()
+	s.Finish()
+	f.schedule.freed = append(f.schedule.freed, t, s)
+}
+
+// driveFreed serves requests that wait for slots which tasks gave back.
+func (f *Fleet) driveFreed(now time.Time) []Action {
+	freed := f.schedule.freed
+	f.schedule.freed = nil
+	seen := make(map[*contract.Allotment]bool, len(freed))
+	var actions []Action
+	for _, a := range freed {
+		if !seen[a] {
+			seen[a] = true
+			actions = append(actions, f.drive(now, a)...)
+		}
 	}
+	return actions
 }
 
 // slotRoom returns how many more slots a team could take.
-func (f *Fleet) slotRoom(team string) int { return f.upperLimit(team) - f.schedule.running[team] }
+func (f *Fleet) slotRoom(team string, now time.Time) int {
+	return f.slotsFree(f.allotment(contract.Ref{Kind: contract.KindTeam, Name: team}), now)
+}
+
+// wantSlots asks for more slots for the queued tasks of each team and service
+// that had none, not more than there are free slots on workers.
+func (f *Fleet) wantSlots(s *scheduler, rooms map[string]int, now time.Time) []Action {
+	wanted := make(map[contract.Ref]int)
+	set := s.centre.Workers
+	free := set.Slots() - set.Occupied()
+	for team, room := range rooms {
+		queue := set.Backlog().Queue(team)
+		adopted := f.unslottedOf(s, team)
+		if missing := min(queue.Urgent+queue.Normal, free) - room + adopted; missing > 0 && f.upperLimit(team) > 0 {
+			wanted[contract.Ref{Kind: contract.KindTeam, Name: team}] = missing
+			for _, service := range set.Backlog().Services(team) {
+				wanted[contract.Ref{Kind: contract.KindDocument, Name: service}] += missing
+			}
+		}
+	}
+	f.schedule.wanted = wanted
+	var actions []Action
+	refs := make([]contract.Ref, 0, len(wanted))
+	for ref := range wanted {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, func(a, b contract.Ref) int { return cmp.Compare(a.String(), b.String()) })
+	for _, ref := range refs {
+		a := f.allotment(ref)
+		actions = append(actions, f.planSwap(now, a)...)
+		// The answer to a swap in flight makes another round worth while.
+		s.changed = s.changed || a.Pending()
+	}
+	return actions
+}
+
+func (f *Fleet) unslottedOf(s *scheduler, team string) int {
+	n := 0
+	for t := range s.unslotted {
+		if t.Team == team {
+			n++
+		}
+	}
+	return n
+}
+
+// waitingFor returns the requests and tasks that wait for slots of a limit.
+func (f *Fleet) waitingFor(ref contract.Ref) int {
+	return f.limits.queue.Waiting(ref) + f.schedule.wanted[ref]
+}
 
 // upperLimit returns the upper limit of a team, 0 when it is not known.
 func (f *Fleet) upperLimit(team string) int {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,8 @@
 	DataCentres map[string]string
 	// HTTPAddress is the "ip:port" for callers and operators.
 	HTTPAddress string
+	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
+	LimitTerms contract.LimitTerms
 	// Seeds are peers known from the settings.
 	Seeds []link.Member
 	// Horizon is the freshness horizon, 0 for DefaultHorizon.
@@ -43,16 +45,18 @@
 	register *contract.Register
 	centres  map[string]*zone.DataCentre
 	config   configState
+	limits   limitState
 	journal  journal
 	tasks    taskState
 	schedule scheduleState
+	planner  planner
+	wakes    wakes
+	peers    peersState
+	start    StartRule
+	cache    snapshotCache
+	dirty    bool
 	// httpAddress is where callers and operators reach this process.
 	httpAddress string
-	wakes       wakes
-	peers       peersState
-	start       StartRule
-	cache       snapshotCache
-	dirty       bool
 	// freshDirty is set when only the freshness changed.
 	freshDirty bool
 }
@@ -64,7 +68,6 @@
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
 		tasks:    newTaskState(),
-		schedule: scheduleState{running: make(map[string]int)},
 		dirty:    true,
 
 		httpAddress: o.HTTPAddress,
@@ -79,6 +82,8 @@
 	f.start.fresh = link.NewFreshness(horizon)
 	f.peers = newPeersState(f, o.Seeds)
 	f.tasks.wake = f.wakes.register(f.tickTasks)
+	f.planner = newPlanner(f.wakes.register(f.plan))
+	f.limits = newLimitState(f, o)
 	return f
 }
 
@@ -86,8 +91,9 @@
 func (f *Fleet) Start(now time.Time) []Action {
 	f.config.busy = true
 	f.peers.probeWake.set(now)
-	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
-	return append(actions, f.startTasks()...)
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}, SeekPlanner{Self: f.plannerName()}}
+	actions = append(actions, f.startTasks()...)
+	return append(actions, f.tickLimits(now)...)
 }
 
 // EndpointsSeen is the platform's list of endpoints, which lags.
--- a/internal/fleet/schedule.go
+++ b/internal/fleet/schedule.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
@@ -16,11 +17,13 @@
 	SchedulerTTL = 3 * time.Second
 	// schedulerRenew is the pause between renewals of the lease.
 	schedulerRenew = time.Second
-	// TaskTTL is the lease of a running task. It bridges outages of the
-	// platform of up to TaskTTL less taskRenew.
-	TaskTTL = 2 * time.Minute
+	// TaskTTL is the lease of a running task. It bridges outages of the platform
+	// of up to TaskTTL less taskRenew. With the time of a call it stays within
+	// the longest lease of the limits, 65 s by default, after which the slots of
+	// a holder that is gone are given to others.
+	TaskTTL = time.Minute
 	// taskRenew is the pause between renewals of all running tasks in one call.
-	taskRenew = 30 * time.Second
+	taskRenew = 15 * time.Second
 	// roundPause is the least time between two placement rounds.
 	roundPause = 250 * time.Millisecond
 	// idleRound is the pause between rounds while work waits and nothing
@@ -56,8 +59,10 @@
 	active *scheduler
 	// parting are slots of ended terms.
 	parting []partingSlots
-	// running counts the slots that tasks of a team hold here.
-	running map[string]int
+	// freed are allotments of slots that tasks gave back since the last tick.
+	freed []*contract.Allotment
+	// wanted counts the queued tasks that wait for slots of a limit.
+	wanted map[contract.Ref]int
 }
 
 type partingSlots struct {
@@ -94,7 +99,7 @@
 	restopAt time.Time
 	// reports arrived before the queue was read.
 	reports []machine.WorkerReport
-	plan    zone.Plan
+	plan    zone.PlacementPlan
 	// offered is the text of the largest workers that were published.
 	offered string
 	changed bool
@@ -282,7 +287,7 @@
 	// The tasks may go on under the next scheduler. Their slots stay taken until
 	// their leases would have ended.
 	f.schedule.parting = append(f.schedule.parting, partingSlots{until: now.Add(leaseEnd), tasks: s.slots})
-	f.schedule.active, f.schedule.holder = nil, ""
+	f.schedule.active, f.schedule.holder, f.schedule.wanted = nil, "", nil
 	f.Explain(Decision{At: now, Subject: Subject{SubjectDataCentre, s.centre.Name}, Action: "end schedule", Reason: reason})
 	return []Action{SeekScheduler{DataCentre: s.centre.Name, Holder: f.schedulerName(), Delay: RetryDelay}}
 }
@@ -300,6 +305,9 @@
 	if !f.mayAct(s, now) {
 		return &Refusal{Code: CodeNotReady, Reason: "the scheduler's lease has lapsed"}
 	}
+	if !f.limits.hold.Valid(now) {
+		return &Refusal{Code: CodeNotReady, Reason: "this entry instance has no hold on its slots"}
+	}
 	return f.mayRun(s.centre, t, now)
 }
 
@@ -537,11 +545,15 @@
 
 // wakeSchedule returns when tickSchedule has something to do.
 func (f *Fleet) wakeSchedule() time.Time {
+	var wake time.Time
+	for _, p := range f.schedule.parting {
+		wake = earliest(wake, p.until)
+	}
 	s := f.schedule.active
 	if s == nil || s.asleep || !s.queueLoaded || !s.workersLoaded {
-		return time.Time{}
+		return wake
 	}
-	wake := earliest(s.sweepAt, s.renewAt)
+	wake = earliest(wake, earliest(s.sweepAt, s.renewAt))
 	if s.changed {
 		wake = earliest(wake, s.roundAt)
 	} else if s.centre.Workers.Backlog().Len() > 0 {
--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -298,12 +298,19 @@
 
 // tickTasks runs what is due for tasks.
 func (f *Fleet) tickTasks(now time.Time) []Action {
-	return append(f.tickIntakes(now), f.tickSchedule(now)...)
+	actions := append(f.tickIntakes(now), f.tickSchedule(now)...)
+	return append(actions, f.driveFreed(now)...)
 }
 
 // armTasks sets the due time of tickTasks. It is derived from the state, so that
 // no event has to keep it up to date.
-func (f *Fleet) armTasks() { f.tasks.wake.set(earliest(f.wakeIntakes(), f.wakeSchedule())) }
+func (f *Fleet) armTasks() {
+	if len(f.schedule.freed) > 0 {
+		f.tasks.wake.set(time.Unix(0, 1))
+		return
+	}
+	f.tasks.wake.set(earliest(f.wakeIntakes(), f.wakeSchedule()))
+}
 
 // wakeIntakes returns when tickIntakes has something to do.
 func (f *Fleet) wakeIntakes() time.Time {
@@ -316,14 +323,6 @@
 	return wake
 }
 
-// earliest returns the earlier time that is not zero.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // ReadOffer reads what the scheduler of a data centre published about its
 // workers. The result is OfferRead.
 type ReadOffer struct{ DataCentre string }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -35,12 +35,14 @@
 	Traffic   *traffic.Handler
 	Committer *control.Committer
 	Tasks     *control.TaskReader
-	Metrics   *telemetry.Metrics
-	Log       *logrus.Entry
-	Clock     func() time.Time
+	Orders    *control.Orders
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
-	Spread func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Limits  LimitsReader
+	Metrics *telemetry.Metrics
+	Log     *logrus.Entry
+	Clock   func() time.Time
 }
 
 type handlerFunc func(ctx *fasthttp.RequestCtx, name string)
@@ -67,7 +69,9 @@
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.taskRoutes()...)
 	s.routes = append(s.routes, s.scheduleRoutes()...)
+	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
+	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/peer/handlers.go
+++ b/internal/peer/handlers.go
@@ -38,6 +38,12 @@
 	r.node.Handle(KindLeaving, func(ctx context.Context, from link.Member, _ Kind, _ []byte) ([]byte, error) {
 		return nil, c.Send(ctx, fleet.PeerLeaving{From: from})
 	})
+	r.node.Handle(KindLoanRequest, func(ctx context.Context, from link.Member, _ Kind, body []byte) ([]byte, error) {
+		return loanRequested(ctx, c, from, body)
+	})
+	r.node.Handle(KindLoanReturn, func(ctx context.Context, _ link.Member, _ Kind, body []byte) ([]byte, error) {
+		return loanReturned(ctx, c, body)
+	})
 	r.node.Handle(KindRelay, func(ctx context.Context, from link.Member, _ Kind, body []byte) ([]byte, error) {
 		return r.relayReceived(ctx, c, from, body)
 	})
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,4 +96,5 @@
 	Store
 	Directory
 	Workers
+	Machines
 }
--- a/internal/platform/rest/protocol.go
+++ b/internal/platform/rest/protocol.go
@@ -31,6 +31,10 @@
 	TTLMS  int64 `json:"ttl_ms,omitempty"`
 	// Worker is set on the paths about workers.
 	Worker *WorkerCall `json:"worker,omitempty"`
+	// Machine, Pool and Operation belong to the commands to machines.
+	Machine   string `json:"machine,omitempty"`
+	Pool      string `json:"pool,omitempty"`
+	Operation uint64 `json:"operation,omitempty"`
 }
 
 // Answer is the response body of every path.
@@ -42,7 +46,8 @@
 	Lease     platform.LeaseID       `json:"lease,omitempty"`
 	Instances *platform.InstanceList `json:"instances,omitempty"`
 	// Worker is set on the paths about workers.
-	Worker *WorkerAnswer `json:"worker,omitempty"`
+	Worker   *WorkerAnswer         `json:"worker,omitempty"`
+	Machines *platform.MachineList `json:"machines,omitempty"`
 }
 
 // Values of Answer.Error.
--- a/internal/proof/doc.go
+++ b/internal/proof/doc.go
@@ -1,3 +1,4 @@
-// Package proof holds checkers that watch a trace of events and report every
-// moment at which an invariant of the design page does not hold.
+// Package proof holds the checkers of the invariants. Each one reads a trace of
+// events, from a property test or from separate processes, and reports the
+// first event that breaks its invariant.
 package proof
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -59,6 +59,7 @@
 	calls     Calls
 	instances platform.InstanceList
 	*Workers
+	machines machinePark
 }
 
 var _ platform.Platform = (*Store)(nil)
--- a/internal/zone/backlog.go
+++ b/internal/zone/backlog.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
@@ -155,6 +156,26 @@
 	return q
 }
 
+// servicesLooked bounds the queued tasks of a team whose services are listed.
+const servicesLooked = 32
+
+// Services returns the services of the first queued tasks of a team.
+func (b *Backlog) Services(team string) []string {
+	l := b.lines[team]
+	if l == nil {
+		return nil
+	}
+	var list []string
+	for _, queued := range []*line{&l.urgent, &l.normal} {
+		for _, t := range queued.tasks[:min(len(queued.tasks), servicesLooked)] {
+			if t != nil && !slices.Contains(list, t.Service) {
+				list = append(list, t.Service)
+			}
+		}
+	}
+	return list
+}
+
 // amounts converts resources and slots to fractions of the capacity.
 func amounts(r machine.Resources, slots int, capacity machine.Resources, totalSlots int) contract.Amounts {
 	var a contract.Amounts
--- a/internal/zone/placement.go
+++ b/internal/zone/placement.go
@@ -44,7 +44,7 @@
 // Place plans one round from the state of the data centre: urgent work of teams
 // within their share first, then the team with the lowest use for its weight.
 // It changes no state. Nothing is placed in a data centre that is out.
-func (d *DataCentre) Place(r Round) Plan {
+func (d *DataCentre) Place(r Round) PlacementPlan {
 	p := newPlanner(d.Workers, r)
 	if d.Out || len(d.Workers.workers) == 0 {
 		return p.plan
@@ -92,7 +92,7 @@
 	roomIndex map[*machine.Worker]int
 	teams     map[string]*teamPlan
 	order     []*teamPlan
-	plan      Plan
+	plan      PlacementPlan
 	starts    int
 	// failed are sizes for which no worker has room. A task at least as large
 	// as one of them is not tried.
--- a/internal/zone/plan.go
+++ b/internal/zone/plan.go
@@ -5,8 +5,8 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
-// Step is one step of a plan. Package fleet turns steps into actions.
-type Step interface{ isStep() }
+// PlacementStep is one step of a plan. Package fleet turns steps into actions.
+type PlacementStep interface{ isPlacementStep() }
 
 // Start starts a task on a worker.
 type Start struct {
@@ -57,16 +57,16 @@
 	Reason string
 }
 
-func (Start) isStep()      {}
-func (Checkpoint) isStep() {}
-func (Throttle) isStep()   {}
-func (Stop) isStep()       {}
-func (Refuse) isStep()     {}
-func (Hold) isStep()       {}
+func (Start) isPlacementStep()      {}
+func (Checkpoint) isPlacementStep() {}
+func (Throttle) isPlacementStep()   {}
+func (Stop) isPlacementStep()       {}
+func (Refuse) isPlacementStep()     {}
+func (Hold) isPlacementStep()       {}
 
-// Plan is the result of one placement round. It changes nothing by itself.
-type Plan struct {
-	Steps  []Step
+// PlacementPlan is the result of one placement round. It changes nothing by itself.
+type PlacementPlan struct {
+	Steps  []PlacementStep
 	Shares []contract.Share
 	// Reservations are the workers to reserve, by worker, for the task whose room is
 	// being freed there.
--- a/internal/zone/preemption.go
+++ b/internal/zone/preemption.go
@@ -26,7 +26,7 @@
 type victim struct {
 	placement *machine.Placement
 	team      *teamPlan
-	step      Step
+	step      PlacementStep
 	frees     machine.Resources
 	slots     int
 	lost      float64
--- a/internal/zone/workerset.go
+++ b/internal/zone/workerset.go
@@ -260,6 +260,15 @@
 	return 0
 }
 
+// Occupied returns the number of slots in use.
+func (s *WorkerSet) Occupied() int {
+	n := 0
+	for _, u := range s.usage {
+		n += u.slots
+	}
+	return n
+}
+
 // Largest returns the capacities of workers that no other worker exceeds in
 // every field.
 func (s *WorkerSet) Largest() []machine.Resources {
