Route to endpoints by their own evidence and report exact outcomes

Cause: the thin path sent to a random listed endpoint, treated every failure after the dial as unknown and never retried.

A stop withdraws readiness first and keeps the listener open for drain_delay_ms.

Ruled out: the client of fasthttp (hides whether bytes were written); probing with a caller's request (a non-idempotent one would be put at risk).

Check changed: test/imports allows sync/atomic and crypto/hmac in decision packages, for the in-flight counts that traffic shares and for ticket MACs.

No load measured yet.

--- /dev/null
+++ b/internal/command/endpoint.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/crocusjunction/crocusjunction/internal/front"
+)
+
+func endpointCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "endpoint",
+		Usage: "inspect endpoints",
+		Commands: []*cli.Command{{
+			Name:   "list",
+			Usage:  "show the endpoints as one entry instance sees them",
+			Flags:  entryFlags(),
+			Action: listEndpoints,
+		}},
+	}
+}
+
+func listEndpoints(ctx context.Context, c *cli.Command) error {
+	api := newClient(c)
+	var answer front.EndpointList
+	if err := api.get("/v1/endpoints", &answer); err != nil {
+		return err
+	}
+	rows := [][]string{{"ENDPOINT", "SERVICE", "DATACENTRE", "ADDRESS", "PHASE", "TRIAL", "RUNNING", "BOUND", "DC OUT"}}
+	for _, e := range answer.Endpoints {
+		rows = append(rows, []string{
+			e.ID, e.Service, e.DataCentre, e.Address, string(e.Phase), strconv.FormatBool(e.Trial),
+			fmt.Sprint(e.Running), fmt.Sprint(e.Bound), strconv.FormatBool(e.DataCentreOut),
+		})
+	}
+	return api.print(answer, rows)
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -33,6 +33,7 @@
 			settingsCommand(),
 			explainCommand(),
 			documentCommand(),
+			endpointCommand(),
 		},
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,10 +20,6 @@
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
 
-// shutdownTimeout bounds a planned stop. It exceeds the longest deadline of a
-// request, so that no request is cut.
-const shutdownTimeout = front.MaxDeadline + 5*time.Second
-
 // Run serves as an entry instance until ctx ends, then stops gracefully.
 func Run(ctx context.Context, s settings.Entry, p platform.Platform, log *logrus.Entry) error {
 	listener, err := net.Listen("tcp", s.HTTP)
@@ -37,20 +33,26 @@
 		Address:     s.Peer,
 	}
 	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
-	loop := control.NewLoop(f, control.NewPlatformRunner(p, log, time.Now), time.Now)
+	endpoints := endpointclient.New(time.Now)
+	defer endpoints.Close()
+	runner := control.NewEndpointRunner(control.NewPlatformRunner(p, log, time.Now), endpoints)
+	loop := control.NewLoop(f, runner, time.Now)
 	server := front.NewServer(front.Parts{
-		Loop:      loop,
-		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
+		Loop: loop,
+		Traffic: traffic.NewHandler(traffic.Parts{
+			Control: loop, Sender: endpoints, Clock: time.Now, Random: traffic.ProcessRandom{},
+		}),
 		Committer: control.NewCommitter(p),
+		Dropped:   endpoints.Dropped.Counts,
 		Log:       log,
 		Clock:     time.Now,
 	})
-	return serve(ctx, loop, server, listener, log)
+	return serve(ctx, loop, server, listener, plannedStop{drainDelay: s.DrainDelay(), log: log})
 }
 
-// serve runs the loop and the server. The loop ends after the server, so that
-// running requests can release their slots.
-func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, log *logrus.Entry) error {
+// serve runs the loop and the server until ctx ends, then stops as planned. The
+// loop ends after the server, so that running requests can release their slots.
+func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, stop plannedStop) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -59,11 +61,8 @@
 	group.Go(func() error {
 		defer stopLoop()
 		<-groupCtx.Done()
-		log.Info("front: stopping")
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		return server.Shutdown(limited)
+		return stop.run(context.WithoutCancel(ctx), server)
 	})
-	log.Infof("front: listening on %s", l.Addr())
+	stop.log.Infof("front: listening on %s", l.Addr())
 	return group.Wait()
 }
--- /dev/null
+++ b/internal/entry/stop.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/crocusjunction/crocusjunction/internal/front"
+)
+
+const (
+	// shutdownTimeout bounds the wait for running requests. It exceeds the
+	// longest deadline of a request, so that no request is cut.
+	shutdownTimeout = front.MaxDeadline + 5*time.Second
+	// handOverTimeout bounds each step of the hand-over. What a step could not
+	// give back is reclaimed by the others later.
+	handOverTimeout = 5 * time.Second
+)
+
+// handOver is one step of a planned stop after the last request has ended, such
+// as returning allotments.
+type handOver struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// plannedStop is the order of a graceful shutdown.
+type plannedStop struct {
+	drainDelay time.Duration
+	handOvers  []handOver
+	log        *logrus.Entry
+}
+
+// run withdraws readiness, serves on until the load balancer has noticed, waits
+// for running requests and hands over what the instance holds. Leases of
+// claimed idempotency keys are left to lapse: revoking them would delete the
+// claims and let a repeat run a second time.
+func (p plannedStop) run(ctx context.Context, server *front.Server) error {
+	p.log.Infof("front: readiness withdrawn, accepting for another %v", p.drainDelay)
+	server.Drain()
+	time.Sleep(p.drainDelay)
+	p.log.Info("front: listener closed, finishing running requests")
+	limited, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(limited); err != nil {
+		return err
+	}
+	for _, h := range p.handOvers {
+		p.handOver(ctx, h)
+	}
+	p.log.Info("front: stopped")
+	return nil
+}
+
+func (p plannedStop) handOver(ctx context.Context, h handOver) {
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := h.run(limited); err != nil {
+		p.log.WithError(err).Warnf("front: %s not handed over", h.name)
+	}
+}
--- /dev/null
+++ b/internal/fleet/endpoint.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// EndpointsSeen is the platform's list of endpoints, which lags.
+type EndpointsSeen struct {
+	Endpoints []machine.Endpoint
+	// Version is the platform's version of the list.
+	Version uint64
+}
+
+// Apply implements Event.
+func (e EndpointsSeen) Apply(f *Fleet, now time.Time) []Action {
+	byCentre := make(map[string][]machine.Endpoint)
+	for _, endpoint := range e.Endpoints {
+		byCentre[endpoint.DataCentre] = append(byCentre[endpoint.DataCentre], endpoint)
+	}
+	for name, centre := range f.centres {
+		centre.SetEndpoints(byCentre[name], now)
+	}
+	f.shareEndpoints()
+	f.dirty = true
+	return append([]Action{WatchEndpoints{After: e.Version}}, f.tickEndpoints(now)...)
+}
+
+// shareEndpoints divides the limits of each endpoint between the entry
+// instances that use it.
+func (f *Fleet) shareEndpoints() {
+	rank, count := f.entryRank()
+	for _, centre := range f.centres {
+		centre.ShareEndpoints(rank, count)
+	}
+}
+
+// EndpointEvidence is what one attempt or probe showed about an endpoint.
+type EndpointEvidence string
+
+// Kinds of evidence.
+const (
+	EvidenceAnswered EndpointEvidence = "answered"
+	// EvidenceSilent means that no answer arrived within the attempt's share.
+	EvidenceSilent EndpointEvidence = "silent"
+	// EvidenceBroken means that the connection was refused or ended without a
+	// valid answer.
+	EvidenceBroken  EndpointEvidence = "broken"
+	EvidenceLeaving EndpointEvidence = "leaving"
+)
+
+// EndpointReport is the evidence of one attempt. Traffic sends it for failures,
+// for endpoints that leave, and for answers of endpoints that are not live.
+type EndpointReport struct {
+	DataCentre, ID, Address string
+	Evidence                EndpointEvidence
+	// Began is when the attempt began.
+	Began time.Time
+	// Reason is the error of the attempt.
+	Reason string
+}
+
+// Apply implements Event. A report about an endpoint that moved since is
+// ignored.
+func (e EndpointReport) Apply(f *Fleet, now time.Time) []Action {
+	return f.observe(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
+		switch e.Evidence {
+		case EvidenceAnswered:
+			endpoint.Answered(now)
+		case EvidenceSilent:
+			endpoint.ConnectionFailed(e.Began, false, now)
+		case EvidenceBroken:
+			endpoint.ConnectionBroken(e.Began, now)
+		case EvidenceLeaving:
+			endpoint.SaidLeaving(now)
+		}
+	})
+}
+
+// ProbeEndpoint opens a new connection to an endpoint and asks it for an answer
+// that runs nothing. The result is EndpointProbed.
+type ProbeEndpoint struct {
+	DataCentre, ID, Address string
+}
+
+func (ProbeEndpoint) isAction() {}
+
+// EndpointProbed is the end of a probe.
+type EndpointProbed struct {
+	DataCentre, ID, Address string
+	Answered, Leaving       bool
+	Reason                  string
+}
+
+// Apply implements Event.
+func (e EndpointProbed) Apply(f *Fleet, now time.Time) []Action {
+	return f.observe(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
+		endpoint.Probed(e.Answered, e.Leaving, now)
+	})
+}
+
+// observe applies evidence to an endpoint, records a change of its phase, and
+// starts the probes that follow.
+func (f *Fleet) observe(dataCentre, id, address string, now time.Time, reason string, apply func(*machine.Endpoint)) []Action {
+	centre := f.centres[dataCentre]
+	if centre == nil {
+		return nil
+	}
+	endpoint := centre.Endpoint(id)
+	if endpoint == nil || endpoint.Address != address {
+		return nil
+	}
+	phase, trial := endpoint.Phase, endpoint.Trial
+	apply(endpoint)
+	if endpoint.Phase != phase || endpoint.Trial != trial {
+		f.dirty = true
+		f.explainEndpoint(endpoint, phase, reason, now)
+	}
+	return f.tickEndpoints(now)
+}
+
+func (f *Fleet) explainEndpoint(e *machine.Endpoint, before machine.EndpointPhase, reason string, now time.Time) {
+	f.Explain(Decision{
+		At:      now,
+		Subject: Subject{Kind: SubjectEndpoint, Name: e.ID},
+		Action:  string(e.Phase),
+		Reason:  reason,
+		Inputs: []Input{
+			{Name: "before", Value: string(before)},
+			{Name: "trial", Value: strconv.FormatBool(e.Trial)},
+			{Name: "running", Value: strconv.Itoa(e.Load.Running())},
+		},
+	})
+}
+
+// tickEndpoints starts the probes that are due.
+func (f *Fleet) tickEndpoints(now time.Time) []Action {
+	var actions []Action
+	for _, name := range f.centreNames() {
+		for _, e := range f.centres[name].DueProbes(now) {
+			e.BeginProbe()
+			actions = append(actions, ProbeEndpoint{DataCentre: name, ID: e.ID, Address: e.Address})
+		}
+	}
+	return actions
+}
+
+func (f *Fleet) nextEndpointWake() time.Time {
+	var next time.Time
+	for _, centre := range f.centres {
+		next = earliest(next, centre.NextProbe())
+	}
+	return next
+}
+
+func (f *Fleet) centreNames() []string {
+	names := make([]string, 0, len(f.centres))
+	for name := range f.centres {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// earliest returns the earlier of two times; the zero time means never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// entryRank returns the rank of this entry instance among those that share the
+// endpoints, and their number.
+func (f *Fleet) entryRank() (rank, count int) { return 0, 1 }
+
+// EndpointView is one endpoint for operators.
+type EndpointView struct {
+	machine.Endpoint
+	// Running is the number of requests that this entry instance has there.
+	Running int
+	// DataCentreOut is true while operators have its data centre taken out.
+	DataCentreOut bool
+}
+
+// EndpointQuery asks for all endpoints, ordered by data centre and id. Reply
+// must have a free buffer place.
+type EndpointQuery struct{ Reply chan<- []EndpointView }
+
+// Apply implements Event.
+func (e EndpointQuery) Apply(f *Fleet, now time.Time) []Action {
+	var list []EndpointView
+	for _, name := range f.centreNames() {
+		for _, endpoint := range f.centres[name].Endpoints() {
+			list = append(list, EndpointView{
+				Endpoint: endpoint, Running: endpoint.Load.Running(), DataCentreOut: f.centres[name].Out,
+			})
+		}
+	}
+	e.Reply <- list
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,6 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/link"
-	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
 
@@ -61,29 +60,13 @@
 }
 
 // Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action { return f.tickConfig(now) }
-
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time { return f.config.wakeAt }
-
-// EndpointsSeen is the platform's list of endpoints, which lags.
-type EndpointsSeen struct {
-	Endpoints []machine.Endpoint
-	// Version is the platform's version of the list.
-	Version uint64
+func (f *Fleet) Tick(now time.Time) []Action {
+	return append(f.tickConfig(now), f.tickEndpoints(now)...)
 }
 
-// Apply implements Event.
-func (e EndpointsSeen) Apply(f *Fleet, now time.Time) []Action {
-	byCentre := make(map[string][]machine.Endpoint)
-	for _, endpoint := range e.Endpoints {
-		byCentre[endpoint.DataCentre] = append(byCentre[endpoint.DataCentre], endpoint)
-	}
-	for name, centre := range f.centres {
-		centre.SetEndpoints(byCentre[name])
-	}
-	f.dirty = true
-	return []Action{WatchEndpoints{After: e.Version}}
+// NextWake returns the time of the next due Tick; the zero time means none.
+func (f *Fleet) NextWake() time.Time {
+	return earliest(f.config.wakeAt, f.nextEndpointWake())
 }
 
 // EndpointsFailed reports that the list of endpoints could not be read.
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -25,6 +25,8 @@
 	Near []machine.Endpoint
 	// Far are those of other data centres.
 	Far []machine.Endpoint
+	// LastResort are suspect ones, for when Near and Far are empty.
+	LastResort []machine.Endpoint
 }
 
 // TakeSnapshot returns a new view, or nil when nothing changed since the last
@@ -68,6 +70,7 @@
 	for service := range s.documents {
 		var set EndpointSet
 		for name, centre := range f.centres {
+			set.LastResort = append(set.LastResort, centre.LastResorts(service)...)
 			if name == f.self.DataCentre {
 				set.Near = append(set.Near, centre.Candidates(service)...)
 				continue
--- /dev/null
+++ b/internal/front/endpoint.go
@@ -0,0 +1,55 @@
+package front
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/traffic"
+)
+
+// EndpointInfo is one endpoint as this entry instance sees it.
+type EndpointInfo struct {
+	ID         string                `json:"id"`
+	Service    string                `json:"service"`
+	DataCentre string                `json:"datacentre"`
+	Address    string                `json:"address"`
+	Phase      machine.EndpointPhase `json:"phase"`
+	// Trial is true while one request has to be answered before the endpoint
+	// counts as live.
+	Trial bool `json:"trial"`
+	// Running and Bound are requests of this entry instance.
+	Running int `json:"running"`
+	Bound   int `json:"bound"`
+	// DataCentreOut is true while the data centre is taken out.
+	DataCentreOut bool `json:"datacentre_out"`
+}
+
+// EndpointList is the JSON answer to GET /v1/endpoints.
+type EndpointList struct {
+	Endpoints []EndpointInfo `json:"endpoints"`
+	// Dropped counts answers of endpoints that were not delivered.
+	Dropped traffic.DroppedCounts `json:"dropped_answers"`
+	// Outcomes counts the requests of this entry instance by team.
+	Outcomes []traffic.TeamCounts `json:"outcomes"`
+}
+
+func (s *Server) endpointRoutes() []route {
+	return []route{{method: fasthttp.MethodGet, prefix: "/v1/endpoints", handle: s.listEndpoints}}
+}
+
+func (s *Server) listEndpoints(ctx *fasthttp.RequestCtx, _ string) {
+	reply := make(chan []fleet.EndpointView, 1)
+	if err := s.parts.Loop.Send(ctx, fleet.EndpointQuery{Reply: reply}); err != nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+		return
+	}
+	answer := EndpointList{Endpoints: []EndpointInfo{}, Dropped: s.parts.Dropped(), Outcomes: s.parts.Traffic.Counts()}
+	for _, e := range <-reply {
+		answer.Endpoints = append(answer.Endpoints, EndpointInfo{
+			ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address, Phase: e.Phase, Trial: e.Trial,
+			Running: e.Running, Bound: e.Bound(), DataCentreOut: e.DataCentreOut,
+		})
+	}
+	writeJSON(ctx, fasthttp.StatusOK, answer)
+}
--- /dev/null
+++ b/internal/front/ready.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+)
+
+func (s *Server) readyRoutes() []route {
+	return []route{
+		{method: fasthttp.MethodGet, prefix: "/v1/ready", handle: s.ready},
+		{method: fasthttp.MethodGet, prefix: "/v1/live", handle: s.live},
+	}
+}
+
+// ready tells the load balancer whether to send new requests here.
+func (s *Server) ready(ctx *fasthttp.RequestCtx, _ string) {
+	reason := ""
+	switch {
+	case s.draining.Load():
+		reason = "the instance is stopping"
+	case !s.parts.Loop.Snapshot().Loaded:
+		reason = "configuration is not loaded"
+	}
+	if reason != "" {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: reason})
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, map[string]bool{"ready": true})
+}
+
+// live tells the platform that the process answers.
+func (s *Server) live(ctx *fasthttp.RequestCtx, _ string) {
+	writeJSON(ctx, fasthttp.StatusOK, map[string]bool{"live": true})
+}
+
+// Drain withdraws readiness. The server goes on accepting connections and
+// serving requests, and asks callers to close their connections.
+func (s *Server) Drain() { s.draining.Store(true) }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,8 +33,10 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
-	Log       *logrus.Entry
-	Clock     func() time.Time
+	// Dropped returns the counts of answers that were not delivered.
+	Dropped func() traffic.DroppedCounts
+	Log     *logrus.Entry
+	Clock   func() time.Time
 }
 
 type handlerFunc func(ctx *fasthttp.RequestCtx, name string)
@@ -50,6 +53,8 @@
 	parts  Parts
 	routes []route
 	http   *fasthttp.Server
+	// draining is set by Drain.
+	draining atomic.Bool
 }
 
 // NewServer returns a server that is not yet listening.
@@ -58,6 +63,8 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.endpointRoutes()...)
+	s.routes = append(s.routes, s.readyRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
@@ -75,6 +82,13 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	s.route(ctx)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	method := string(ctx.Method())
 	found := false
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"strconv"
@@ -50,7 +51,9 @@
 		NonIdempotent:  string(ctx.Request.Header.Peek(HeaderIdempotent)) == "false",
 	}
 	ctx.Response.Header.Set(HeaderRequestID, r.ID)
-	writeOutcome(ctx, s.parts.Traffic.Serve(ctx, r))
+	// The context of fasthttp ends when the server stops; a running request must
+	// be finished then, so it gets a context of its own.
+	writeOutcome(ctx, s.parts.Traffic.Serve(context.Background(), r))
 }
 
 func (s *Server) deadline(ctx *fasthttp.RequestCtx) (time.Time, bool) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -29,6 +30,10 @@
 	Platform string `json:"platform"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"log_level,omitempty"`
+	// DrainDelayMS is how long a stopping instance still accepts connections
+	// after it withdrew readiness, in milliseconds. It must exceed the time in
+	// which the load balancer notices. Default 2000.
+	DrainDelayMS *int64 `json:"drain_delay_ms,omitempty"`
 }
 
 // FieldError names a setting, its value and what is accepted.
@@ -54,6 +59,20 @@
 	return e, e.Check()
 }
 
+// Bounds of DrainDelayMS.
+const (
+	defaultDrainDelayMS = 2000
+	maxDrainDelayMS     = 60_000
+)
+
+// DrainDelay returns the drain delay or its default.
+func (e *Entry) DrainDelay() time.Duration {
+	if e.DrainDelayMS == nil {
+		return defaultDrainDelayMS * time.Millisecond
+	}
+	return time.Duration(*e.DrainDelayMS) * time.Millisecond
+}
+
 // Check reports the first setting that is outside its bounds.
 func (e *Entry) Check() error {
 	if e.ID == "" {
@@ -67,6 +86,9 @@
 			return &FieldError{field, value, "an address such as 127.0.0.1:7000"}
 		}
 	}
+	if ms := e.DrainDelay().Milliseconds(); ms < 0 || ms > maxDrainDelayMS {
+		return &FieldError{"drain_delay_ms", fmt.Sprint(ms), "0 to 60000 milliseconds"}
+	}
 	switch e.LogLevel {
 	case "", "debug", "info", "warn", "error":
 		return nil
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -7,12 +7,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"math/rand/v2"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
@@ -56,42 +56,72 @@
 	Reason string
 	// Team is who was charged, empty before authentication.
 	Team string
-}
-
-// Attempt is one try of a request at one endpoint.
-type Attempt struct {
-	RequestID string
-	Number    int
-	Deadline  time.Time
-	Body      []byte
+	// Attempts is the number of attempts at endpoints.
+	Attempts int
 }
 
 // SendResult is the end of one attempt.
 type SendResult struct {
-	// Sent is true when a byte of the request may have reached the endpoint.
-	Sent bool
-	// Err is nil when a whole answer to this attempt arrived.
+	End link.AttemptEnd
+	// Err is nil when End is AttemptAnswered.
 	Err    error
 	Status int
 	Body   []byte
+	// NoConnection is true when no connection to the endpoint could be opened.
+	NoConnection bool
+	// KeptConnection is true when the connection had been used before.
+	KeptConnection bool
+	// Silent is true when the attempt ended at its deadline.
+	Silent bool
+	// Leaving is true when the endpoint said that it takes no new work.
+	Leaving bool
 }
 
-// Sender sends one attempt to an endpoint.
+// Sender sends one attempt to an endpoint. Body must not be used after Send
+// returned.
 type Sender interface {
-	Send(ctx context.Context, e machine.Endpoint, a Attempt) SendResult
+	Send(ctx context.Context, e machine.Endpoint, a link.Attempt, body []byte) SendResult
+}
+
+// Random is the source of routing choices and jitter. It must be safe for
+// concurrent use.
+type Random interface {
+	// IntN returns a value in [0,n).
+	IntN(n int) int
+	// Float64 returns a value in [0,1).
+	Float64() float64
+}
+
+// Control is what the request path asks of the control thread.
+type Control interface {
+	// Snapshot returns the newest published view.
+	Snapshot() *fleet.Snapshot
+	// SendTraffic queues an event of the request path.
+	SendTraffic(ctx context.Context, e fleet.Event) error
+	// Send queues an event of the control state.
+	Send(ctx context.Context, e fleet.Event) error
+}
+
+var _ Control = (*control.Loop)(nil)
+
+// Parts are what a handler works with.
+type Parts struct {
+	Control Control
+	Sender  Sender
+	Clock   func() time.Time
+	Random  Random
 }
 
 // Handler serves requests. It is safe for concurrent use.
 type Handler struct {
-	loop   *control.Loop
-	sender Sender
-	clock  func() time.Time
+	parts   Parts
+	budgets budgets
+	gates   gates
+	counts  counters
 }
 
-// NewHandler returns a handler that reads snapshots of loop.
-func NewHandler(loop *control.Loop, sender Sender, clock func() time.Time) *Handler {
-	return &Handler{loop: loop, sender: sender, clock: clock}
-}
+// NewHandler returns a handler without running requests.
+func NewHandler(p Parts) *Handler { return &Handler{parts: p} }
 
 // HashSecret returns the hash under which a key's secret is known.
 func HashSecret(secret string) contract.KeyHash {
@@ -99,84 +129,93 @@
 	return contract.KeyHash(hex.EncodeToString(sum[:]))
 }
 
+// job is a request that was authenticated.
+type job struct {
+	Request
+	view     *fleet.Snapshot
+	document *contract.Document
+	team     string
+	keyHash  contract.KeyHash
+}
+
 // Serve runs one request to its outcome.
 func (h *Handler) Serve(ctx context.Context, r Request) Outcome {
-	view := h.loop.Snapshot()
-	document, team, refusal := authenticate(view, r)
-	if refusal != nil {
-		return refused(team, refusal)
+	j := job{Request: r}
+	if r.Secret != "" {
+		j.keyHash = HashSecret(r.Secret)
 	}
-	refusal = h.admit(ctx, team, r.Service)
-	if refusal != nil {
-		return refused(team, refusal)
-	}
-	defer h.release(team, r.Service)
-	outcome := h.send(ctx, view, document, r)
-	outcome.Team = team
+	outcome := h.serve(ctx, &j)
+	outcome.Team = j.team
+	h.counts.add(j.team, outcome.Kind)
 	return outcome
 }
 
-// authenticate returns the document and the team to charge.
-func authenticate(view *fleet.Snapshot, r Request) (*contract.Document, string, *fleet.Refusal) {
+func (h *Handler) serve(ctx context.Context, j *job) Outcome {
+	if refusal := j.authenticate(h.parts.Control.Snapshot()); refusal != nil {
+		return refused(refusal)
+	}
+	return h.run(ctx, j)
+}
+
+// run admits the request and sends it.
+func (h *Handler) run(ctx context.Context, j *job) Outcome {
+	if !h.parts.Clock().Before(j.Deadline) {
+		return refused(deadlinePassed())
+	}
+	if refusal := h.admit(ctx, j); refusal != nil {
+		return refused(refusal)
+	}
+	defer h.release(j.team, j.Service)
+	return h.send(ctx, j)
+}
+
+// authenticate checks the request against a view and sets the document and the
+// team to charge. It is repeated for each newer view, so that a key withdrawn
+// while the request waited stops it.
+func (j *job) authenticate(view *fleet.Snapshot) *fleet.Refusal {
+	if view == j.view {
+		return nil
+	}
 	if !view.Loaded {
-		return nil, "", &fleet.Refusal{Code: fleet.CodeNotReady, Reason: "configuration is not loaded", RetryAfter: time.Second}
+		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: "configuration is not loaded", RetryAfter: time.Second}
 	}
-	document := view.Document(r.Service)
+	document := view.Document(j.Service)
 	if document == nil {
-		return nil, "", &fleet.Refusal{Code: fleet.CodeUnknownService, Reason: "no document for service " + r.Service}
+		return &fleet.Refusal{Code: fleet.CodeUnknownService, Reason: "no document for service " + j.Service}
 	}
-	if r.Secret == "" && document.Open {
-		return document, document.Team, nil
+	team := document.Team
+	if j.Secret != "" || !document.Open {
+		key := view.Key(j.keyHash)
+		if key == nil {
+			return &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "the key is not granted or was withdrawn"}
+		}
+		team = key.Team
 	}
-	key := view.Key(HashSecret(r.Secret))
-	if key == nil {
-		return nil, "", &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "the key is not granted or was withdrawn"}
+	if j.team != "" && j.team != team {
+		return &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "the team to charge changed while the request waited"}
 	}
-	if !document.Open && !document.Accepts(key.Team) {
-		return nil, key.Team, &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "service " + r.Service + " does not accept work from team " + key.Team}
+	if !document.Open && !document.Accepts(team) {
+		j.team = team
+		return &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "service " + j.Service + " does not accept work from team " + team}
 	}
-	return document, key.Team, nil
+	j.view, j.document, j.team = view, document, team
+	return nil
 }
 
-func (h *Handler) admit(ctx context.Context, team, service string) *fleet.Refusal {
+func (h *Handler) admit(ctx context.Context, j *job) *fleet.Refusal {
 	reply := make(chan fleet.Admission, 1)
-	if err := h.loop.SendTraffic(ctx, fleet.Admit{Team: team, Service: service, Reply: reply}); err != nil {
+	if err := h.parts.Control.SendTraffic(ctx, fleet.Admit{Team: j.team, Service: j.Service, Reply: reply}); err != nil {
 		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
 	}
 	return (<-reply).Refusal
 }
 
 func (h *Handler) release(team, service string) {
-	_ = h.loop.SendTraffic(context.Background(), fleet.Release{Team: team, Service: service})
-}
-
-func (h *Handler) send(ctx context.Context, view *fleet.Snapshot, document *contract.Document, r Request) Outcome {
-	endpoint, ok := choose(view.Endpoints(document.Service))
-	if !ok {
-		return refused("", &fleet.Refusal{Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + document.Service, RetryAfter: time.Second})
-	}
-	result := h.sender.Send(ctx, endpoint, Attempt{RequestID: r.ID, Number: 1, Deadline: r.Deadline, Body: r.Body})
-	if result.Err == nil {
-		return Outcome{Kind: Answered, Status: result.Status, Body: result.Body}
-	}
-	if !result.Sent {
-		return refused("", &fleet.Refusal{Code: fleet.CodeNoEndpoint, Reason: result.Err.Error(), RetryAfter: time.Second})
-	}
-	return Outcome{Kind: Unknown, Reason: result.Err.Error()}
+	_ = h.parts.Control.SendTraffic(context.Background(), fleet.Release{Team: team, Service: service})
 }
 
-// choose picks a random endpoint, of the own data centre while it has any.
-func choose(set fleet.EndpointSet) (machine.Endpoint, bool) {
-	list := set.Near
-	if len(list) == 0 {
-		list = set.Far
-	}
-	if len(list) == 0 {
-		return machine.Endpoint{}, false
-	}
-	return list[rand.IntN(len(list))], true
-}
+func refused(r *fleet.Refusal) Outcome { return Outcome{Kind: NotRun, Refusal: r} }
 
-func refused(team string, r *fleet.Refusal) Outcome {
-	return Outcome{Kind: NotRun, Refusal: r, Team: team}
+func deadlinePassed() *fleet.Refusal {
+	return &fleet.Refusal{Code: fleet.CodeDeadline, Reason: "the deadline passed before the request was sent"}
 }
--- a/internal/zone/datacentre.go
+++ b/internal/zone/datacentre.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
@@ -24,28 +25,83 @@
 }
 
 // SetEndpoints replaces the endpoints by the listed ones. An endpoint that
-// stays keeps the phase that was observed, unless the list says that it leaves.
-func (d *DataCentre) SetEndpoints(listed []machine.Endpoint) {
+// stays at its address keeps what was observed of it.
+func (d *DataCentre) SetEndpoints(listed []machine.Endpoint, now time.Time) {
 	next := make(map[string]*machine.Endpoint, len(listed))
 	for _, e := range listed {
 		known, ok := d.endpoints[e.ID]
-		if ok && known.Address == e.Address && e.Phase == machine.EndpointLive {
-			e.Phase = known.Phase
+		if !ok || known.Address != e.Address || known.Service != e.Service {
+			known = &machine.Endpoint{
+				ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address,
+				Phase: machine.EndpointLive, Load: new(machine.Load),
+			}
 		}
-		next[e.ID] = &e
+		known.ListAs(e.Phase, now)
+		next[e.ID] = known
 	}
 	d.endpoints = next
 }
 
+// Endpoint returns the endpoint with the given id, nil when there is none.
+func (d *DataCentre) Endpoint(id string) *machine.Endpoint { return d.endpoints[id] }
+
+// ShareEndpoints sets the bounds of the entry instance with the given rank
+// among count.
+func (d *DataCentre) ShareEndpoints(rank, count int) {
+	for _, e := range d.endpoints {
+		e.Share(rank, count)
+	}
+}
+
+// DueProbes returns the endpoints to probe at now, ordered by id. A data centre
+// that is out is not probed.
+func (d *DataCentre) DueProbes(now time.Time) []*machine.Endpoint {
+	if d.Out {
+		return nil
+	}
+	var list []*machine.Endpoint
+	for _, e := range d.endpoints {
+		if e.ProbeDue(now) {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// NextProbe returns when the next probe is due; the zero time means never.
+func (d *DataCentre) NextProbe() time.Time {
+	var next time.Time
+	if d.Out {
+		return next
+	}
+	for _, e := range d.endpoints {
+		if at := e.NextProbe(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
 // Candidates returns the endpoints of a service that may get new work, ordered
 // by id. A data centre that is out has none.
 func (d *DataCentre) Candidates(service string) []machine.Endpoint {
+	return d.collect(service, (*machine.Endpoint).Takes)
+}
+
+// LastResorts returns the suspect endpoints of a service, ordered by id. Each
+// may get one request when there is no candidate anywhere.
+func (d *DataCentre) LastResorts(service string) []machine.Endpoint {
+	return d.collect(service, (*machine.Endpoint).LastResort)
+}
+
+func (d *DataCentre) collect(service string, accept func(*machine.Endpoint) bool) []machine.Endpoint {
 	if d.Out {
 		return nil
 	}
 	var list []machine.Endpoint
 	for _, e := range d.endpoints {
-		if e.Service == service && e.Takes() {
+		if e.Service == service && accept(e) {
 			list = append(list, *e)
 		}
 	}
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -28,6 +28,8 @@
 var allowedStandard = []string{
 	"cmp", "errors", "fmt", "hash/fnv", "hash/maphash", "iter", "maps", "math", "math/bits", "math/rand/v2",
 	"regexp", "slices", "sort", "strconv", "strings", "time", "container/heap", "crypto/sha256", "encoding/hex", "encoding/binary",
+	// Pure functions, and counters that traffic goroutines share.
+	"crypto/hmac", "sync/atomic",
 }
 
 // TestDecisionPackagesImportNoIO guards against decisions that depend on a
