--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,8 +37,13 @@
 	defer endpoints.Close()
 	runner := control.NewEndpointRunner(control.NewPlatformRunner(p, log, time.Now), endpoints)
 	loop := control.NewLoop(f, runner, time.Now)
+	metrics, err := newMetrics(loop)
+	if err != nil {
+		return err
+	}
 	server := front.NewServer(front.Parts{
-		Loop: loop,
+		Loop:    loop,
+		Metrics: metrics,
 		Traffic: traffic.NewHandler(traffic.Parts{
 			Control: loop, Sender: endpoints, Clock: time.Now, Random: traffic.ProcessRandom{},
 		}),
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
 
@@ -35,6 +36,7 @@
 	Committer *control.Committer
 	// Dropped returns the counts of answers that were not delivered.
 	Dropped func() traffic.DroppedCounts
+	Metrics *telemetry.Metrics
 	Log     *logrus.Entry
 	Clock   func() time.Time
 }
@@ -65,6 +67,7 @@
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.endpointRoutes()...)
 	s.routes = append(s.routes, s.readyRoutes()...)
+	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -51,9 +51,21 @@
 		NonIdempotent:  string(ctx.Request.Header.Peek(HeaderIdempotent)) == "false",
 	}
 	ctx.Response.Header.Set(HeaderRequestID, r.ID)
+	started := s.parts.Clock()
 	// The context of fasthttp ends when the server stops; a running request must
 	// be finished then, so it gets a context of its own.
-	writeOutcome(ctx, s.parts.Traffic.Serve(context.Background(), r))
+	outcome := s.parts.Traffic.Serve(context.Background(), r)
+	s.record(outcome, s.parts.Clock().Sub(started))
+	writeOutcome(ctx, outcome)
+}
+
+// record adds the outcome to the metrics of its team.
+func (s *Server) record(o traffic.Outcome, d time.Duration) {
+	code := ""
+	if o.Refusal != nil {
+		code = o.Refusal.Code
+	}
+	s.parts.Metrics.Request(o.Team, string(o.Kind), code, d)
 }
 
 func (s *Server) deadline(ctx *fasthttp.RequestCtx) (time.Time, bool) {
