--- a/internal/endpointclient/client.go
+++ b/internal/endpointclient/client.go
@@ -200,5 +200,5 @@
 
 func isTimeout(err error) bool {
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
 }
