Run requests with an idempotency key at most once

Cause: a caller that lost its connection could not repeat a non-idempotent request without risking a second run.

Change: tickets (contract.TicketTable, owned by the control thread) name the issuing incarnation and run once; caller-chosen keys are claimed in the platform before the send (contract.Claim decides, control.Claims does the calls). Repeats wait for the first call and get its answer; another body is refused.

Weighed: one lease for each claim (one more write) against one lease for ten minutes of claims: the latter. The lease is never kept alive or revoked, so that a claim outlives its holder by the retention of an hour. Marking a key as not run against deleting it: deletion, so that a repeat takes one write.

Measured: 1 write before the send and 1 after the answer for a keyed request, plus 1 grant in 10 minutes; 1 write and 1 read for a repeat (TestClaimCostsAndRepeats). Rapid tests pass.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -51,12 +51,18 @@
 }
 
 func (c *client) call(method, path string, body []byte, answer any) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + c.address + path)
 	req.SetBody(body)
+	return c.do(req, answer)
+}
+
+// do sends a prepared request and decodes the answer.
+func (c *client) do(req *fasthttp.Request, answer any) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
 	if err := fasthttp.DoTimeout(req, resp, clientTimeout); err != nil {
 		return cli.Exit(fmt.Sprintf("entry instance %s: %v", c.address, err), ExitUnknown)
 	}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -34,6 +34,7 @@
 			explainCommand(),
 			documentCommand(),
 			endpointCommand(),
+			ticketCommand(),
 			demoCommand(),
 		},
 	}
--- /dev/null
+++ b/internal/contract/once_test.go
@@ -0,0 +1,137 @@
+package contract
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func newTable() *TicketTable { return NewTicketTable("entry-1", 7, []byte("secret")) }
+
+// TestTicketRunsAtMostOnce guards against a ticket that starts a second run
+// after one that may have run, over random calls, ends and pauses.
+func TestTicketRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := newTable(), start
+		tickets := table.Issue(now, "depots", 3)
+		running, mayHaveRun := map[uint64]bool{}, map[uint64]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 240).Draw(t, "pause")) * time.Second)
+			k := tickets[rapid.IntRange(0, 2).Draw(t, "ticket")]
+			body := BodyHash{byte(rapid.IntRange(0, 1).Draw(t, "body"))}
+			if rapid.Bool().Draw(t, "end") && running[k.Sequence] {
+				kind := rapid.SampledFrom([]RunKind{RunAnswered, RunUnknown, RunNotRun}).Draw(t, "kind")
+				table.End(now, k.Sequence, Run{Kind: kind, Body: []byte("answer")})
+				running[k.Sequence] = false
+				if kind != RunNotRun {
+					mayHaveRun[k.Sequence] = true
+				}
+				continue
+			}
+			run := table.Begin(now, k, "depots", body)
+			if run.Kind == RunStart {
+				if running[k.Sequence] || mayHaveRun[k.Sequence] {
+					t.Fatalf("ticket %d started again", k.Sequence)
+				}
+				running[k.Sequence] = true
+			}
+			if run.Kind == RunAnswered && !mayHaveRun[k.Sequence] {
+				t.Fatalf("ticket %d answered without a run", k.Sequence)
+			}
+		}
+	})
+}
+
+// TestTicketRefusals guards against forged tickets, tickets of other teams and
+// of an earlier incarnation, and a reused ticket with another body.
+func TestTicketRefusals(t *testing.T) {
+	table := newTable()
+	k := table.Issue(start, "depots", 1)[0]
+	parsed, err := ParseTicket(k.String())
+	if err != nil || parsed != k {
+		t.Fatalf("parsed %+v, error %v", parsed, err)
+	}
+	forged := k
+	forged.Sequence++
+	older := k
+	older.Incarnation--
+	for _, c := range []struct {
+		name string
+		k    Ticket
+		team string
+		want RunKind
+	}{
+		{"forged", forged, "depots", RunRefused},
+		{"other team", k, "fairs", RunRefused},
+		{"earlier incarnation", older, "depots", RunUnknown},
+		{"first use", k, "depots", RunStart},
+		{"repeat", k, "depots", RunRunning},
+	} {
+		if run := table.Begin(start, c.k, c.team, BodyHash{1}); run.Kind != c.want {
+			t.Errorf("%s: %s", c.name, run.Kind)
+		}
+	}
+	if run := table.Begin(start, k, "depots", BodyHash{2}); run.Kind != RunOtherBody {
+		t.Errorf("other body: %s", run.Kind)
+	}
+}
+
+// TestTicketTableIsBounded guards against callers that fill the memory with
+// tickets or answers.
+func TestTicketTableIsBounded(t *testing.T) {
+	table := newTable()
+	issued := 0
+	for {
+		list := table.Issue(start, "depots", MaxTicketsPerCall)
+		if len(list) == 0 {
+			break
+		}
+		for _, k := range list[:20] {
+			table.Begin(start, k, "depots", BodyHash{})
+			table.End(start, k.Sequence, Run{Kind: RunAnswered, Body: make([]byte, 64<<10)})
+		}
+		issued += len(list)
+	}
+	if held, bytes := table.Held(); issued > maxTickets || held != issued || bytes > maxAnswerBytes {
+		t.Errorf("issued %d, held %d with %d bytes", issued, held, bytes)
+	}
+	if list := table.Issue(start.Add(TicketLife), "depots", 1); len(list) != 1 {
+		t.Error("no ticket after the first ones expired")
+	}
+	if held, bytes := table.Held(); held != 1 || bytes != 0 {
+		t.Errorf("held %d with %d bytes after expiry", held, bytes)
+	}
+}
+
+// TestClaimsMeet guards against a repeat that runs although another call holds
+// the claim, and against a lost answer of an own claim that stops its run.
+func TestClaimsMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		held := NewClaim("entry-1", 1, rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "nonce"), BodyHash{1})
+		held.Kind = rapid.SampledFrom([]RunKind{RunRunning, RunAnswered, RunUnknown}).Draw(t, "kind")
+		own := NewClaim("entry-2", 1, "r1", BodyHash{byte(rapid.IntRange(1, 2).Draw(t, "body"))})
+		run := held.Meet(own)
+		starts := held.Nonce == own.Nonce && held.Kind == RunRunning && held.Body == own.Body
+		if (run.Kind == RunStart) != starts {
+			t.Fatalf("held %+v, own %+v: %s", held, own, run.Kind)
+		}
+		if held.Body != own.Body && run.Kind != RunOtherBody {
+			t.Fatalf("other body gets %s", run.Kind)
+		}
+	})
+}
+
+// TestClaimNamesDoNotMeet guards against keys of different teams or services
+// that share a claim.
+func TestClaimNamesDoNotMeet(t *testing.T) {
+	names := map[string]bool{}
+	for _, parts := range [][3]string{{"a", "b", "c"}, {"ab", "", "c"}, {"a", "bc", ""}, {"", "ab", "c"}, {"b", "a", "c"}} {
+		names[ClaimName(parts[0], parts[1], parts[2])] = true
+	}
+	if len(names) != 5 {
+		t.Errorf("%d names for 5 keys", len(names))
+	}
+}
--- /dev/null
+++ b/internal/control/claim_test.go
@@ -0,0 +1,174 @@
+package control_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/standin"
+)
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(log)
+}
+
+func claimFor(nonce string, body byte) contract.Claim {
+	return contract.NewClaim("entry-1", 1, nonce, contract.BodyHash{body})
+}
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+// TestClaimCostsAndRepeats guards the price of a keyed request and what its
+// repeats get.
+func TestClaimCostsAndRepeats(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	claims := control.NewClaims(store, time.Now, quietLog())
+	ctx, cancel := within(10 * time.Second)
+	defer cancel()
+	held, run, err := claims.Claim(ctx, "claim/a", claimFor("r1", 1))
+	if err != nil || run.Kind != contract.RunStart {
+		t.Fatalf("first: %s, error %v", run.Kind, err)
+	}
+	claims.Finish(ctx, held, contract.Run{Kind: contract.RunAnswered, Status: 200, Body: []byte("done")})
+	const lease, claim, end = 1, 1, 1
+	if n := claims.Calls(); n != lease+claim+end {
+		t.Errorf("%d platform calls for the first request", n)
+	}
+	_, run, err = claims.Claim(ctx, "claim/a", claimFor("r2", 1))
+	if err != nil || run.Kind != contract.RunAnswered || string(run.Body) != "done" || run.Status != 200 {
+		t.Errorf("repeat: %+v, error %v", run, err)
+	}
+	if n := claims.Calls(); n != lease+claim+end+2 {
+		t.Errorf("%d platform calls after the repeat", n)
+	}
+	if _, run, _ = claims.Claim(ctx, "claim/a", claimFor("r3", 2)); run.Kind != contract.RunOtherBody {
+		t.Errorf("other body: %s", run.Kind)
+	}
+}
+
+// TestClaimAnswerLost guards against a claim whose answer was lost and that
+// stops its own request, or that lets a second call run.
+func TestClaimAnswerLost(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	claims := control.NewClaims(store, time.Now, quietLog())
+	ctx, cancel := within(10 * time.Second)
+	defer cancel()
+	if _, _, err := claims.Claim(ctx, "claim/warm", claimFor("r0", 1)); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(standin.Faults{LoseAnswers: 1})
+	if _, run, err := claims.Claim(ctx, "claim/a", claimFor("r1", 1)); err != nil || run.Kind != contract.RunStart {
+		t.Errorf("own claim: %s, error %v", run.Kind, err)
+	}
+	short, cancelShort := within(50 * time.Millisecond)
+	defer cancelShort()
+	if _, run, err := claims.Claim(short, "claim/a", claimFor("r2", 1)); err != nil || run.Kind != contract.RunRunning {
+		t.Errorf("second call: %s, error %v", run.Kind, err)
+	}
+}
+
+// TestRepeatWaitsForFirst guards against a repeat that gets "unknown" although
+// the first call ends before the repeat's deadline.
+func TestRepeatWaitsForFirst(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	first, second := control.NewClaims(store, time.Now, quietLog()), control.NewClaims(store, time.Now, quietLog())
+	ctx, cancel := within(10 * time.Second)
+	defer cancel()
+	held, _, err := first.Claim(ctx, "claim/a", claimFor("r1", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var repeat contract.Run
+	var group sync.WaitGroup
+	group.Go(func() { _, repeat, _ = second.Claim(ctx, "claim/a", claimFor("r2", 1)) })
+	for store.Calls().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	first.Finish(ctx, held, contract.Run{Kind: contract.RunAnswered, Body: []byte("done")})
+	group.Wait()
+	if repeat.Kind != contract.RunAnswered || string(repeat.Body) != "done" {
+		t.Errorf("repeat: %+v", repeat)
+	}
+}
+
+// TestNotRunFreesKey guards against a key that stays claimed by a request that
+// was refused.
+func TestNotRunFreesKey(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	claims := control.NewClaims(store, time.Now, quietLog())
+	ctx, cancel := within(10 * time.Second)
+	defer cancel()
+	held, _, err := claims.Claim(ctx, "claim/a", claimFor("r1", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(standin.Faults{LoseAnswers: 1})
+	claims.Finish(ctx, held, contract.Run{Kind: contract.RunNotRun})
+	if _, run, err := claims.Claim(ctx, "claim/a", claimFor("r2", 1)); err != nil || run.Kind != contract.RunStart {
+		t.Errorf("second call: %s, error %v", run.Kind, err)
+	}
+}
+
+// TestOutageRefusesClaim guards against a keyed request that runs without a
+// claim while the platform is down.
+func TestOutageRefusesClaim(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	store.SetFaults(standin.Faults{Outage: true})
+	claims := control.NewClaims(store, time.Now, quietLog())
+	ctx, cancel := within(10 * time.Second)
+	defer cancel()
+	if _, _, err := claims.Claim(ctx, "claim/a", claimFor("r1", 1)); err == nil {
+		t.Error("claimed during an outage")
+	}
+}
+
+// TestClaimsUnderFaults guards against two calls that both run, over random
+// sequences of lost answers, lost writes and outages at two entry instances.
+func TestClaimsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := standin.NewStore(time.Now)
+		nodes := []*control.Claims{control.NewClaims(store, time.Now, quietLog()), control.NewClaims(store, time.Now, quietLog())}
+		starts, ended := 0, false
+		for i := range rapid.IntRange(2, 4).Draw(t, "calls") {
+			store.SetFaults(standin.Faults{
+				Outage:      rapid.IntRange(0, 5).Draw(t, "outage") == 0,
+				LoseAnswers: rapid.IntRange(0, 2).Draw(t, "lose answers"),
+				LoseWrites:  rapid.IntRange(0, 1).Draw(t, "lose writes"),
+			})
+			node := nodes[rapid.IntRange(0, 1).Draw(t, "node")]
+			ctx, cancel := within(5 * time.Millisecond)
+			held, run, err := node.Claim(ctx, "claim/a", claimFor(string(rune('a'+i)), 1))
+			cancel()
+			if err != nil {
+				continue
+			}
+			if run.Kind == contract.RunAnswered && !ended {
+				t.Fatal("answered without an end")
+			}
+			if run.Kind != contract.RunStart {
+				continue
+			}
+			if starts++; starts > 1 {
+				t.Fatal("two calls run")
+			}
+			if rapid.Bool().Draw(t, "killed") {
+				continue
+			}
+			store.SetFaults(standin.Faults{LoseAnswers: rapid.IntRange(0, 1).Draw(t, "lose end")})
+			end, cancelEnd := within(time.Second)
+			node.Finish(end, held, contract.Run{Kind: contract.RunAnswered, Body: []byte("done")})
+			cancelEnd()
+			ended = true
+		}
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,7 +32,7 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Peer,
 	}
-	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres})
+	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres, TicketSecret: ticketSecret()})
 	endpoints := endpointclient.New(time.Now)
 	defer endpoints.Close()
 	runner := control.NewEndpointRunner(control.NewPlatformRunner(p, log, time.Now), endpoints)
@@ -45,7 +45,8 @@
 		Loop:    loop,
 		Metrics: metrics,
 		Traffic: traffic.NewHandler(traffic.Parts{
-			Control: loop, Sender: endpoints, Clock: time.Now, Random: traffic.ProcessRandom{},
+			Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
+			Forwarder: noPeers{}, Clock: time.Now, Random: traffic.ProcessRandom{},
 		}),
 		Committer: control.NewCommitter(p),
 		Dropped:   endpoints.Dropped.Counts,
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -13,6 +13,16 @@
 	CodeBadRequest     = "bad-request"
 	CodeOverloaded     = "overloaded"
 	CodeStale          = "stale-configuration"
+	// CodePlatform means that a claim needs the platform, which is not
+	// reachable.
+	CodePlatform = "platform-unavailable"
+	// CodeKeyReused means that an idempotency key belongs to another body.
+	CodeKeyReused = "idempotency-key-reused"
+	// CodeTicketRefused means that a ticket is forged or belongs to another
+	// team.
+	CodeTicketRefused = "ticket-refused"
+	// CodeFirstNotRun means that the call which this one repeats was not run.
+	CodeFirstNotRun = "first-not-run"
 )
 
 // Refusal says why work was not run.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,8 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// TicketSecret is the random key of the MACs of tickets.
+	TicketSecret []byte
 }
 
 // Fleet is the control state of one entry instance.
@@ -37,6 +39,7 @@
 	centres  map[string]*zone.DataCentre
 	config   configState
 	journal  journal
+	tickets  tickets
 	dirty    bool
 }
 
@@ -46,6 +49,7 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
+		tickets:  newTickets(o),
 		dirty:    true,
 	}
 	for name, region := range o.DataCentres {
--- /dev/null
+++ b/internal/fleet/ticket.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+)
+
+// maxTicketWaiters bounds the repeats that wait for one running ticket.
+const maxTicketWaiters = 64
+
+// tickets are the tickets of this process and the calls that wait for one.
+type tickets struct {
+	table   *contract.TicketTable
+	waiting map[uint64][]chan<- contract.Run
+}
+
+func newTickets(o Options) tickets {
+	return tickets{
+		table:   contract.NewTicketTable(o.Self.ID, o.Self.Incarnation, o.TicketSecret),
+		waiting: make(map[uint64][]chan<- contract.Run),
+	}
+}
+
+// IssueTickets asks for tickets of a team. The reply is empty when the table is
+// full. Reply must have a free buffer place.
+type IssueTickets struct {
+	Team  string
+	Count int
+	Reply chan<- []contract.Ticket
+}
+
+// Apply implements Event.
+func (e IssueTickets) Apply(f *Fleet, now time.Time) []Action {
+	e.Reply <- f.tickets.table.Issue(now, e.Team, e.Count)
+	return nil
+}
+
+// BeginTicket asks what a call with a ticket gets. Reply gets the answer at once.
+// When it is RunRunning, End gets the end of the run. Both must have a free
+// buffer place.
+type BeginTicket struct {
+	Ticket contract.Ticket
+	Team   string
+	Body   contract.BodyHash
+	Reply  chan<- contract.Run
+	End    chan<- contract.Run
+}
+
+// Apply implements Event.
+func (e BeginTicket) Apply(f *Fleet, now time.Time) []Action {
+	run := f.tickets.table.Begin(now, e.Ticket, e.Team, e.Body)
+	if run.Kind == contract.RunRunning {
+		waiting := f.tickets.waiting[e.Ticket.Sequence]
+		if len(waiting) < maxTicketWaiters {
+			f.tickets.waiting[e.Ticket.Sequence] = append(waiting, e.End)
+		} else {
+			run = contract.Run{Kind: contract.RunUnknown, Reason: "the request is running and too many repeats wait for it"}
+		}
+	}
+	e.Reply <- run
+	return nil
+}
+
+// EndTicket reports the end of a run that BeginTicket started.
+type EndTicket struct {
+	Ticket contract.Ticket
+	Run    contract.Run
+}
+
+// Apply implements Event.
+func (e EndTicket) Apply(f *Fleet, now time.Time) []Action {
+	f.tickets.table.End(now, e.Ticket.Sequence, e.Run)
+	for _, end := range f.tickets.waiting[e.Ticket.Sequence] {
+		end <- e.Run
+	}
+	delete(f.tickets.waiting, e.Ticket.Sequence)
+	return nil
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -66,6 +66,7 @@
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.endpointRoutes()...)
+	s.routes = append(s.routes, s.ticketRoutes()...)
 	s.routes = append(s.routes, s.readyRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.http = &fasthttp.Server{
--- /dev/null
+++ b/internal/front/ticket.go
@@ -0,0 +1,48 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
+)
+
+// TicketList is the JSON answer to POST /v1/tickets.
+type TicketList struct {
+	Tickets []string `json:"tickets"`
+	// LifeMS is how long the tickets can be used, in milliseconds.
+	LifeMS int64 `json:"life_ms"`
+}
+
+func (s *Server) ticketRoutes() []route {
+	return []route{{method: fasthttp.MethodPost, prefix: "/v1/tickets", handle: s.issueTickets}}
+}
+
+// issueTickets serves POST /v1/tickets?count=N. Count defaults to 1.
+func (s *Server) issueTickets(ctx *fasthttp.RequestCtx, _ string) {
+	count := 1
+	if text := string(ctx.QueryArgs().Peek("count")); text != "" {
+		var err error
+		if count, err = strconv.Atoi(text); err != nil || count < 1 || count > contract.MaxTicketsPerCall {
+			reason := fmt.Sprintf("count must be 1 to %d", contract.MaxTicketsPerCall)
+			writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
+			return
+		}
+	}
+	list, refusal := s.parts.Traffic.IssueTickets(context.Background(), string(ctx.Request.Header.Peek(HeaderKey)), count)
+	if refusal != nil {
+		writeError(ctx, statusOf[refusal.Code], Error{
+			Code: refusal.Code, Reason: refusal.Reason, RetryAfterMS: refusal.RetryAfter.Milliseconds(),
+		})
+		return
+	}
+	answer := TicketList{LifeMS: contract.TicketLife.Milliseconds()}
+	for _, t := range list {
+		answer.Tickets = append(answer.Tickets, t.String())
+	}
+	writeJSON(ctx, fasthttp.StatusOK, answer)
+}
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -21,6 +21,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderOutcome        = "Crocus-Outcome"
 	HeaderRequestID      = "Crocus-Request-Id"
+	// HeaderRepeated set to "true" means that the outcome is that of an earlier
+	// call with the same idempotency key.
+	HeaderRepeated = "Crocus-Repeated"
 )
 
 // Deadlines of requests.
@@ -98,10 +101,17 @@
 	fleet.CodeBadRequest:     fasthttp.StatusBadRequest,
 	fleet.CodeOverloaded:     fasthttp.StatusServiceUnavailable,
 	fleet.CodeStale:          fasthttp.StatusServiceUnavailable,
+	fleet.CodePlatform:       fasthttp.StatusServiceUnavailable,
+	fleet.CodeKeyReused:      fasthttp.StatusUnprocessableEntity,
+	fleet.CodeTicketRefused:  fasthttp.StatusForbidden,
+	fleet.CodeFirstNotRun:    fasthttp.StatusServiceUnavailable,
 }
 
 func writeOutcome(ctx *fasthttp.RequestCtx, o traffic.Outcome) {
 	ctx.Response.Header.Set(HeaderOutcome, string(o.Kind))
+	if o.Repeated {
+		ctx.Response.Header.Set(HeaderRepeated, "true")
+	}
 	switch o.Kind {
 	case traffic.Answered:
 		ctx.SetStatusCode(o.Status)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -30,6 +30,9 @@
 	IdempotencyKey string
 	// NonIdempotent forbids a second attempt even when the document allows it.
 	NonIdempotent bool
+	// Forwarded is true when another entry instance handed the request over
+	// because its ticket was issued here.
+	Forwarded bool
 }
 
 // OutcomeKind is what is known about a request in the end.
@@ -58,6 +61,9 @@
 	Team string
 	// Attempts is the number of attempts at endpoints.
 	Attempts int
+	// Repeated is true when the outcome is that of an earlier call with the same
+	// idempotency key.
+	Repeated bool
 }
 
 // SendResult is the end of one attempt.
@@ -106,10 +112,13 @@
 
 // Parts are what a handler works with.
 type Parts struct {
-	Control Control
-	Sender  Sender
-	Clock   func() time.Time
-	Random  Random
+	Self      link.Member
+	Control   Control
+	Sender    Sender
+	Claims    Claims
+	Forwarder Forwarder
+	Clock     func() time.Time
+	Random    Random
 }
 
 // Handler serves requests. It is safe for concurrent use.
@@ -154,6 +163,9 @@
 	if refusal := j.authenticate(h.parts.Control.Snapshot()); refusal != nil {
 		return refused(refusal)
 	}
+	if j.IdempotencyKey != "" {
+		return h.serveOnce(ctx, j)
+	}
 	return h.run(ctx, j)
 }
 
