--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
@@ -32,39 +33,65 @@
 		DataCentre:  s.DataCentre,
 		Address:     s.Peer,
 	}
-	f := fleet.New(fleet.Options{Self: self, DataCentres: s.DataCentres, TicketSecret: ticketSecret()})
+	f := fleet.New(fleet.Options{
+		Self: self, DataCentres: s.DataCentres, Seeds: seeds(s.Seeds), Horizon: s.FreshnessHorizon(),
+		LimitTerms: s.Limits.Terms(), TicketSecret: ticketSecret(),
+	})
+	node, err := peer.NewNode(peer.Options{
+		Self:  self,
+		Files: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		Log:   log,
+	})
+	if err != nil {
+		return err
+	}
+	peers := peer.NewRunner(node, log, time.Now)
 	endpoints := endpointclient.New(time.Now)
 	defer endpoints.Close()
-	runner := control.NewEndpointRunner(control.NewPlatformRunner(p, log, time.Now), endpoints)
-	loop := control.NewLoop(f, runner, time.Now)
-	metrics, err := newMetrics(loop)
+	actions := runner{platform: control.NewPlatformRunner(p, log, time.Now), peers: peers}
+	loop := control.NewLoop(f, control.NewEndpointRunner(actions, endpoints), time.Now)
+	peers.Attach(loop)
+	metrics, err := newMetrics(loop, node)
 	if err != nil {
 		return err
 	}
+	tickets := ticketPeers{peers: node, control: loop}
+	handler := traffic.NewHandler(traffic.Parts{
+		Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
+		Forwarder: tickets, Clock: time.Now, Random: traffic.ProcessRandom{},
+	})
+	tickets.serve(handler, time.Now)
 	server := front.NewServer(front.Parts{
-		Loop:    loop,
-		Metrics: metrics,
-		Traffic: traffic.NewHandler(traffic.Parts{
-			Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
-			Forwarder: noPeers{}, Clock: time.Now, Random: traffic.ProcessRandom{},
-		}),
-		Committer: control.NewCommitter(p),
-		Dropped:   endpoints.Dropped.Counts,
-		Log:       log,
-		Clock:     time.Now,
+		Loop:      loop,
+		Metrics:   metrics,
+		Traffic:   handler,
+		Committer: control.NewCheckedCommitter(p, control.CheckWith(loop)),
+		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
+			return peers.Spread(ctx, loop, plan)
+		},
+		Limits:  func(ctx context.Context) ([]control.LimitRecord, error) { return control.ReadLimits(ctx, p) },
+		Dropped: endpoints.Dropped.Counts,
+		Log:     log,
+		Clock:   time.Now,
 	})
-	return serve(ctx, loop, server, listener, plannedStop{drainDelay: s.DrainDelay(), log: log})
+	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
+		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+	}}
+	return serve(ctx, loop, node, server, listener, stop)
 }
 
-// serve runs the loop and the server until ctx ends, then stops as planned. The
-// loop ends after the server, so that running requests can release their slots.
-func serve(ctx context.Context, loop *control.Loop, server *front.Server, l net.Listener, stop plannedStop) error {
+// serve runs the loop, the peer node and the server until ctx ends, then stops as
+// planned. The loop and the node end
+// after the server, so that running requests can release their slots.
+func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, stop plannedStop) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loop.Run(loopCtx) })
+	group.Go(func() error { return node.Serve(loopCtx) })
 	group.Go(func() error { return server.Serve(l) })
 	group.Go(func() error {
+		defer func() { _ = node.Close() }()
 		defer stopLoop()
 		<-groupCtx.Done()
 		return stop.run(context.WithoutCancel(ctx), server)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 )
 
@@ -60,3 +62,19 @@
 		p.log.WithError(err).Warnf("front: %s not handed over", h.name)
 	}
 }
+
+// returnSlots gives back all slots, now that the requests that used them have
+// ended. What is not returned is free for others after the hold.
+func returnSlots(ctx context.Context, loop *control.Loop, log *logrus.Entry) error {
+	reply := make(chan fleet.Returned, 1)
+	if err := loop.Send(ctx, fleet.ReleaseAllotments{Reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case returned := <-reply:
+		log.Infof("limits: slots returned, %d kept", returned.Kept)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -22,22 +22,51 @@
 		byCentre[endpoint.DataCentre] = append(byCentre[endpoint.DataCentre], endpoint)
 	}
 	for name, centre := range f.centres {
-		centre.SetEndpoints(byCentre[name], now)
+		if centre.SetEndpoints(byCentre[name], now) {
+			f.dirty = true
+		}
 	}
-	f.shareEndpoints()
-	f.dirty = true
+	f.shareEndpoints(now)
 	return append([]Action{WatchEndpoints{After: e.Version}}, f.tickEndpoints(now)...)
 }
 
 // shareEndpoints divides the limits of each endpoint between the entry
-// instances that use it.
-func (f *Fleet) shareEndpoints() {
-	rank, count := f.entryRank()
-	for _, centre := range f.centres {
-		centre.ShareEndpoints(rank, count)
+// instances. Those of a data centre share its own endpoints, and all instances
+// share the endpoints of other data centres, which they use only when no own one
+// is left.
+func (f *Fleet) shareEndpoints(now time.Time) {
+	near, all := []string{f.self.ID}, []string{f.self.ID}
+	for _, l := range f.peers.members.Links() {
+		if l.Member.Incarnation == 0 || l.Silent(now) {
+			continue
+		}
+		all = append(all, l.Member.ID)
+		if l.Member.DataCentre == f.self.DataCentre {
+			near = append(near, l.Member.ID)
+		}
+	}
+	for name, centre := range f.centres {
+		members := all
+		if name == f.self.DataCentre {
+			members = near
+		}
+		if centre.ShareEndpoints(rank(f.self.ID, members), len(members)) {
+			f.dirty = true
+		}
 	}
 }
 
+// rank returns the number of ids below id.
+func rank(id string, ids []string) int {
+	n := 0
+	for _, other := range ids {
+		if other < id {
+			n++
+		}
+	}
+	return n
+}
+
 // EndpointEvidence is what one attempt or probe showed about an endpoint.
 type EndpointEvidence string
 
@@ -66,7 +95,7 @@
 // Apply implements Event. A report about an endpoint that moved since is
 // ignored.
 func (e EndpointReport) Apply(f *Fleet, now time.Time) []Action {
-	return f.observe(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
+	return f.judgeEndpoint(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
 		switch e.Evidence {
 		case EvidenceAnswered:
 			endpoint.Answered(now)
@@ -97,14 +126,14 @@
 
 // Apply implements Event.
 func (e EndpointProbed) Apply(f *Fleet, now time.Time) []Action {
-	return f.observe(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
+	return f.judgeEndpoint(e.DataCentre, e.ID, e.Address, now, e.Reason, func(endpoint *machine.Endpoint) {
 		endpoint.Probed(e.Answered, e.Leaving, now)
 	})
 }
 
-// observe applies evidence to an endpoint, records a change of its phase, and
+// judgeEndpoint applies evidence to an endpoint, records a change of its phase, and
 // starts the probes that follow.
-func (f *Fleet) observe(dataCentre, id, address string, now time.Time, reason string, apply func(*machine.Endpoint)) []Action {
+func (f *Fleet) judgeEndpoint(dataCentre, id, address string, now time.Time, reason string, apply func(*machine.Endpoint)) []Action {
 	centre := f.centres[dataCentre]
 	if centre == nil {
 		return nil
@@ -145,13 +174,17 @@
 			actions = append(actions, ProbeEndpoint{DataCentre: name, ID: e.ID, Address: e.Address})
 		}
 	}
+	f.endpointWake.set(f.nextProbe())
 	return actions
 }
 
-func (f *Fleet) nextEndpointWake() time.Time {
+// nextProbe returns when the next probe is due; the zero time means never.
+func (f *Fleet) nextProbe() time.Time {
 	var next time.Time
 	for _, centre := range f.centres {
-		next = earliest(next, centre.NextProbe())
+		if at := centre.NextProbe(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
 	return next
 }
@@ -165,18 +198,6 @@
 	return names
 }
 
-// earliest returns the earlier of two times; the zero time means never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// entryRank returns the rank of this entry instance among those that share the
-// endpoints, and their number.
-func (f *Fleet) entryRank() (rank, count int) { return 0, 1 }
-
 // EndpointView is one endpoint for operators.
 type EndpointView struct {
 	machine.Endpoint
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,6 +30,12 @@
 	DataCentres map[string]string
 	// TicketSecret is the random key of the MACs of tickets.
 	TicketSecret []byte
+	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
+	LimitTerms contract.LimitTerms
+	// Seeds are peers known from the settings.
+	Seeds []link.Member
+	// Horizon is the freshness horizon, 0 for DefaultHorizon.
+	Horizon time.Duration
 }
 
 // Fleet is the control state of one entry instance.
@@ -38,9 +44,18 @@
 	register *contract.Register
 	centres  map[string]*zone.DataCentre
 	config   configState
+	limits   limitState
 	journal  journal
 	tickets  tickets
-	dirty    bool
+	wakes    wakes
+	// endpointWake is due when an endpoint must be probed.
+	endpointWake *wake
+	peers        peersState
+	start        StartRule
+	cache        snapshotCache
+	dirty        bool
+	// freshDirty is set when only the freshness changed.
+	freshDirty bool
 }
 
 // New returns a fleet that knows no configuration and no machines.
@@ -52,25 +67,26 @@
 		tickets:  newTickets(o),
 		dirty:    true,
 	}
+	f.endpointWake = f.wakes.register(f.tickEndpoints)
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
+	horizon := o.Horizon
+	if horizon == 0 {
+		horizon = DefaultHorizon
+	}
+	f.start.fresh = link.NewFreshness(horizon)
+	f.peers = newPeersState(f, o.Seeds)
+	f.limits = newLimitState(f, o)
 	return f
 }
 
 // Start returns the first actions of the process.
 func (f *Fleet) Start(now time.Time) []Action {
-	return []Action{LoadConfig{}, WatchEndpoints{}}
-}
-
-// Tick runs what is due at now. The control thread calls it at NextWake.
-func (f *Fleet) Tick(now time.Time) []Action {
-	return append(f.tickConfig(now), f.tickEndpoints(now)...)
-}
-
-// NextWake returns the time of the next due Tick; the zero time means none.
-func (f *Fleet) NextWake() time.Time {
-	return earliest(f.config.wakeAt, f.nextEndpointWake())
+	f.config.busy = true
+	f.peers.probeWake.set(now)
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	return append(actions, f.tickLimits(now)...)
 }
 
 // EndpointsFailed reports that the list of endpoints could not be read.
--- a/internal/fleet/ticket.go
+++ b/internal/fleet/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/link"
 )
 
 // maxTicketWaiters bounds the repeats that wait for one running ticket.
@@ -77,3 +78,20 @@
 	delete(f.tickets.waiting, e.Ticket.Sequence)
 	return nil
 }
+
+// FindMember asks where another entry instance is. The reply has no address when
+// it is not known. Reply must have a free buffer place.
+type FindMember struct {
+	ID    string
+	Reply chan<- link.Member
+}
+
+// Apply implements Event.
+func (e FindMember) Apply(f *Fleet, now time.Time) []Action {
+	var member link.Member
+	if l := f.peers.members.Link(e.ID); l != nil {
+		member = l.Member
+	}
+	e.Reply <- member
+	return nil
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
@@ -36,6 +37,10 @@
 	Committer *control.Committer
 	// Dropped returns the counts of answers that were not delivered.
 	Dropped func() traffic.DroppedCounts
+	// Spread passes a revision on to the fleet and returns what each data
+	// centre confirmed.
+	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
+	Limits  LimitsReader
 	Metrics *telemetry.Metrics
 	Log     *logrus.Entry
 	Clock   func() time.Time
@@ -69,6 +74,7 @@
 	s.routes = append(s.routes, s.ticketRoutes()...)
 	s.routes = append(s.routes, s.readyRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
+	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
 		Handler:            s.serve,
 		MaxRequestBodySize: MaxBodySize,
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -105,6 +105,7 @@
 	fleet.CodeKeyReused:      fasthttp.StatusUnprocessableEntity,
 	fleet.CodeTicketRefused:  fasthttp.StatusForbidden,
 	fleet.CodeFirstNotRun:    fasthttp.StatusServiceUnavailable,
+	fleet.CodeCentreOut:      fasthttp.StatusServiceUnavailable,
 }
 
 func writeOutcome(ctx *fasthttp.RequestCtx, o traffic.Outcome) {
--- a/internal/proof/endpoint.go
+++ b/internal/proof/endpoint.go
@@ -14,9 +14,9 @@
 	EndpointLeft EndpointEventKind = "left"
 	// EndpointBack means that it was told that the endpoint takes work again.
 	EndpointBack EndpointEventKind = "back"
-	// CentreOut and CentreBack concern the endpoint's whole data centre.
-	CentreOut  EndpointEventKind = "centre-out"
-	CentreBack EndpointEventKind = "centre-back"
+	// EndpointCentreOut and EndpointCentreBack concern the endpoint's whole data centre.
+	EndpointCentreOut  EndpointEventKind = "centre-out"
+	EndpointCentreBack EndpointEventKind = "centre-back"
 	// EndpointSent means that the observer sent new work there.
 	EndpointSent EndpointEventKind = "sent"
 )
@@ -27,7 +27,7 @@
 	Kind EndpointEventKind
 	// Observer is the entry instance.
 	Observer string
-	// Endpoint is empty for CentreOut and CentreBack.
+	// Endpoint is empty for EndpointCentreOut and EndpointCentreBack.
 	Endpoint, DataCentre string
 }
 
@@ -69,9 +69,9 @@
 		c.close(endpoint, e.At)
 	case EndpointBack:
 		delete(c.closed, endpoint)
-	case CentreOut:
+	case EndpointCentreOut:
 		c.close(centre, e.At)
-	case CentreBack:
+	case EndpointCentreBack:
 		delete(c.closed, centre)
 	case EndpointSent:
 		c.check(e, endpoint)
--- a/internal/traffic/route.go
+++ b/internal/traffic/route.go
@@ -44,34 +44,47 @@
 }
 
 // pick reads the newest view and takes a place at one endpoint. The result has
-// no Load when all endpoints are busy.
+// no Load when all endpoints are busy. The view is read as late as this, so that
+// an endpoint or a data centre that left since gets nothing.
 func (h *Handler) pick(j *job, avoid string) (machine.Endpoint, *fleet.Refusal) {
 	if !h.parts.Clock().Before(j.Deadline) {
 		return machine.Endpoint{}, deadlinePassed()
 	}
 	view := h.parts.Control.Snapshot()
-	if refusal := j.authenticate(view); refusal != nil {
+	set := view.Endpoints(j.Service)
+	e, ok := h.pickFromSet(set, avoid)
+	if !ok {
+		if len(set.Near)+len(set.Far)+len(set.LastResort) > 0 {
+			return machine.Endpoint{}, nil
+		}
+		return machine.Endpoint{}, &fleet.Refusal{
+			Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + j.Service, RetryAfter: time.Second,
+		}
+	}
+	refusal := h.mayStart(j, view, e)
+	if refusal == nil && j.late(h.parts.Clock()) {
+		refusal = errLate
+	}
+	if refusal != nil {
+		h.giveBack(j.Service, e)
 		return machine.Endpoint{}, refusal
 	}
-	set := view.Endpoints(j.Service)
+	return e, nil
+}
+
+// pickFromSet prefers the own data centre. Suspect endpoints get a request only
+// when there is no other endpoint, not when the others are busy.
+func (h *Handler) pickFromSet(set fleet.EndpointSet, avoid string) (machine.Endpoint, bool) {
 	if e, ok := h.pickFrom(set.Near, avoid); ok {
-		return e, nil
+		return e, true
 	}
 	if e, ok := h.pickFrom(set.Far, avoid); ok {
-		return e, nil
+		return e, true
 	}
 	if len(set.Near)+len(set.Far) > 0 {
-		return machine.Endpoint{}, nil
-	}
-	if e, ok := h.pickFrom(set.LastResort, avoid); ok {
-		return e, nil
-	}
-	if len(set.LastResort) > 0 {
-		return machine.Endpoint{}, nil
-	}
-	return machine.Endpoint{}, &fleet.Refusal{
-		Code: fleet.CodeNoEndpoint, Reason: "no live endpoint for service " + j.Service, RetryAfter: time.Second,
+		return machine.Endpoint{}, false
 	}
+	return h.pickFrom(set.LastResort, avoid)
 }
 
 // pickFrom takes a place at the less loaded of two random endpoints, at any
--- a/internal/traffic/send.go
+++ b/internal/traffic/send.go
@@ -9,14 +9,23 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
+// errLate says that the slot of a request must be asked for again. It never
+// reaches a caller.
+var errLate = &fleet.Refusal{Code: fleet.CodeOverloaded, Reason: "the admission has lapsed"}
+
 // send makes attempts until one is answered or the plan forbids another.
 func (h *Handler) send(ctx context.Context, j *job) Outcome {
 	budget := h.budgets.of(j.team, h.parts.Clock())
 	budget.earn(h.parts.Clock())
-	plan := link.NewAttemptPlan(j.ID, j.document.Idempotent && !j.NonIdempotent, j.Deadline)
+	plan := link.NewAttemptPlan(j.ID, j.idempotent(), j.Deadline)
 	avoid := ""
 	for {
 		endpoint, refusal := h.reserve(j, avoid)
+		if refusal == errLate {
+			if refusal = h.readmit(ctx, j); refusal == nil {
+				continue
+			}
+		}
 		if refusal != nil {
 			return unanswered(&plan, refusal)
 		}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -145,6 +145,10 @@
 	document *contract.Document
 	team     string
 	keyHash  contract.KeyHash
+	// admitted is true while the request holds a slot, which may be used for a
+	// send until startBefore.
+	admitted    bool
+	startBefore time.Time
 }
 
 // Serve runs one request to its outcome.
@@ -177,10 +181,14 @@
 	if refusal := h.admit(ctx, j); refusal != nil {
 		return refused(refusal)
 	}
-	defer h.release(j.team, j.Service)
+	defer h.release(j)
 	return h.send(ctx, j)
 }
 
+// idempotent reports whether the request may be sent again after a byte left.
+// The document decides; the caller can only forbid it.
+func (j *job) idempotent() bool { return j.document.Idempotent && !j.NonIdempotent }
+
 // authenticate checks the request against a view and sets the document and the
 // team to charge. It is repeated for each newer view, so that a key withdrawn
 // while the request waited stops it.
@@ -214,18 +222,6 @@
 	return nil
 }
 
-func (h *Handler) admit(ctx context.Context, j *job) *fleet.Refusal {
-	reply := make(chan fleet.Admission, 1)
-	if err := h.parts.Control.SendTraffic(ctx, fleet.Admit{Team: j.team, Service: j.Service, Reply: reply}); err != nil {
-		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
-	}
-	return (<-reply).Refusal
-}
-
-func (h *Handler) release(team, service string) {
-	_ = h.parts.Control.SendTraffic(context.Background(), fleet.Release{Team: team, Service: service})
-}
-
 func refused(r *fleet.Refusal) Outcome { return Outcome{Kind: NotRun, Refusal: r} }
 
 func deadlinePassed() *fleet.Refusal {
--- a/internal/zone/datacentre.go
+++ b/internal/zone/datacentre.go
@@ -25,8 +25,10 @@
 }
 
 // SetEndpoints replaces the endpoints by the listed ones. An endpoint that
-// stays at its address keeps what was observed of it.
-func (d *DataCentre) SetEndpoints(listed []machine.Endpoint, now time.Time) {
+// stays at its address keeps what was observed of it. It reports whether
+// anything changed.
+func (d *DataCentre) SetEndpoints(listed []machine.Endpoint, now time.Time) bool {
+	changed := len(listed) != len(d.endpoints)
 	next := make(map[string]*machine.Endpoint, len(listed))
 	for _, e := range listed {
 		known, ok := d.endpoints[e.ID]
@@ -35,22 +37,30 @@
 				ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address,
 				Phase: machine.EndpointLive, Load: new(machine.Load),
 			}
+			changed = true
 		}
+		before := known.Phase
 		known.ListAs(e.Phase, now)
+		changed = changed || known.Phase != before
 		next[e.ID] = known
 	}
 	d.endpoints = next
+	return changed
 }
 
 // Endpoint returns the endpoint with the given id, nil when there is none.
 func (d *DataCentre) Endpoint(id string) *machine.Endpoint { return d.endpoints[id] }
 
 // ShareEndpoints sets the bounds of the entry instance with the given rank
-// among count.
-func (d *DataCentre) ShareEndpoints(rank, count int) {
+// among count, and reports whether any changed.
+func (d *DataCentre) ShareEndpoints(rank, count int) bool {
+	changed := false
 	for _, e := range d.endpoints {
+		before := e.Requests
 		e.Share(rank, count)
+		changed = changed || e.Requests != before
 	}
+	return changed
 }
 
 // DueProbes returns the endpoints to probe at now, ordered by id. A data centre
@@ -83,30 +93,29 @@
 	return next
 }
 
-// Candidates returns the endpoints of a service that may get new work, ordered
-// by id. A data centre that is out has none.
-func (d *DataCentre) Candidates(service string) []machine.Endpoint {
-	return d.collect(service, (*machine.Endpoint).Takes)
+// CandidatesByService returns the endpoints that may get new work for each
+// service, ordered by id. A data centre that is out has none.
+func (d *DataCentre) CandidatesByService() map[string][]machine.Endpoint {
+	return d.collect((*machine.Endpoint).Takes)
 }
 
-// LastResorts returns the suspect endpoints of a service, ordered by id. Each
-// may get one request when there is no candidate anywhere.
-func (d *DataCentre) LastResorts(service string) []machine.Endpoint {
-	return d.collect(service, (*machine.Endpoint).LastResort)
+// LastResortsByService returns the suspect endpoints for each service, ordered
+// by id. Each may get one request when there is no candidate anywhere.
+func (d *DataCentre) LastResortsByService() map[string][]machine.Endpoint {
+	return d.collect((*machine.Endpoint).LastResort)
 }
 
-func (d *DataCentre) collect(service string, accept func(*machine.Endpoint) bool) []machine.Endpoint {
+func (d *DataCentre) collect(accept func(*machine.Endpoint) bool) map[string][]machine.Endpoint {
 	if d.Out {
 		return nil
 	}
-	var list []machine.Endpoint
-	for _, e := range d.endpoints {
-		if e.Service == service && accept(e) {
-			list = append(list, *e)
+	byService := make(map[string][]machine.Endpoint)
+	for _, e := range d.Endpoints() {
+		if accept(&e) {
+			byService[e.Service] = append(byService[e.Service], e)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return byService
 }
 
 // Endpoints returns all endpoints ordered by id.
