--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -34,6 +34,8 @@
 			explainCommand(),
 			documentCommand(),
 			endpointCommand(),
+			workCommand(),
+			loadCommand(),
 			ticketCommand(),
 			teamCommand(),
 			keyCommand(),
--- /dev/null
+++ b/internal/command/work.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/traffic"
+)
+
+// workGrace is how long the command waits beyond the deadline of its request.
+const workGrace = 5 * time.Second
+
+func workCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "work",
+		Usage:     "send one request; exit code 0 when answered, 1 when not run, 3 when unknown",
+		ArgsUsage: "SERVICE",
+		Flags: append(entryFlags(), keyFlag(),
+			&cli.StringFlag{Name: "body", Usage: "`TEXT` of the request; @FILE reads a file"},
+			&cli.DurationFlag{Name: "deadline", Usage: "`TIME` that the request may take", Value: front.DefaultDeadline},
+			&cli.StringFlag{Name: "idempotency-key", Usage: "`KEY` or ticket that identifies the request across repeats"},
+			&cli.BoolFlag{Name: "non-idempotent", Usage: "forbid a second send even when the document allows it"},
+		),
+		Action: sendWork,
+	}
+}
+
+// workAnswer is the JSON output of the command.
+type workAnswer struct {
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request_id"`
+	Repeated  bool   `json:"repeated"`
+	Status    int    `json:"status"`
+	Body      string `json:"body,omitempty"`
+	Code      string `json:"code,omitempty"`
+	Reason    string `json:"reason,omitempty"`
+}
+
+func sendWork(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return cli.Exit("work needs the name of a service", ExitUsage)
+	}
+	body, err := workBody(c.String("body"))
+	if err != nil {
+		return cli.Exit(err.Error(), ExitUsage)
+	}
+	api := newClient(c)
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + api.address + "/v1/work/" + c.Args().First())
+	req.Header.Set(front.HeaderKey, c.String("key"))
+	req.Header.Set(front.HeaderDeadline, fmt.Sprint(c.Duration("deadline").Milliseconds()))
+	if key := c.String("idempotency-key"); key != "" {
+		req.Header.Set(front.HeaderIdempotencyKey, key)
+	}
+	if c.Bool("non-idempotent") {
+		req.Header.Set(front.HeaderIdempotent, "false")
+	}
+	req.SetBody(body)
+	if err := fasthttp.DoTimeout(req, resp, c.Duration("deadline")+workGrace); err != nil {
+		return cli.Exit(fmt.Sprintf("unknown: entry instance %s: %v", api.address, err), ExitUnknown)
+	}
+	return printWork(api, resp)
+}
+
+func workBody(text string) ([]byte, error) {
+	if len(text) > 0 && text[0] == '@' {
+		return os.ReadFile(text[1:])
+	}
+	return []byte(text), nil
+}
+
+func printWork(api *client, resp *fasthttp.Response) error {
+	answer := workAnswer{
+		Outcome:   string(resp.Header.Peek(front.HeaderOutcome)),
+		RequestID: string(resp.Header.Peek(front.HeaderRequestID)),
+		Repeated:  string(resp.Header.Peek(front.HeaderRepeated)) == "true",
+		Status:    resp.StatusCode(),
+	}
+	if answer.Outcome == string(traffic.Answered) {
+		answer.Body = string(resp.Body())
+	} else {
+		var e front.Error
+		_ = json.Unmarshal(resp.Body(), &e)
+		answer.Code, answer.Reason = e.Code, e.Reason
+	}
+	err := api.print(answer, [][]string{
+		{"OUTCOME", "REQUEST", "REPEATED", "STATUS", "CODE", "REASON", "BODY"},
+		{answer.Outcome, answer.RequestID, fmt.Sprint(answer.Repeated), fmt.Sprint(answer.Status), answer.Code, answer.Reason, answer.Body},
+	})
+	if err != nil {
+		return err
+	}
+	switch traffic.OutcomeKind(answer.Outcome) {
+	case traffic.Answered:
+		return nil
+	case traffic.NotRun:
+		return cli.Exit("not run: "+answer.Reason, ExitFailed)
+	default:
+		return cli.Exit("unknown: "+answer.Reason, ExitUnknown)
+	}
+}
