--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 		Metrics:   metrics,
 		Traffic:   handler,
 		Committer: control.NewCheckedCommitter(p, control.CheckWith(loop)),
+		Orders:    control.NewOrders(p, time.Now),
 		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
 			return peers.Spread(ctx, loop, plan)
 		},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,7 @@
 	limits   limitState
 	journal  journal
 	tickets  tickets
+	planner  planner
 	wakes    wakes
 	// endpointWake is due when an endpoint must be probed.
 	endpointWake *wake
@@ -77,6 +78,7 @@
 	}
 	f.start.fresh = link.NewFreshness(horizon)
 	f.peers = newPeersState(f, o.Seeds)
+	f.planner = newPlanner(f.wakes.register(f.plan))
 	f.limits = newLimitState(f, o)
 	return f
 }
@@ -85,7 +87,7 @@
 func (f *Fleet) Start(now time.Time) []Action {
 	f.config.busy = true
 	f.peers.probeWake.set(now)
-	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}}
+	actions := []Action{LoadConfig{}, WatchEndpoints{}, HoldMember{Member: f.self}, ListMembers{}, SeekPlanner{Self: f.plannerName()}}
 	return append(actions, f.tickLimits(now)...)
 }
 
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -63,7 +63,7 @@
 
 // fillConfig replaces the objects of the kinds that changed.
 func (f *Fleet) fillConfig(s *Snapshot) {
-	kinds := []contract.Kind{contract.KindTeam, contract.KindDocument, contract.KindKey, contract.KindDataCentre}
+	kinds := []contract.Kind{contract.KindTeam, contract.KindDocument, contract.KindKey, contract.KindDataCentre, contract.KindPool}
 	objects := make(map[contract.Kind][]contract.Object, len(kinds))
 	keysVersion, known := f.cache.versions[contract.KindKey]
 	keysChanged := !known || keysVersion != f.register.Version(contract.KindKey)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,6 +37,7 @@
 	Committer *control.Committer
 	// Dropped returns the counts of answers that were not delivered.
 	Dropped func() traffic.DroppedCounts
+	Orders  *control.Orders
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
 	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
@@ -73,6 +74,7 @@
 	s.routes = append(s.routes, s.endpointRoutes()...)
 	s.routes = append(s.routes, s.ticketRoutes()...)
 	s.routes = append(s.routes, s.readyRoutes()...)
+	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.routes = append(s.routes, s.limitsRoutes()...)
 	s.http = &fasthttp.Server{
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -95,4 +95,5 @@
 type Platform interface {
 	Store
 	Directory
+	Machines
 }
