--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,7 +35,9 @@
 	Loop      *control.Loop
 	Traffic   *traffic.Handler
 	Committer *control.Committer
-	Orders    *control.Orders
+	// Dropped returns the counts of answers that were not delivered.
+	Dropped func() traffic.DroppedCounts
+	Orders  *control.Orders
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
 	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
@@ -58,6 +61,8 @@
 	parts  Parts
 	routes []route
 	http   *fasthttp.Server
+	// draining is set by Drain.
+	draining atomic.Bool
 }
 
 // NewServer returns a server that is not yet listening.
@@ -66,6 +71,9 @@
 	s.routes = append(s.routes, s.workRoutes()...)
 	s.routes = append(s.routes, s.configRoutes()...)
 	s.routes = append(s.routes, s.explainRoutes()...)
+	s.routes = append(s.routes, s.endpointRoutes()...)
+	s.routes = append(s.routes, s.ticketRoutes()...)
+	s.routes = append(s.routes, s.readyRoutes()...)
 	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.routes = append(s.routes, s.limitsRoutes()...)
@@ -86,6 +94,13 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	s.route(ctx)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	method := string(ctx.Method())
 	found := false
