--- a/internal/command/tasksubmit.go
+++ b/internal/command/tasksubmit.go
@@ -19,11 +19,6 @@
 	}
 }
 
-// keyFlag is the flag of commands that act for a team.
-func keyFlag() cli.Flag {
-	return &cli.StringFlag{Name: "key", Usage: "`SECRET` of the team's key", Sources: cli.EnvVars("CROCUSJUNCTION_KEY")}
-}
-
 func taskSubmitCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "submit",
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -200,6 +200,7 @@
 		}
 	}
 	f.start.out = out
+	f.endpointWake.set(f.nextProbe())
 }
 
 func (f *Fleet) explainCentre(name string, out bool, reason string, now time.Time) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,7 +36,9 @@
 	Traffic   *traffic.Handler
 	Committer *control.Committer
 	Tasks     *control.TaskReader
-	Orders    *control.Orders
+	// Dropped returns the counts of answers that were not delivered.
+	Dropped func() traffic.DroppedCounts
+	Orders  *control.Orders
 	// Spread passes a revision on to the fleet and returns what each data
 	// centre confirmed.
 	Spread  func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation
@@ -59,6 +62,8 @@
 	parts  Parts
 	routes []route
 	http   *fasthttp.Server
+	// draining is set by Drain.
+	draining atomic.Bool
 }
 
 // NewServer returns a server that is not yet listening.
@@ -69,6 +74,9 @@
 	s.routes = append(s.routes, s.explainRoutes()...)
 	s.routes = append(s.routes, s.taskRoutes()...)
 	s.routes = append(s.routes, s.scheduleRoutes()...)
+	s.routes = append(s.routes, s.endpointRoutes()...)
+	s.routes = append(s.routes, s.ticketRoutes()...)
+	s.routes = append(s.routes, s.readyRoutes()...)
 	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.routes = append(s.routes, s.limitsRoutes()...)
@@ -89,6 +97,13 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	s.route(ctx)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	method := string(ctx.Method())
 	found := false
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"strconv"
@@ -20,6 +21,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderOutcome        = "Crocus-Outcome"
 	HeaderRequestID      = "Crocus-Request-Id"
+	// HeaderRepeated set to "true" means that the outcome is that of an earlier
+	// call with the same idempotency key.
+	HeaderRepeated = "Crocus-Repeated"
 )
 
 // Deadlines of requests.
@@ -51,7 +55,9 @@
 	}
 	ctx.Response.Header.Set(HeaderRequestID, r.ID)
 	started := s.parts.Clock()
-	outcome := s.parts.Traffic.Serve(ctx, r)
+	// The context of fasthttp ends when the server stops; a running request must
+	// be finished then, so it gets a context of its own.
+	outcome := s.parts.Traffic.Serve(context.Background(), r)
 	s.record(outcome, s.parts.Clock().Sub(started))
 	writeOutcome(ctx, outcome)
 }
@@ -95,11 +101,18 @@
 	fleet.CodeBadRequest:     fasthttp.StatusBadRequest,
 	fleet.CodeOverloaded:     fasthttp.StatusServiceUnavailable,
 	fleet.CodeStale:          fasthttp.StatusServiceUnavailable,
+	fleet.CodePlatform:       fasthttp.StatusServiceUnavailable,
+	fleet.CodeKeyReused:      fasthttp.StatusUnprocessableEntity,
+	fleet.CodeTicketRefused:  fasthttp.StatusForbidden,
+	fleet.CodeFirstNotRun:    fasthttp.StatusServiceUnavailable,
 	fleet.CodeCentreOut:      fasthttp.StatusServiceUnavailable,
 }
 
 func writeOutcome(ctx *fasthttp.RequestCtx, o traffic.Outcome) {
 	ctx.Response.Header.Set(HeaderOutcome, string(o.Kind))
+	if o.Repeated {
+		ctx.Response.Header.Set(HeaderRepeated, "true")
+	}
 	switch o.Kind {
 	case traffic.Answered:
 		ctx.SetStatusCode(o.Status)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,10 @@
 	Limits Limits `json:"limits,omitzero"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"log_level,omitempty"`
+	// DrainDelayMS is how long a stopping instance still accepts connections
+	// after it withdrew readiness, in milliseconds. It must exceed the time in
+	// which the load balancer notices. Default 2000.
+	DrainDelayMS *int64 `json:"drain_delay_ms,omitempty"`
 }
 
 // TLS names PEM files. They are read again when they change.
@@ -100,6 +104,20 @@
 	return e, e.Check()
 }
 
+// Bounds of DrainDelayMS.
+const (
+	defaultDrainDelayMS = 2000
+	maxDrainDelayMS     = 60_000
+)
+
+// DrainDelay returns the drain delay or its default.
+func (e *Entry) DrainDelay() time.Duration {
+	if e.DrainDelayMS == nil {
+		return defaultDrainDelayMS * time.Millisecond
+	}
+	return time.Duration(*e.DrainDelayMS) * time.Millisecond
+}
+
 // Check reports every setting that is outside its bounds. The error joins one
 // FieldError for each.
 func (e *Entry) Check() error {
@@ -122,6 +140,8 @@
 	horizon := e.FreshnessHorizon().Milliseconds()
 	c.check(horizon >= MinFreshnessHorizonMS && horizon <= MaxFreshnessHorizonMS, "freshness_horizon_ms", fmt.Sprint(horizon),
 		fmt.Sprintf("%d to %d ms", MinFreshnessHorizonMS, MaxFreshnessHorizonMS))
+	drain := e.DrainDelay().Milliseconds()
+	c.check(drain >= 0 && drain <= maxDrainDelayMS, "drain_delay_ms", fmt.Sprint(drain), fmt.Sprintf("0 to %d ms", maxDrainDelayMS))
 	c.check(slices.Contains([]string{"", "debug", "info", "warn", "error"}, e.LogLevel), "log_level", e.LogLevel, "debug, info, warn or error")
 	return errors.Join(c.errors...)
 }
--- a/internal/traffic/tasks.go
+++ b/internal/traffic/tasks.go
@@ -23,14 +23,14 @@
 // SubmitTasks accepts tasks. Idempotent is kept only where the document of the
 // service allows it, as for requests.
 func (h *Handler) SubmitTasks(ctx context.Context, o TaskOrder) fleet.TaskAnswer {
-	document, team, refusal := authenticate(h.loop.Snapshot(), Request{Service: o.Service, Secret: o.Secret})
-	if refusal != nil {
+	j := &job{Request: Request{Service: o.Service, Secret: o.Secret}, keyHash: HashSecret(o.Secret)}
+	if refusal := j.authenticate(h.parts.Control.Snapshot()); refusal != nil {
 		return fleet.TaskAnswer{Outcome: zone.GroupRefused, Refusal: refusal}
 	}
 	for i := range o.Tasks {
 		t := &o.Tasks[i]
-		t.Team, t.Service = team, o.Service
-		t.Idempotent = t.Idempotent && document.Idempotent
+		t.Team, t.Service = j.team, o.Service
+		t.Idempotent = t.Idempotent && j.document.Idempotent
 	}
 	reply := make(chan fleet.TaskAnswer, 1)
 	return h.askTasks(ctx, fleet.SubmitTasks{DataCentre: o.DataCentre, Tasks: o.Tasks, Reply: reply}, reply)
@@ -38,7 +38,7 @@
 
 // CancelTasks cancels tasks of the team that the key belongs to.
 func (h *Handler) CancelTasks(ctx context.Context, secret, dataCentre string, ids []string) fleet.TaskAnswer {
-	key := h.loop.Snapshot().Key(HashSecret(secret))
+	key := h.parts.Control.Snapshot().Key(HashSecret(secret))
 	if key == nil {
 		return fleet.TaskAnswer{Outcome: zone.GroupRefused, Refusal: &fleet.Refusal{Code: fleet.CodeKeyRefused, Reason: "the key is not granted or was withdrawn"}}
 	}
@@ -47,7 +47,7 @@
 }
 
 func (h *Handler) askTasks(ctx context.Context, e fleet.Event, reply <-chan fleet.TaskAnswer) fleet.TaskAnswer {
-	if err := h.loop.SendTraffic(ctx, e); err != nil {
+	if err := h.parts.Control.SendTraffic(ctx, e); err != nil {
 		return fleet.TaskAnswer{Outcome: zone.GroupRefused, Refusal: &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}}
 	}
 	select {
--- a/test/e2e/task_test.go
+++ b/test/e2e/task_test.go
@@ -60,7 +60,7 @@
 	var view struct {
 		Here bool `json:"here"`
 	}
-	return getJSON(t, url(e.address, "/v1/share"), &view) == fasthttp.StatusOK && view.Here
+	return readJSON(t, url(e.address, "/v1/share"), &view) == fasthttp.StatusOK && view.Here
 }
 
 // submit hands in n tasks of which every second one is idempotent.
@@ -94,7 +94,7 @@
 func (f *taskFleet) task(t *testing.T, e *entryProcess, id string) machine.Task {
 	t.Helper()
 	var task machine.Task
-	getJSON(t, url(e.address, "/v1/task/show/%s", id), &task)
+	readJSON(t, url(e.address, "/v1/task/show/%s", id), &task)
 	return task
 }
 
@@ -114,7 +114,7 @@
 	return counts
 }
 
-func getJSON(t *testing.T, url string, answer any) int {
+func readJSON(t *testing.T, url string, answer any) int {
 	t.Helper()
 	status, body, err := fasthttp.GetTimeout(nil, url, callTimeout)
 	if err != nil {
