Give up leases and tell peers at the end of a planned stop

Cause: a stopped entry instance kept its member record and, where it had it, the planner's lease until they lapsed, and told nobody that it left. The process also took 8 s to exit: fasthttp cannot cancel a call, so a watch of up to 10 s held the control thread's actions.

Change: after the slots, the stop sequence ends the instance's roles (event Depart), sends Leaving to all known peers and revokes its leases. Platform calls that wait return when their context ends. The end-to-end tests build the program once.

Ruled out: Leaving before the drain, since peers still forward tickets to the instance while it finishes its requests; shorter watches, which cost more platform calls.

Conclusion: roles pass on at once after a planned stop.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,13 +77,14 @@
 	})
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
 		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+		{name: "roles", run: func(ctx context.Context) error { return leave(ctx, loop, peers, p) }},
 	}}
 	return serve(ctx, loop, node, server, listener, stop)
 }
 
-// serve runs the loop, the peer node and the server until ctx ends, then stops as
-// planned. The loop and the node end
-// after the server, so that running requests can release their slots.
+// serve runs the loop, the peer node and the server until ctx ends, then stops
+// as planned. The loop and the node end after the server, so that running
+// requests can release their slots.
 func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, stop plannedStop) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -4,11 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
 )
 
 const (
@@ -78,3 +81,25 @@
 		return ctx.Err()
 	}
 }
+
+// leave tells the peers that the instance leaves and ends its platform leases,
+// so that its roles pass on at once.
+func leave(ctx context.Context, loop *control.Loop, peers *peer.Runner, p platform.Store) error {
+	reply := make(chan fleet.Departure, 1)
+	if err := loop.Send(ctx, fleet.Depart{Reply: reply}); err != nil {
+		return err
+	}
+	var departure fleet.Departure
+	select {
+	case departure = <-reply:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	peers.Leave(ctx, departure.Peers)
+	for _, id := range departure.Leases {
+		if err := p.Revoke(ctx, platform.LeaseID(id)); err != nil {
+			return errors.Wrap(err, "revoke lease")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/departure.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/link"
+)
+
+// Departure is what a stopping instance gives up after its slots.
+type Departure struct {
+	// Leases are the platform leases of the instance's roles and of its own
+	// record.
+	Leases []uint64
+	// Peers are told that the instance leaves.
+	Peers []link.Member
+}
+
+// Depart ends the roles of the instance at the end of a planned stop: it stops
+// planning and no longer renews its own record. Reply must have a free buffer
+// place.
+type Depart struct{ Reply chan<- Departure }
+
+// Apply implements Event.
+func (e Depart) Apply(f *Fleet, now time.Time) []Action {
+	f.departing = true
+	var d Departure
+	if f.peers.lease != 0 {
+		d.Leases = append(d.Leases, f.peers.lease)
+	}
+	if f.planner.held {
+		d.Leases = append(d.Leases, f.planner.lease)
+		f.planner.held = false
+		f.planner.wake.set(time.Time{})
+	}
+	for _, l := range f.peers.members.Links() {
+		d.Peers = append(d.Peers, l.Member)
+	}
+	f.peers.holdWake.set(time.Time{})
+	f.peers.probeWake.set(time.Time{})
+	e.Reply <- d
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,7 +54,9 @@
 	peers        peersState
 	start        StartRule
 	cache        snapshotCache
-	dirty        bool
+	// departing is true at the end of a planned stop. No role is taken any more.
+	departing bool
+	dirty     bool
 	// freshDirty is set when only the freshness changed.
 	freshDirty bool
 }
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -128,6 +128,9 @@
 // Apply implements Event. A new holder knows nothing: it reads the records and
 // goes on from them.
 func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
+	if f.departing {
+		return nil
+	}
 	p := newPlanner(f.planner.wake)
 	p.term, p.held, p.lease, p.until, p.loading = f.planner.term+1, true, e.Lease, e.Until, true
 	f.planner = p
@@ -146,6 +149,9 @@
 
 // Apply implements Event.
 func (e PlannerElsewhere) Apply(f *Fleet, now time.Time) []Action {
+	if f.departing {
+		return nil
+	}
 	return []Action{SeekPlanner{Self: f.plannerName(), Delay: e.Delay}}
 }
 
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -360,6 +360,9 @@
 // Apply implements Event.
 func (e MemberHeld) Apply(f *Fleet, now time.Time) []Action {
 	f.peers.lease = e.Lease
+	if f.departing {
+		return nil
+	}
 	f.peers.holdWake.set(now.Add(memberRenewal))
 	return nil
 }
--- a/internal/peer/runner.go
+++ b/internal/peer/runner.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
@@ -52,6 +53,22 @@
 	}
 }
 
+// Leave tells the given members that this instance leaves. A member that does
+// not hear of it finds the instance silent.
+func (r *Runner) Leave(ctx context.Context, members []link.Member) {
+	var group errgroup.Group
+	for _, m := range members {
+		group.Go(func() error {
+			_, err := r.node.Exchange(ctx, m.Address, KindLeaving, nil)
+			if err != nil {
+				r.log.WithError(err).Debugf("peer: %s not told of the departure", m.ID)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
 // call exchanges one typed message.
 func (r *Runner) call(ctx context.Context, to link.Member, kind Kind, message, reply any) (link.Member, error) {
 	body, err := EncodeBody(message)
--- a/internal/platform/rest/client.go
+++ b/internal/platform/rest/client.go
@@ -60,16 +60,43 @@
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "encode platform call")
 	}
+	deadline := time.Now().Add(CallTimeout + time.Duration(body.WaitMS)*time.Millisecond)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if body.WaitMS == 0 {
+		return c.send(path, payload, deadline)
+	}
+	return c.sendCancellable(ctx, path, payload, deadline)
+}
+
+// sendCancellable returns as soon as ctx ends. A watch may wait for seconds, and
+// fasthttp cannot cancel a call, so that its end is left to a goroutine.
+func (c *Client) sendCancellable(ctx context.Context, path string, payload []byte, deadline time.Time) (Answer, error) {
+	type result struct {
+		answer Answer
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		answer, err := c.send(path, payload, deadline)
+		done <- result{answer, err}
+	}()
+	select {
+	case r := <-done:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return Answer{}, errors.Wrap(platform.ErrUnknown, ctx.Err().Error())
+	}
+}
+
+func (c *Client) send(path string, payload []byte, deadline time.Time) (Answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + c.address + path)
 	req.SetBody(payload)
-	deadline := time.Now().Add(CallTimeout + time.Duration(body.WaitMS)*time.Millisecond)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
 		return Answer{}, transportError(err)
 	}
--- a/test/e2e/certificates_test.go
+++ b/test/e2e/certificates_test.go
@@ -1,10 +1,7 @@
 package e2e
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
@@ -21,18 +18,5 @@
 	return settings.TLS{CA: files.CA, Certificate: files.Certificate, Key: files.Key}
 }
 
+// certificateDir holds a certificate for each of testMembers.
 var certificateDir string
-
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "crocusjunction-e2e")
-	if err != nil {
-		panic(err)
-	}
-	certificateDir = filepath.Join(dir, "certificates")
-	if err := peer.WriteTestCertificates(certificateDir, testMembers, time.Now(), time.Hour); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 )
 
 // Timeouts of the test processes.
@@ -23,15 +25,39 @@
 	callTimeout  = 15 * time.Second
 )
 
-// build compiles the program once per test and returns its path.
-func build(t *testing.T) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "crocusjunction")
-	out, err := exec.Command("go", "build", "-o", path, "../../cmd/crocusjunction").CombinedOutput()
+// binaryPath is the program under test, built once for all tests.
+var binaryPath string
+
+// TestMain builds the program and writes the certificates before the tests run.
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "crocusjunction-e2e")
 	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		fmt.Fprintln(os.Stderr, "e2e:", err)
+		return 1
 	}
-	return path
+	defer func() { _ = os.RemoveAll(dir) }()
+	certificateDir = filepath.Join(dir, "certificates")
+	if err := peer.WriteTestCertificates(certificateDir, testMembers, time.Now(), time.Hour); err != nil {
+		fmt.Fprintln(os.Stderr, "e2e: certificates:", err)
+		return 1
+	}
+	binaryPath = filepath.Join(dir, "crocusjunction")
+	out, err := exec.Command("go", "build", "-o", binaryPath, "../../cmd/crocusjunction").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "e2e: build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// build returns the path of the program under test.
+func build(t *testing.T) string {
+	t.Helper()
+	return binaryPath
 }
 
 // freeAddress returns a loopback address whose port was free a moment ago.
