Lend idle slots during an outage and test waiting, stop and reclaim

Cause: a holder whose return of idle slots failed could no longer use or lend them until the platform was back, and an instance whose hold was over asked for no loan. A stop could wait for the pause after a raise that gained nothing.

Change: a swap that is known to have had no effect restores the slots that it was to return; idle slots are not returned while the platform fails; loans are asked for without a hold too; a return at a stop ignores the pause after a raise. The state machine also sends load while returns are in flight.

Ruled out: restoring slots after an unknown outcome, since the lowering may still take effect.

Conclusion: loans carry idle slots through an outage.

--- a/internal/contract/allotment.go
+++ b/internal/contract/allotment.go
@@ -49,6 +49,8 @@
 	former   []Holder
 	sequence uint64
 	pending  *SwapRequest
+	// unlowered is what was granted before the pending swap lowered it.
+	unlowered int
 	// uncertain is true while a failed swap may still take effect. Only a write
 	// of the record rules that out.
 	uncertain bool
@@ -194,7 +196,9 @@
 // requests that wait for a slot; stopping is true during a planned stop.
 func (a *Allotment) Plan(now time.Time, holder Holder, waiting int, held, stopping bool) *SwapRequest {
 	a.loans.expire(now)
-	if a.pending != nil || !held || now.Before(a.retryAt) {
+	// A pause after a raise that gained nothing does not delay a return.
+	pausing := now.Before(a.retryAt) && (!stopping || a.backoff == 0)
+	if a.pending != nil || !held || pausing {
 		return nil
 	}
 	switch {
@@ -241,8 +245,11 @@
 	if keep >= a.granted && len(a.former) == 0 && !a.uncertain {
 		return nil
 	}
+	before := a.granted
 	a.granted = min(a.granted, keep)
-	return a.request(now, holder, SwapLower, keep, 0)
+	request := a.request(now, holder, SwapLower, keep, 0)
+	a.unlowered = before
+	return request
 }
 
 // Review looks for idle slots to return. The fleet calls it regularly.
@@ -332,15 +339,21 @@
 	a.retryAt = now.Add(a.backoff)
 }
 
-// Failed takes the failure of the pending swap. It may still take effect: a
-// raise is not used, and a lowered entry stays lowered in use.
-func (a *Allotment) Failed(now time.Time, sequence uint64) {
-	if a.pending == nil || a.pending.Sequence != sequence {
+// Failed takes the failure of the pending swap. Unless it is known to have no
+// effect, it may take effect later: a raise is not used, and a lowered entry
+// stays lowered in use.
+func (a *Allotment) Failed(now time.Time, holder Holder, sequence uint64, noEffect bool) {
+	done := a.pending
+	if done == nil || done.Sequence != sequence {
 		return
 	}
 	a.pending = nil
-	a.uncertain = true
+	if noEffect && done.Purpose == SwapLower && done.Holder == holder {
+		a.granted = a.unlowered
+	}
+	a.uncertain = a.uncertain || !noEffect
 	a.short = true
+	a.backoff = 0
 	a.retryAt = now.Add(outagePause)
 	if a.confirm == confirmRaise {
 		// Without the platform, the holder goes on with the slots it has.
--- a/internal/contract/allotment_loan.go
+++ b/internal/contract/allotment_loan.go
@@ -32,9 +32,10 @@
 }
 
 // LoanWanted returns the number of slots to ask another holder for; 0 means
-// none. A loan is wanted when the last raise gained too little.
+// none. A loan is wanted when the last raise gained too little, or when the hold
+// is over and there can be no raise.
 func (a *Allotment) LoanWanted(now time.Time, waiting int, held bool) int {
-	if a.loans.asked != "" || a.pending != nil || !a.short || a.confirm != confirmed || a.limit.Unbounded {
+	if a.loans.asked != "" || a.pending != nil || held && !a.short || a.confirm != confirmed || a.limit.Unbounded {
 		return 0
 	}
 	missing := waiting - a.Free(now, held)
--- a/internal/contract/allotment_test.go
+++ b/internal/contract/allotment_test.go
@@ -242,7 +242,7 @@
 	}
 	lateRecord, _ := record.Apply(*late)
 	lateExpects := version
-	a.Failed(now, late.Sequence)
+	a.Failed(now, self, late.Sequence, false)
 	if a.Granted() != late.Want {
 		t.Fatalf("uses %d after a lowering to %d with unknown outcome", a.Granted(), late.Want)
 	}
@@ -261,3 +261,46 @@
 		t.Errorf("uses %d slots of an entry of %d", a.Granted(), entry)
 	}
 }
+
+// TestUseEndsBeforeReturn guards against work that starts in slots whose return
+// is on its way.
+func TestUseEndsBeforeReturn(t *testing.T) {
+	a := NewAllotment(depots, DefaultLimitTerms())
+	a.SetLimit(Limit{Slots: 8, Revision: 1})
+	var record AllotmentRecord
+	swapAll(a, &record, testTime, 8)
+	now := testTime
+	var request *SwapRequest
+	for request == nil {
+		now = now.Add(time.Second)
+		request = a.Review(now, self, 0, true)
+	}
+	if free := a.Free(now, true); free > request.Want {
+		t.Errorf("%d slots are free while the entry is lowered to %d", free, request.Want)
+	}
+	a.Failed(now, self, request.Sequence, true)
+	if free := a.Free(now, true); free != 8 {
+		t.Errorf("%d slots are free after a return that had no effect", free)
+	}
+}
+
+// TestGiverWaitsForLoanedWork guards against a giver that uses slots again while
+// the taker's work in them may still run, on a clock that is 1% slower.
+func TestGiverWaitsForLoanedWork(t *testing.T) {
+	terms := DefaultLimitTerms()
+	a := NewAllotment(depots, terms)
+	a.SetLimit(Limit{Slots: 8, Revision: 1})
+	var record AllotmentRecord
+	swapAll(a, &record, testTime, 8)
+	reply := a.Lend(testTime, "t1", "entry-2", 8, 0, testTime.Add(terms.Hold))
+	end := testTime.Add((reply.Period + terms.LongestLease) * 101 / 100)
+	for _, c := range []struct {
+		at   time.Time
+		free int
+	}{{end.Add(-time.Millisecond), 0}, {end, 8}} {
+		a.Plan(c.at, self, 0, true, false)
+		if free := a.Free(c.at, true); free != c.free {
+			t.Errorf("%d slots are free %s after the loan, want %d", free, c.at.Sub(testTime), c.free)
+		}
+	}
+}
--- /dev/null
+++ b/internal/contract/hold_test.go
@@ -0,0 +1,84 @@
+package contract
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReclaimWaits guards against a reclaim before the hold, the longest lease
+// and the clock margin are over, or across a gap in the observation.
+func TestReclaimWaits(t *testing.T) {
+	terms := DefaultLimitTerms()
+	dead := HolderRecord{Holder: self, Counter: 7}
+	due := (terms.Hold + terms.LongestLease) * 101 / 100
+	observe := func(w *HolderWatch, now time.Time) int { return len(w.See(now, now, []HolderRecord{dead})) }
+	cases := []struct {
+		name      string
+		interrupt func(w *HolderWatch, passed time.Duration)
+		want      time.Duration
+	}{
+		{"uninterrupted", func(*HolderWatch, time.Duration) {}, due},
+		{"a failed read", func(w *HolderWatch, passed time.Duration) {
+			if passed == 10*time.Minute {
+				w.Interrupted()
+			}
+		}, due + 10*time.Minute},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := NewHolderWatch(terms)
+			for passed := time.Duration(0); passed < 2*time.Hour; passed += time.Minute {
+				c.interrupt(w, passed)
+				if observe(w, testTime.Add(passed)) > 0 {
+					if passed < c.want || passed >= c.want+time.Minute {
+						t.Errorf("reclaimed after %s, want %s", passed, c.want)
+					}
+					return
+				}
+			}
+			t.Error("never reclaimed")
+		})
+	}
+	t.Run("a pause of the observer", func(t *testing.T) {
+		w := NewHolderWatch(terms)
+		observe(w, testTime)
+		if observe(w, testTime.Add(due)) > 0 {
+			t.Error("reclaimed after a pause without a look in between")
+		}
+	})
+}
+
+// TestLapsedHoldBecomesNewIncarnation guards against an instance that uses its
+// slots again after others may have reclaimed them.
+func TestLapsedHoldBecomesNewIncarnation(t *testing.T) {
+	terms := DefaultLimitTerms()
+	h := NewHold(self, "north", "", terms)
+	first, _ := h.Renew(testTime)
+	h.Renewed(testTime, testTime, first)
+	if !h.Valid(testTime.Add(terms.Hold-1)) || h.Valid(testTime.Add(terms.Hold)) {
+		t.Error("the hold does not end when it should")
+	}
+	next, due := h.Renew(testTime.Add(terms.Hold - time.Second))
+	if !due {
+		t.Fatal("no renewal is due")
+	}
+	if !h.Renewed(testTime.Add(terms.Hold), testTime.Add(terms.Hold-time.Second), next) {
+		t.Error("a renewal that was confirmed after the end of the hold prolonged it")
+	}
+	if h.Valid(testTime.Add(terms.Hold)) || h.Holder() == self || len(h.Former()) != 1 {
+		t.Errorf("holder %s, former %v", h.Holder(), h.Former())
+	}
+}
+
+// TestOldIncarnationCannotRenew guards against a replaced process that takes the
+// record of its successor.
+func TestOldIncarnationCannotRenew(t *testing.T) {
+	old := HolderRecord{Holder: Holder{"entry-1", 1}, Counter: 5}
+	current, ok := old.Replace(HolderRecord{Holder: Holder{"entry-1", 2}, Counter: 1})
+	if !ok || len(current.Former) != 1 || current.Former[0] != 1 {
+		t.Fatalf("successor %+v", current)
+	}
+	if _, ok := current.Replace(HolderRecord{Holder: Holder{"entry-1", 1}, Counter: 6}); ok {
+		t.Error("the old incarnation replaced its successor")
+	}
+}
--- a/internal/control/allotment_runner.go
+++ b/internal/control/allotment_runner.go
@@ -125,21 +125,23 @@
 
 func (r *LimitRunner) swap(ctx context.Context, a fleet.SwapAllotment) fleet.Event {
 	var result contract.AllotmentRecord
+	maybeWritten := false
 	err := r.repeat(ctx, func() error {
 		var err error
-		result, err = r.trySwap(ctx, a)
+		result, err = r.trySwap(ctx, a, &maybeWritten)
 		return err
 	})
 	if err != nil {
 		r.log.WithError(err).Warnf("limits: swap of %s failed", AllotmentKey(a.Limit))
-		return fleet.AllotmentFailed{Limit: a.Limit, Sequence: a.Request.Sequence}
+		return fleet.AllotmentFailed{Limit: a.Limit, Sequence: a.Request.Sequence, NoEffect: !maybeWritten}
 	}
 	return fleet.AllotmentSwapped{Limit: a.Limit, Sequence: a.Request.Sequence, Record: result}
 }
 
 // trySwap reads the record and, unless it carries the request already, swaps in
-// the one that the request leads to.
-func (r *LimitRunner) trySwap(ctx context.Context, a fleet.SwapAllotment) (contract.AllotmentRecord, error) {
+// the one that the request leads to. It sets maybeWritten when the write may
+// take effect later.
+func (r *LimitRunner) trySwap(ctx context.Context, a fleet.SwapAllotment, maybeWritten *bool) (contract.AllotmentRecord, error) {
 	var record contract.AllotmentRecord
 	key := AllotmentKey(a.Limit)
 	version, err := r.read(ctx, key, &record)
@@ -150,7 +152,9 @@
 	if !changed {
 		return record, nil
 	}
-	return next, r.write(ctx, key, version, next)
+	err = r.write(ctx, key, version, next)
+	*maybeWritten = *maybeWritten || err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable)
+	return next, err
 }
 
 func (r *LimitRunner) renew(ctx context.Context, record contract.HolderRecord) fleet.Event {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -38,7 +38,7 @@
 	stopping    bool
 	ending      bool
 	stopped     []chan<- Returned
-	// failingSince is when swaps began to fail during a planned stop.
+	// failingSince is when the platform began to fail; zero while it works.
 	failingSince time.Time
 	returned     bool
 }
@@ -166,7 +166,12 @@
 			continue
 		}
 		actions = append(actions, f.returnLoans(now, a, waiting, held)...)
-		if request := a.Review(now, holder, waiting, held); request != nil && !f.limits.stopping {
+		if f.limits.stopping || !f.limits.failingSince.IsZero() {
+			// Idle slots are of use for loans while the platform fails.
+			actions = append(actions, f.drive(now, a)...)
+			continue
+		}
+		if request := a.Review(now, holder, waiting, held); request != nil {
 			actions = append(actions, f.swapAction(now, a, request))
 		}
 		actions = append(actions, f.drive(now, a)...)
@@ -223,12 +228,14 @@
 type AllotmentFailed struct {
 	Limit    contract.Ref
 	Sequence uint64
+	// NoEffect is true when no write of the request can take effect any more.
+	NoEffect bool
 }
 
 // Apply implements Event.
 func (e AllotmentFailed) Apply(f *Fleet, now time.Time) []Action {
 	f.limits.failingSince = earliest(f.limits.failingSince, now)
 	a := f.allotment(e.Limit)
-	a.Failed(now, e.Sequence)
+	a.Failed(now, f.limits.hold.Holder(), e.Sequence, e.NoEffect)
 	return append(f.drive(now, a), f.finishStop(now)...)
 }
--- a/internal/fleet/limits_holder.go
+++ b/internal/fleet/limits_holder.go
@@ -54,6 +54,7 @@
 
 // Apply implements Event.
 func (e HoldRenewed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = time.Time{}
 	old := f.limits.hold.Holder()
 	if f.limits.hold.Renewed(now, e.SentAt, e.Written) {
 		f.lapse(now, old)
@@ -97,6 +98,7 @@
 
 // Apply implements Event.
 func (e HoldFailed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = earliest(f.limits.failingSince, now)
 	f.limits.hold.Failed(now)
 	f.limits.wakeBy(f.limits.hold.NextAt())
 	return f.driveAll(now)
@@ -133,6 +135,7 @@
 
 // Apply implements Event.
 func (e HoldersSeen) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = time.Time{}
 	f.limits.observing = false
 	f.limits.wakeBy(f.limits.observeAt)
 	gone := f.limits.watch.See(now, e.SentAt, e.Records)
@@ -169,6 +172,7 @@
 
 // Apply implements Event.
 func (e HoldersFailed) Apply(f *Fleet, now time.Time) []Action {
+	f.limits.failingSince = earliest(f.limits.failingSince, now)
 	f.limits.observing = false
 	f.limits.watch.Interrupted()
 	f.limits.wakeBy(f.limits.observeAt)
--- a/internal/proof/limit_machine_test.go
+++ b/internal/proof/limit_machine_test.go
@@ -80,7 +80,7 @@
 			}
 		},
 		"advance": func(t *rapid.T) {
-			w.advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond, false)
+			w.advance(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms"))*time.Millisecond, false)
 		},
 		"advanceBusy": func(t *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "s"))*time.Second, true)
@@ -88,13 +88,14 @@
 		"limit": func(t *rapid.T) {
 			w.setLimit(rapid.SampledFrom(teams).Draw(t, "team"), rapid.IntRange(0, 12).Draw(t, "limit"))
 		},
-		"bound":         func(t *rapid.T) { w.setBound(rapid.IntRange(0, 8).Draw(t, "bound")) },
-		"deliver":       func(t *rapid.T) { w.deliverHeads(w.pick(t)) },
-		"pause":         func(t *rapid.T) { w.pause(w.pick(t)) },
-		"saturate":      func(t *rapid.T) { w.saturate(rapid.SampledFrom(teams).Draw(t, "team")) },
-		"pausePastHold": w.stepPausePastHold,
-		"resume":        w.stepResume,
-		"kill":          func(t *rapid.T) { w.kill(w.pick(t)) },
+		"bound":          func(t *rapid.T) { w.setBound(rapid.IntRange(0, 8).Draw(t, "bound")) },
+		"deliver":        func(t *rapid.T) { w.deliverHeads(w.pick(t)) },
+		"pause":          func(t *rapid.T) { w.pause(w.pick(t)) },
+		"saturate":       func(t *rapid.T) { w.saturate(rapid.SampledFrom(teams).Draw(t, "team")) },
+		"returnInFlight": w.stepReturnInFlight,
+		"pausePastHold":  w.stepPausePastHold,
+		"resume":         w.stepResume,
+		"kill":           func(t *rapid.T) { w.kill(w.pick(t)) },
 		"launch": func(t *rapid.T) {
 			name := rapid.SampledFrom([]string{"entry-0", "entry-1", "entry-2"}).Draw(t, "name")
 			if p, ok := w.processes[name]; ok {
@@ -159,6 +160,15 @@
 	w.collect(p)
 }
 
+// stepReturnInFlight lets holders become idle and sends load again while their
+// swaps to return slots are not answered yet.
+func (w *world) stepReturnInFlight(t *rapid.T) {
+	team := rapid.SampledFrom(teams).Draw(t, "team")
+	w.saturate(team)
+	w.advance(time.Duration(rapid.IntRange(15, 28).Draw(t, "s"))*time.Second, false)
+	w.saturate(team)
+}
+
 // stepPausePastHold pauses a process for about as long as its hold and a lease,
 // while the others reclaim and use its slots, and lets it start work again
 // before and after it renews.
--- a/test/e2e/limit_test.go
+++ b/test/e2e/limit_test.go
@@ -77,14 +77,15 @@
 // limitFleet is two entry instances that share a team with a small limit.
 type limitFleet struct {
 	platform      string
+	terms         settings.Limits
 	endpoint      *countingEndpoint
 	first, second *entryProcess
 }
 
-func startLimitFleet(t *testing.T, limit int) *limitFleet {
+func startLimitFleet(t *testing.T, limit int, terms settings.Limits) *limitFleet {
 	t.Helper()
 	binary := build(t)
-	f := &limitFleet{platform: freeAddress(t)}
+	f := &limitFleet{platform: freeAddress(t), terms: terms}
 	start(t, binary, "standin", "platform", "--listen", f.platform)
 	waitListening(t, f.platform)
 	var address string
@@ -107,7 +108,7 @@
 	address := freeAddress(t)
 	path := writeSettings(t, settings.Entry{
 		ID: id, DataCentre: "north", HTTP: address, Peer: freeAddress(t), Platform: f.platform,
-		DataCentres: map[string]string{"north": "west"}, TLS: certificates(t, id), Limits: shortTerms,
+		DataCentres: map[string]string{"north": "west"}, TLS: certificates(t, id), Limits: f.terms,
 	})
 	p := start(t, binary, "entry", "--settings", path)
 	waitListening(t, address)
@@ -185,7 +186,7 @@
 // slots are reclaimed, and operators lower and raise the limit.
 func TestLimitHoldsWhileAnEntryInstanceIsKilled(t *testing.T) {
 	const limit, lowered, raised = 4, 2, 6
-	f := startLimitFleet(t, limit)
+	f := startLimitFleet(t, limit, shortTerms)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var once sync.Once
@@ -244,7 +245,7 @@
 // TestPlannedStopReturnsSlots guards against a planned stop that keeps slots
 // reserved for the hold.
 func TestPlannedStopReturnsSlots(t *testing.T) {
-	f := startLimitFleet(t, 4)
+	f := startLimitFleet(t, 4, shortTerms)
 	eventually(t, "the second instance holds slots", func() bool { return held(t, f.first)["entry-2"] > 0 })
 	f.second.signal(syscall.SIGTERM)
 	if err := f.second.cmd.Wait(); err != nil {
@@ -254,3 +255,47 @@
 		t.Errorf("held after the stop: %v", h)
 	}
 }
+
+// decided reports whether an entry instance took the decision on the team.
+func decided(t *testing.T, e *entryProcess, action string) bool {
+	t.Helper()
+	var answer front.Explanation
+	status, body, err := fasthttp.GetTimeout(nil, url(e.address, "/v1/explain/team/depots"), callTimeout)
+	if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
+		return false
+	}
+	for _, d := range answer.Decisions {
+		if d.Action == action {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLoanServesDuringOutage guards against idle slots of one instance that
+// another one cannot use while the platform is down, and against a loan that
+// takes the team above its limit.
+func TestLoanServesDuringOutage(t *testing.T) {
+	const limit = 6
+	f := startLimitFleet(t, limit, settings.Limits{HoldMS: 60_000, RenewMS: 500, LongestLeaseMS: 2000, LoanMS: 5000})
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	callers(t, f.first, limit, stop, &group)
+	eventually(t, "the first instance holds most slots", func() bool {
+		h := held(t, f.first)
+		return h["entry-1"]+h["entry-2"] == limit && h["entry-1"] > 1
+	})
+	postJSON(t, url(f.platform, standin.PathFaults), standin.Faults{Outage: true})
+	f.endpoint.reset()
+	more := make(chan struct{})
+	callers(t, f.second, 2*limit, more, &group)
+	close(stop)
+	eventually(t, "the second instance borrows", func() bool { return decided(t, f.second, "borrow") })
+	eventually(t, "the first instance lends", func() bool { return decided(t, f.first, "lend") })
+	eventually(t, "work flows at the second instance", func() bool { return f.endpoint.answers() >= 60 })
+	close(more)
+	group.Wait()
+	if peak := f.endpoint.reset(); peak > limit {
+		t.Errorf("%d requests ran at once with limit %d", peak, limit)
+	}
+}
