--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,10 +21,6 @@
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
 
-// shutdownTimeout bounds a planned stop. It exceeds the longest deadline of a
-// request, so that no request is cut.
-const shutdownTimeout = front.MaxDeadline + 5*time.Second
-
 // Run serves as an entry instance until ctx ends, then stops gracefully.
 func Run(ctx context.Context, s settings.Entry, p platform.Platform, log *logrus.Entry) error {
 	listener, err := net.Listen("tcp", s.HTTP)
@@ -39,7 +35,7 @@
 	}
 	f := fleet.New(fleet.Options{
 		Self: self, DataCentres: s.DataCentres, Seeds: seeds(s.Seeds), Horizon: s.FreshnessHorizon(),
-		LimitTerms: s.Limits.Terms(),
+		LimitTerms: s.Limits.Terms(), TicketSecret: ticketSecret(),
 	})
 	node, err := peer.NewNode(peer.Options{
 		Self:  self,
@@ -50,31 +46,45 @@
 		return err
 	}
 	peers := peer.NewRunner(node, log, time.Now)
-	loop := control.NewLoop(f, runner{platform: control.NewPlatformRunner(p, log, time.Now), peers: peers}, time.Now)
+	endpoints := endpointclient.New(time.Now)
+	defer endpoints.Close()
+	actions := runner{platform: control.NewPlatformRunner(p, log, time.Now), peers: peers}
+	loop := control.NewLoop(f, control.NewEndpointRunner(actions, endpoints), time.Now)
 	peers.Attach(loop)
 	metrics, err := newMetrics(loop, node)
 	if err != nil {
 		return err
 	}
+	tickets := ticketPeers{peers: node, control: loop}
+	handler := traffic.NewHandler(traffic.Parts{
+		Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
+		Forwarder: tickets, Clock: time.Now, Random: traffic.ProcessRandom{},
+	})
+	tickets.serve(handler, time.Now)
 	server := front.NewServer(front.Parts{
 		Loop:      loop,
 		Metrics:   metrics,
-		Traffic:   traffic.NewHandler(loop, endpointclient.New(), time.Now),
+		Traffic:   handler,
 		Committer: control.NewCheckedCommitter(p, control.CheckWith(loop)),
 		Orders:    control.NewOrders(p, time.Now),
 		Spread: func(ctx context.Context, plan fleet.SpreadPlan) []fleet.CentreConfirmation {
 			return peers.Spread(ctx, loop, plan)
 		},
-		Limits: func(ctx context.Context) ([]control.LimitRecord, error) { return control.ReadLimits(ctx, p) },
-		Log:    log,
-		Clock:  time.Now,
+		Limits:  func(ctx context.Context) ([]control.LimitRecord, error) { return control.ReadLimits(ctx, p) },
+		Dropped: endpoints.Dropped.Counts,
+		Log:     log,
+		Clock:   time.Now,
 	})
-	return serve(ctx, loop, node, server, listener, log)
+	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
+		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+	}}
+	return serve(ctx, loop, node, server, listener, stop)
 }
 
-// serve runs the loop, the peer node and the server. The loop and the node end
+// serve runs the loop, the peer node and the server until ctx ends, then stops as
+// planned. The loop and the node end
 // after the server, so that running requests can release their slots.
-func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, log *logrus.Entry) error {
+func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, stop plannedStop) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -85,14 +95,8 @@
 		defer func() { _ = node.Close() }()
 		defer stopLoop()
 		<-groupCtx.Done()
-		log.Info("front: stopping")
-		returned := beginReturn(loopCtx, loop)
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		err := server.Shutdown(limited)
-		awaitReturn(returned, log)
-		return err
+		return stop.run(context.WithoutCancel(ctx), server)
 	})
-	log.Infof("front: listening on %s", l.Addr())
+	stop.log.Infof("front: listening on %s", l.Addr())
 	return group.Wait()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,6 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/link"
-	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
 
@@ -29,6 +28,8 @@
 	Self link.Member
 	// DataCentres maps each data centre of the fleet to its region.
 	DataCentres map[string]string
+	// TicketSecret is the random key of the MACs of tickets.
+	TicketSecret []byte
 	// LimitTerms bind the holders of slots. Default contract.DefaultLimitTerms.
 	LimitTerms contract.LimitTerms
 	// Seeds are peers known from the settings.
@@ -45,12 +46,15 @@
 	config   configState
 	limits   limitState
 	journal  journal
+	tickets  tickets
 	planner  planner
 	wakes    wakes
-	peers    peersState
-	start    StartRule
-	cache    snapshotCache
-	dirty    bool
+	// endpointWake is due when an endpoint must be probed.
+	endpointWake *wake
+	peers        peersState
+	start        StartRule
+	cache        snapshotCache
+	dirty        bool
 	// freshDirty is set when only the freshness changed.
 	freshDirty bool
 }
@@ -61,8 +65,10 @@
 		self:     o.Self,
 		register: contract.NewRegister(),
 		centres:  make(map[string]*zone.DataCentre),
+		tickets:  newTickets(o),
 		dirty:    true,
 	}
+	f.endpointWake = f.wakes.register(f.tickEndpoints)
 	for name, region := range o.DataCentres {
 		f.centres[name] = zone.NewDataCentre(name, region)
 	}
@@ -85,26 +91,6 @@
 	return append(actions, f.tickLimits(now)...)
 }
 
-// EndpointsSeen is the platform's list of endpoints, which lags.
-type EndpointsSeen struct {
-	Endpoints []machine.Endpoint
-	// Version is the platform's version of the list.
-	Version uint64
-}
-
-// Apply implements Event.
-func (e EndpointsSeen) Apply(f *Fleet, now time.Time) []Action {
-	byCentre := make(map[string][]machine.Endpoint)
-	for _, endpoint := range e.Endpoints {
-		byCentre[endpoint.DataCentre] = append(byCentre[endpoint.DataCentre], endpoint)
-	}
-	for name, centre := range f.centres {
-		centre.SetEndpoints(byCentre[name])
-	}
-	f.dirty = true
-	return []Action{WatchEndpoints{After: e.Version}}
-}
-
 // EndpointsFailed reports that the list of endpoints could not be read.
 type EndpointsFailed struct{ After uint64 }
 
--- a/internal/zone/datacentre.go
+++ b/internal/zone/datacentre.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
@@ -24,28 +25,93 @@
 }
 
 // SetEndpoints replaces the endpoints by the listed ones. An endpoint that
-// stays keeps the phase that was observed, unless the list says that it leaves.
-func (d *DataCentre) SetEndpoints(listed []machine.Endpoint) {
+// stays at its address keeps what was observed of it. It reports whether
+// anything changed.
+func (d *DataCentre) SetEndpoints(listed []machine.Endpoint, now time.Time) bool {
+	changed := len(listed) != len(d.endpoints)
 	next := make(map[string]*machine.Endpoint, len(listed))
 	for _, e := range listed {
 		known, ok := d.endpoints[e.ID]
-		if ok && known.Address == e.Address && e.Phase == machine.EndpointLive {
-			e.Phase = known.Phase
+		if !ok || known.Address != e.Address || known.Service != e.Service {
+			known = &machine.Endpoint{
+				ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address,
+				Phase: machine.EndpointLive, Load: new(machine.Load),
+			}
+			changed = true
 		}
-		next[e.ID] = &e
+		before := known.Phase
+		known.ListAs(e.Phase, now)
+		changed = changed || known.Phase != before
+		next[e.ID] = known
 	}
 	d.endpoints = next
+	return changed
+}
+
+// Endpoint returns the endpoint with the given id, nil when there is none.
+func (d *DataCentre) Endpoint(id string) *machine.Endpoint { return d.endpoints[id] }
+
+// ShareEndpoints sets the bounds of the entry instance with the given rank
+// among count, and reports whether any changed.
+func (d *DataCentre) ShareEndpoints(rank, count int) bool {
+	changed := false
+	for _, e := range d.endpoints {
+		before := e.Requests
+		e.Share(rank, count)
+		changed = changed || e.Requests != before
+	}
+	return changed
+}
+
+// DueProbes returns the endpoints to probe at now, ordered by id. A data centre
+// that is out is not probed.
+func (d *DataCentre) DueProbes(now time.Time) []*machine.Endpoint {
+	if d.Out {
+		return nil
+	}
+	var list []*machine.Endpoint
+	for _, e := range d.endpoints {
+		if e.ProbeDue(now) {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// NextProbe returns when the next probe is due; the zero time means never.
+func (d *DataCentre) NextProbe() time.Time {
+	var next time.Time
+	if d.Out {
+		return next
+	}
+	for _, e := range d.endpoints {
+		if at := e.NextProbe(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
 }
 
 // CandidatesByService returns the endpoints that may get new work for each
 // service, ordered by id. A data centre that is out has none.
 func (d *DataCentre) CandidatesByService() map[string][]machine.Endpoint {
+	return d.collect((*machine.Endpoint).Takes)
+}
+
+// LastResortsByService returns the suspect endpoints for each service, ordered
+// by id. Each may get one request when there is no candidate anywhere.
+func (d *DataCentre) LastResortsByService() map[string][]machine.Endpoint {
+	return d.collect((*machine.Endpoint).LastResort)
+}
+
+func (d *DataCentre) collect(accept func(*machine.Endpoint) bool) map[string][]machine.Endpoint {
 	if d.Out {
 		return nil
 	}
 	byService := make(map[string][]machine.Endpoint)
 	for _, e := range d.Endpoints() {
-		if e.Takes() {
+		if accept(&e) {
 			byService[e.Service] = append(byService[e.Service], e)
 		}
 	}
