--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -87,7 +87,9 @@
 func newRequestID() string {
 	var id [16]byte
 	_, _ = rand.Read(id[:])
-	return hex.EncodeToString(id[:])
+	var text [2 * len(id)]byte
+	hex.Encode(text[:], id[:])
+	return string(text[:])
 }
 
 // statusOf maps refusal codes to HTTP statuses.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,9 @@
 	handler  http.Handler
 	meter    metric.Meter
 	requests metric.Float64Histogram
+	// labels caches the labels of requests by requestLabels. Teams and outcomes
+	// are few, and building the set costs five allocations for each request.
+	labels   sync.Map
 	refusals metric.Int64Counter
 }
 
@@ -67,13 +71,25 @@
 		team = noTeam
 	}
 	ctx := context.Background()
-	label := attribute.String("team", team)
-	m.requests.Record(ctx, d.Seconds(), metric.WithAttributes(label, attribute.String("outcome", outcome)))
+	m.requests.Record(ctx, d.Seconds(), m.labelsOf(team, outcome)...)
 	if code != "" {
-		m.refusals.Add(ctx, 1, metric.WithAttributes(label, attribute.String("code", code)))
+		m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("team", team), attribute.String("code", code)))
 	}
 }
 
+// requestLabels are the labels of one series of the request histogram.
+type requestLabels struct{ team, outcome string }
+
+func (m *Metrics) labelsOf(team, outcome string) []metric.RecordOption {
+	key := requestLabels{team: team, outcome: outcome}
+	if known, ok := m.labels.Load(key); ok {
+		return known.([]metric.RecordOption)
+	}
+	set := attribute.NewSet(attribute.String("team", team), attribute.String("outcome", outcome))
+	known, _ := m.labels.LoadOrStore(key, []metric.RecordOption{metric.WithAttributeSet(set)})
+	return known.([]metric.RecordOption)
+}
+
 // Gauge registers a value that is read at each scrape.
 func (m *Metrics) Gauge(name, unit, description string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name,
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -11,7 +11,7 @@
 // slots are on their way. When it returns nil, release must follow. The slot may
 // be used until job.startBefore.
 func (h *Handler) admit(ctx context.Context, j *job) *fleet.Refusal {
-	reply := make(chan fleet.Admission, 1)
+	reply := h.replies.Get().(chan fleet.Admission)
 	admit := fleet.Admit{
 		RequestID: j.ID, Team: j.team, Service: j.Service, NonIdempotent: j.NonIdempotent, Deadline: j.Deadline, Reply: reply,
 	}
@@ -19,6 +19,8 @@
 		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfter: time.Second}
 	}
 	admission := h.await(ctx, reply)
+	// Every admission is answered once, so that the channel is empty again.
+	h.replies.Put(reply)
 	if admission.Refusal != nil {
 		return admission.Refusal
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
@@ -127,15 +128,22 @@
 	budgets budgets
 	gates   gates
 	counts  counters
+	// replies holds channels for the answers to admissions, each empty and with
+	// one buffer place.
+	replies sync.Pool
 }
 
 // NewHandler returns a handler without running requests.
-func NewHandler(p Parts) *Handler { return &Handler{parts: p} }
+func NewHandler(p Parts) *Handler {
+	return &Handler{parts: p, replies: sync.Pool{New: func() any { return make(chan fleet.Admission, 1) }}}
+}
 
 // HashSecret returns the hash under which a key's secret is known.
 func HashSecret(secret string) contract.KeyHash {
 	sum := sha256.Sum256([]byte(secret))
-	return contract.KeyHash(hex.EncodeToString(sum[:]))
+	var text [2 * sha256.Size]byte
+	hex.Encode(text[:], sum[:])
+	return contract.KeyHash(text[:])
 }
 
 // job is a request that was authenticated.
