Keep the slot of a lost attempt and announce a planned stop

Cause: an endpoint may go on with an attempt whose answer was lost, while its slot was given back and used again, so that a team could run above its limit; a retry ran beside the lost attempt under one slot. A stopping instance told no peer.

Change: the slot of a lost attempt stays occupied until the caller's deadline (Release.Until), and a retry after it takes a slot of its own. After the last request of a planned stop the peers get Leaving, then the slots are returned. Counters of dropped answers and of platform calls for claims are served with the metrics.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,9 +55,13 @@
 	if err != nil {
 		return err
 	}
+	claims := control.NewClaims(p, time.Now, log)
+	if err := addRequestMetrics(metrics, endpoints, claims); err != nil {
+		return err
+	}
 	tickets := ticketPeers{peers: node, control: loop}
 	handler := traffic.NewHandler(traffic.Parts{
-		Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
+		Self: self, Control: loop, Sender: endpoints, Claims: claims,
 		Forwarder: tickets, Clock: time.Now, Random: traffic.ProcessRandom{},
 	})
 	tickets.serve(handler, time.Now)
@@ -76,6 +80,7 @@
 		Clock:   time.Now,
 	})
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
+		{name: "departure", run: func(ctx context.Context) error { return announceDeparture(ctx, loop, node) }},
 		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
 	}}
 	return serve(ctx, loop, node, server, listener, stop)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
 )
 
 const (
@@ -18,6 +21,10 @@
 	// handOverTimeout bounds each step of the hand-over. What a step could not
 	// give back is reclaimed by the others later.
 	handOverTimeout = 5 * time.Second
+	// departureTimeout bounds the message to one peer, departureParallel the
+	// messages at once.
+	departureTimeout  = time.Second
+	departureParallel = 16
 )
 
 // handOver is one step of a planned stop after the last request has ended, such
@@ -63,6 +70,26 @@
 	}
 }
 
+// announceDeparture tells every known peer that this instance leaves. A peer that
+// does not hear it removes the instance later, when it is silent.
+func announceDeparture(ctx context.Context, loop *control.Loop, p peers) error {
+	reply := make(chan []link.Member, 1)
+	if err := loop.Send(ctx, fleet.KnownMembers{Reply: reply}); err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(departureParallel)
+	for _, m := range <-reply {
+		group.Go(func() error {
+			limited, cancel := context.WithTimeout(groupCtx, departureTimeout)
+			defer cancel()
+			_, _ = p.Exchange(limited, m.Address, peer.KindLeaving, nil)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 // returnSlots gives back all slots, now that the requests that used them have
 // ended. What is not returned is free for others after the hold.
 func returnSlots(ctx context.Context, loop *control.Loop, log *logrus.Entry) error {
--- a/internal/fleet/ticket.go
+++ b/internal/fleet/ticket.go
@@ -95,3 +95,17 @@
 	e.Reply <- member
 	return nil
 }
+
+// KnownMembers asks for all other entry instances that are known, ordered by id.
+// Reply must have a free buffer place.
+type KnownMembers struct{ Reply chan<- []link.Member }
+
+// Apply implements Event.
+func (e KnownMembers) Apply(f *Fleet, now time.Time) []Action {
+	var list []link.Member
+	for _, l := range f.peers.members.Links() {
+		list = append(list, l.Member)
+	}
+	e.Reply <- list
+	return nil
+}
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -29,19 +29,26 @@
 }
 
 // readmit asks again for a slot whose admission may not be used any more,
-// because the request waited for an endpoint or the process was paused.
+// because the request waited for an endpoint, the process was paused, or the slot
+// is still occupied by a lost attempt.
 func (h *Handler) readmit(ctx context.Context, j *job) *fleet.Refusal {
 	h.release(j)
 	return h.admit(ctx, j)
 }
 
-// release gives back the slot, if the request holds one.
+// release gives back the slot, if the request holds one. While an endpoint may go
+// on with a lost attempt, the slot stays occupied until the caller's deadline, so
+// that a retry or another request does not run above the limit.
 func (h *Handler) release(j *job) {
 	if !j.admitted {
 		return
 	}
-	j.admitted = false
-	_ = h.parts.Control.SendTraffic(context.Background(), fleet.Release{Team: j.team, Service: j.Service})
+	release := fleet.Release{Team: j.team, Service: j.Service}
+	if j.lost {
+		release.Until = j.Deadline
+	}
+	j.admitted, j.lost = false, false
+	_ = h.parts.Control.SendTraffic(context.Background(), release)
 }
 
 // await returns the one reply of the control thread. A caller that gives up
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -157,6 +157,9 @@
 	// send until startBefore.
 	admitted    bool
 	startBefore time.Time
+	// lost is true when an endpoint may still be running an attempt under the
+	// slot.
+	lost bool
 }
 
 // Serve runs one request to its outcome.
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
@@ -274,3 +275,33 @@
 		w.check(t)
 	})
 }
+
+// TestLostAttemptKeepsItsSlot guards against more running work of a team than its
+// limit: an endpoint may go on with a lost attempt while the slot is used again.
+func TestLostAttemptKeepsItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			service string
+			faults  []fault
+			kept    []bool
+		}{
+			{deposits, nil, []bool{false}},
+			{deposits, []fault{faultLostRun}, []bool{true}},
+			{stock, []fault{faultLostRun}, []bool{true, false}},
+			{stock, []fault{faultDeclined}, []bool{false}},
+		} {
+			w := newWorld()
+			w.faults = c.faults
+			deadline := time.Now().Add(time.Second)
+			w.call(w.nodes[0], traffic.Request{ID: "c1", Service: c.service, Secret: secret, Body: []byte("w1"), Deadline: deadline}, "w1")
+			w.check(t)
+			var kept []bool
+			for _, r := range w.nodes[0].releases {
+				kept = append(kept, r.Until.Equal(deadline))
+			}
+			if diff := cmp.Diff(c.kept, kept); diff != "" {
+				t.Errorf("%s with faults %v: %s", c.service, c.faults, diff)
+			}
+		}
+	})
+}
--- a/internal/traffic/world_test.go
+++ b/internal/traffic/world_test.go
@@ -75,6 +75,7 @@
 	fleet    *fleet.Fleet
 	snapshot *fleet.Snapshot
 	crashed  bool
+	releases []fleet.Release
 	handler  *traffic.Handler
 }
 
@@ -176,6 +177,9 @@
 		e.Reply <- fleet.Admission{StartBefore: time.Now().Add(2 * time.Second)}
 		return nil
 	case fleet.Release:
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.releases = append(n.releases, e)
 		return nil
 	}
 	n.apply(e)
