--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -86,8 +86,9 @@
 	return reply, err
 }
 
-// exchangeOn reads the reply even when the write fails: a receiver that refuses
-// a message stops the stream before its end, and still says why.
+// exchangeOn writes the request and reads the reply. A peer that refuses a
+// message may stop reading it before it is written, so the reply is read in any
+// case.
 func exchangeOn(stream *quic.Stream, frame []byte) (Envelope, error) {
 	_, writeErr := stream.Write(frame)
 	if writeErr == nil {
--- a/internal/traffic/start.go
+++ b/internal/traffic/start.go
@@ -20,11 +20,17 @@
 	if refusal == nil {
 		refusal = view.MayStart(j.document, j.idempotent(), e.DataCentre, h.parts.Clock())
 	}
-	if refusal != nil {
-		// A full queue may drop the explanation, never the refusal.
-		ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
-		defer cancel()
-		_ = h.parts.Control.Send(ctx, fleet.RefusedAtStart{RequestID: j.ID, Service: j.Service, Refusal: refusal})
+	return h.explained(j, refusal)
+}
+
+// explained records a refusal for the operators and returns it.
+func (h *Handler) explained(j *job, refusal *fleet.Refusal) *fleet.Refusal {
+	if refusal == nil {
+		return nil
 	}
+	// A full queue may drop the explanation, never the refusal.
+	ctx, cancel := context.WithTimeout(context.Background(), explainTimeout)
+	defer cancel()
+	_ = h.parts.Control.Send(ctx, fleet.RefusedAtStart{RequestID: j.ID, Service: j.Service, Refusal: refusal})
 	return refusal
 }
