Finish forwarded requests in a planned stop

Cause: a planned stop waited for the HTTP server only. A request that another instance had forwarded for its ticket was cut when the peer transport closed. A request whose admission lapsed at once could also have asked again without end.

Change: forwarded requests are counted; the stop waits for them after the peers were told of the departure. A second lapse of an admission is a refusal.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,7 +59,7 @@
 	if err := addRequestMetrics(metrics, endpoints, claims); err != nil {
 		return err
 	}
-	tickets := ticketPeers{peers: node, control: loop}
+	tickets := ticketPeers{peers: node, control: loop, running: newRunning()}
 	handler := traffic.NewHandler(traffic.Parts{
 		Self: self, Control: loop, Sender: endpoints, Claims: claims,
 		Forwarder: tickets, Clock: time.Now, Random: traffic.ProcessRandom{},
@@ -80,8 +80,9 @@
 		Clock:   time.Now,
 	})
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
-		{name: "departure", run: func(ctx context.Context) error { return announceDeparture(ctx, loop, node) }},
-		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+		{name: "departure", timeout: handOverTimeout, run: func(ctx context.Context) error { return announceDeparture(ctx, loop, node) }},
+		{name: "forwarded requests", timeout: shutdownTimeout, run: tickets.running.finish},
+		{name: "slots", timeout: handOverTimeout, run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
 	}}
 	return serve(ctx, loop, node, server, listener, stop)
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -30,8 +30,9 @@
 // handOver is one step of a planned stop after the last request has ended, such
 // as returning allotments.
 type handOver struct {
-	name string
-	run  func(ctx context.Context) error
+	name    string
+	timeout time.Duration
+	run     func(ctx context.Context) error
 }
 
 // plannedStop is the order of a graceful shutdown.
@@ -63,7 +64,7 @@
 }
 
 func (p plannedStop) handOver(ctx context.Context, h handOver) {
-	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	limited, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
 	if err := h.run(limited); err != nil {
 		p.log.WithError(err).Warnf("front: %s not handed over", h.name)
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -34,6 +34,8 @@
 	Send(ctx context.Context, e fleet.Event) error
 }
 
+var errStopping = errors.New("this entry instance is stopping")
+
 // ticketRun is a request whose ticket the receiver issued.
 type ticketRun struct {
 	_              struct{} `cbor:",toarray"`
@@ -64,6 +66,8 @@
 type ticketPeers struct {
 	peers   peers
 	control members
+	// running are the requests that other instances forwarded to this one.
+	running *running
 }
 
 // Forward implements traffic.Forwarder.
@@ -117,6 +121,10 @@
 		if err := peer.DecodeBody(body, &run); err != nil {
 			return nil, err
 		}
+		if !t.running.begin() {
+			return nil, errStopping
+		}
+		defer t.running.end()
 		// The request is finished even when the forwarding instance dies, so that
 		// a repeat gets its answer.
 		outcome := h.Serve(context.Background(), traffic.Request{
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -33,7 +33,15 @@
 // is still occupied by a lost attempt.
 func (h *Handler) readmit(ctx context.Context, j *job) *fleet.Refusal {
 	h.release(j)
-	return h.admit(ctx, j)
+	if refusal := h.admit(ctx, j); refusal != nil {
+		return refusal
+	}
+	if j.late(h.parts.Clock()) {
+		// A second lapse within one step means that the process was paused again
+		// or that the hold ends now. Trying on could go round without end.
+		return &fleet.Refusal{Code: fleet.CodeNotReady, Reason: "the admission lapsed before it could be used", RetryAfter: time.Second}
+	}
+	return nil
 }
 
 // release gives back the slot, if the request holds one. While an endpoint may go
--- a/test/e2e/outcome_test.go
+++ b/test/e2e/outcome_test.go
@@ -246,6 +246,22 @@
 	}
 }
 
+// TestPlannedStopFinishesForwardedRequests guards against a planned stop of the
+// issuer of a ticket that cuts a request which another instance forwarded.
+func TestPlannedStopFinishesForwardedRequests(t *testing.T) {
+	c := startCluster(t, "4s")
+	ticket := tickets(t, c.first, 1)[0]
+	result := c.callLater(t, c.second, "deposit", ticket, 10*time.Second)
+	eventually(t, "the endpoint runs the request", func() bool { return bodies(t, c.endpointAddress)["deposit"] == 1 })
+	c.first.signal(syscall.SIGTERM)
+	if got := <-result; got.err != nil || got.r.outcome != "answered" || string(got.r.body) != "deposit" {
+		t.Errorf("outcome %q, body %q, error %v", got.r.outcome, got.r.body, got.err)
+	}
+	if err := c.first.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // TestReadiness guards against a stopping instance that the load balancer still
 // takes for ready, and one that closes its listener at once.
 func TestReadiness(t *testing.T) {
