--- a/internal/fleet/departure.go
+++ b/internal/fleet/departure.go
@@ -1,18 +1,12 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/crocusjunction/crocusjunction/internal/link"
-)
+import "time"
 
 // Departure is what a stopping instance gives up after its slots.
 type Departure struct {
 	// Leases are the platform leases of the instance's roles and of its own
 	// record.
 	Leases []uint64
-	// Peers are told that the instance leaves.
-	Peers []link.Member
 }
 
 // Depart ends the roles of the instance at the end of a planned stop: it stops
@@ -32,9 +26,6 @@
 		f.planner.held = false
 		f.planner.wake.set(time.Time{})
 	}
-	for _, l := range f.peers.members.Links() {
-		d.Peers = append(d.Peers, l.Member)
-	}
 	f.peers.holdWake.set(time.Time{})
 	f.peers.probeWake.set(time.Time{})
 	e.Reply <- d
