Measure waves against the one-by-one baseline and bound planning work

Cause: the cost of a wave was not measured, and every read of the orders started a plan.

Ruled out: a refusal per instance of an exhausted pool (1,000 per plan).

--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -236,8 +236,11 @@
 	if !f.planner.current(e.Term) {
 		return nil
 	}
-	f.planner.view.SetOrders(e.Waves, e.Moves)
-	return append(f.plan(now), WatchOrders{Term: e.Term, After: e.Version})
+	next := WatchOrders{Term: e.Term, After: e.Version}
+	if !f.planner.view.SetOrders(e.Waves, e.Moves) {
+		return []Action{next}
+	}
+	return append(f.plan(now), next)
 }
 
 // OrdersFailed reports that the orders could not be read.
--- a/internal/machine/pool.go
+++ b/internal/machine/pool.go
@@ -1,7 +1,9 @@
 package machine
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,15 +23,10 @@
 // SortByDomain orders instances by data centre, rack and id, so that a walk over
 // them finishes one failure domain before the next.
 func SortByDomain(list []Instance) {
-	sort.Slice(list, func(a, b int) bool {
-		x, y := &list[a], &list[b]
-		if x.DataCentre != y.DataCentre {
-			return x.DataCentre < y.DataCentre
-		}
-		if x.Rack != y.Rack {
-			return x.Rack < y.Rack
-		}
-		return x.ID < y.ID
+	slices.SortFunc(list, func(x, y Instance) int {
+		return cmp.Or(
+			strings.Compare(x.DataCentre, y.DataCentre), strings.Compare(x.Rack, y.Rack), strings.Compare(x.ID, y.ID),
+		)
 	})
 }
 
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -347,6 +347,9 @@
 
 func (s *Store) listMachines(after uint64) platform.MachineList {
 	list := platform.MachineList{Version: s.machines.version, Full: after == 0}
+	if after == list.Version {
+		return list
+	}
 	for _, id := range s.machineIDs() {
 		m := s.machines.machines[id]
 		if m.changed > after && !(list.Full && m.listed.Gone) {
--- a/internal/zone/disrupt.go
+++ b/internal/zone/disrupt.go
@@ -128,7 +128,7 @@
 		}
 	}
 	borrow := p.borrow(pool)
-	p.draw(pool, pool.Draws(len(lost), borrow, p.incoming(pool.Name)))
+	p.draw(pool, pool.Draws(len(lost), borrow, p.incoming[pool.Name]))
 	surplus := pool.Surplus(borrow) - p.reassigned[pool.Name]
 	for _, i := range lost[:max(0, min(surplus, len(lost)))] {
 		if i.Phase == machine.PhaseFailed && !p.touched[i.ID] {
@@ -153,17 +153,6 @@
 	}
 }
 
-// incoming counts the replacements that are on their way into a pool.
-func (p *planning) incoming(pool string) int {
-	n := 0
-	for _, i := range p.Instances {
-		if i.Goal.Kind == machine.GoalMove && i.Goal.Pool == pool && i.Goal.Lent && i.Phase != machine.PhaseFilling {
-			n++
-		}
-	}
-	return n
-}
-
 // draw moves up to count instances out of the spare pool.
 func (p *planning) draw(pool *machine.Pool, count int) {
 	goal := machine.Goal{Kind: machine.GoalMove, Pool: pool.Name, Lent: true}
@@ -186,17 +175,15 @@
 // heldFirst returns the instances with those first that are charged already, so
 // that a new planner goes on with the choice of the one before.
 func (p *planning) heldFirst(list []machine.Instance) []machine.Instance {
-	sorted := slices.Clone(list)
-	slices.SortStableFunc(sorted, func(a, b machine.Instance) int {
-		switch x, y := p.charged(&a), p.charged(&b); {
-		case x && !y:
-			return -1
-		case y && !x:
-			return 1
+	var held, rest []machine.Instance
+	for _, i := range list {
+		if p.charged(&i) {
+			held = append(held, i)
+			continue
 		}
-		return 0
-	})
-	return sorted
+		rest = append(rest, i)
+	}
+	return append(held, rest...)
 }
 
 // borrow returns how many additional members a wave needs in the pool, because
@@ -259,17 +246,31 @@
 			}
 		}
 	}
+	// A pool whose budget forbids one stop forbids the rest too.
+	full := make(map[string]bool)
 	for _, i := range p.heldFirst(w.Order(owed, open)) {
 		if w.OneByOne && out > 0 {
 			return
 		}
-		if !p.roomIn(i.Pool) {
+		if full[i.Pool] && !p.charged(&i) || !p.roomIn(i.Pool) {
 			continue
 		}
 		if p.stop(i, machine.Goal{Kind: machine.GoalReboot, Wave: w.Name}, "wave "+w.Name) {
 			out++
+			continue
+		}
+		full[i.Pool] = p.exhausted(i.Pool)
+	}
+}
+
+// exhausted reports whether a budget of the pool has no headroom left.
+func (p *planning) exhausted(pool string) bool {
+	for _, b := range p.budgets[pool] {
+		if b.Headroom() < 1 {
+			return true
 		}
 	}
+	return false
 }
 
 // roomIn bounds the part of a pool without a service that may be out.
--- a/internal/zone/outcome.go
+++ b/internal/zone/outcome.go
@@ -60,22 +60,27 @@
 	}
 }
 
-// SetOrders replaces the operators' orders. An order that the view has at a
-// higher revision stays, since the orders may have been read before the last
-// step.
-func (m *Maintenance) SetOrders(waves []machine.Wave, moves []machine.MoveOrder) {
-	known := maps.Clone(m.Waves)
+// SetOrders replaces the operators' orders and reports whether any is new,
+// changed or gone. An order that the view has at a higher revision stays, since
+// the orders may have been read before the last step.
+func (m *Maintenance) SetOrders(waves []machine.Wave, moves []machine.MoveOrder) bool {
+	changed := len(waves) != len(m.Waves) || len(moves) != len(m.Moves)
+	knownWaves, knownMoves := maps.Clone(m.Waves), maps.Clone(m.Moves)
 	clear(m.Waves)
 	for _, w := range waves {
-		if old, ok := known[w.Name]; ok && old.Revision > w.Revision {
+		old := knownWaves[w.Name]
+		if old.Revision > w.Revision {
 			w = old
 		}
+		changed = changed || old.Revision != w.Revision
 		m.Waves[w.Name] = w
 	}
 	clear(m.Moves)
 	for _, o := range moves {
+		changed = changed || knownMoves[o.Instance].Revision != o.Revision
 		m.Moves[o.Instance] = o
 	}
+	return changed
 }
 
 // GivenUp returns the failed instances that repair no longer tries to bring
--- a/internal/zone/planning.go
+++ b/internal/zone/planning.go
@@ -31,7 +31,9 @@
 	rackDown, centreDown, centreSize map[string]int
 	repairs                          int
 	// joining holds the instances that are about to join each pool.
-	joining     map[string][]machine.Instance
+	joining map[string][]machine.Instance
+	// incoming counts the replacements that are on their way into each pool.
+	incoming    map[string]int
 	rackRepairs map[string]int
 	// reassigned counts the members that leave each pool in this plan.
 	reassigned map[string]int
@@ -46,7 +48,7 @@
 		members: make(map[string][]machine.Instance), budgets: make(map[string][]*contract.Budget),
 		touched: make(map[string]bool), kept: make(map[string]bool),
 		rackDown: make(map[string]int), centreDown: make(map[string]int), centreSize: make(map[string]int),
-		rackRepairs: make(map[string]int), reassigned: make(map[string]int), joining: make(map[string][]machine.Instance),
+		rackRepairs: make(map[string]int), reassigned: make(map[string]int), incoming: make(map[string]int), joining: make(map[string][]machine.Instance),
 	}
 	p.index()
 	if p.hold(); p.blind() {
@@ -89,6 +91,9 @@
 		if i.Phase == machine.PhaseMoving {
 			p.joining[i.Goal.Pool] = append(p.joining[i.Goal.Pool], i)
 		}
+		if i.Goal.Kind == machine.GoalMove && i.Goal.Lent && i.Phase != machine.PhaseFilling {
+			p.incoming[i.Goal.Pool]++
+		}
 		p.centreSize[i.DataCentre]++
 		o := p.Observed[id]
 		if i.Phase == machine.PhaseFailed || i.Phase == machine.PhaseServing && !o.Up() {
--- a/test/maintenance/sim_test.go
+++ b/test/maintenance/sim_test.go
@@ -50,9 +50,13 @@
 	// moves, drains and reboots count what was done to instances.
 	moves, drains, reboots int
 	// joined holds "instance pool" for every pool that an instance moved to.
-	joined  map[string]bool
-	checked bool
-	err     error
+	joined map[string]bool
+	// outSince holds since when each machine is out of service; outTime is the
+	// sum of the finished times.
+	outSince map[string]time.Time
+	outTime  time.Duration
+	checked  bool
+	err      error
 }
 
 func newWorld(tick time.Duration) *world {
@@ -60,7 +64,8 @@
 		now: epoch, tick: tick, objects: make(map[contract.Ref]contract.Object), checked: true,
 		budgets: proof.NewBudgets(blind), pools: proof.NewPools(),
 		versions: make(map[string]platform.Version), instances: make(map[string]machine.Instance),
-		joined: make(map[string]bool),
+		outSince: make(map[string]time.Time),
+		joined:   make(map[string]bool),
 	}
 	clock := func() time.Time { return w.now }
 	w.store = standin.NewStore(clock)
@@ -407,6 +412,14 @@
 		switch e.Kind {
 		case "drain":
 			w.drains++
+			w.leave(e.Machine, e.At)
+		case "down":
+			w.leave(e.Machine, e.At)
+		case "serving", "up":
+			if since, ok := w.outSince[e.Machine]; ok {
+				w.outTime += e.At.Sub(since)
+				delete(w.outSince, e.Machine)
+			}
 		case "reboot":
 			w.reboots++
 		}
@@ -416,6 +429,12 @@
 	}
 }
 
+func (w *world) leave(id string, at time.Time) {
+	if _, ok := w.outSince[id]; !ok {
+		w.outSince[id] = at
+	}
+}
+
 func (w *world) check(e proof.MaintenanceEvent) {
 	if !w.checked || w.err != nil {
 		return
@@ -442,7 +461,12 @@
 			}
 		}
 	}
-	// Members are spread over the data centres; the last ones are spares.
+	w.fleetFrom(list, pools, spares, minimum)
+}
+
+// fleetFrom adds the machines. Members are spread over racks and data centres;
+// the last machines are spares.
+func (w *world) fleetFrom(list []platform.Machine, pools []string, spares, minimum int) {
 	order := slices.Clone(list)
 	slices.SortFunc(order, func(a, b platform.Machine) int {
 		return strings.Compare(a.Rack+a.DataCentre+a.ID, b.Rack+b.DataCentre+b.ID)
