--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -17,8 +17,10 @@
 	Loaded    bool
 	keys      map[contract.KeyHash]*contract.Key
 	endpoints map[string]EndpointSet
-	objects   map[contract.Kind][]contract.Object
-	start     StartRule
+	// withheld maps services with endpoints in a data centre that is out to it.
+	withheld map[string]string
+	objects  map[contract.Kind][]contract.Object
+	start    StartRule
 }
 
 // EndpointSet holds the endpoints of one service that may get new work.
@@ -27,6 +29,8 @@
 	Near []machine.Endpoint
 	// Far are those of other data centres.
 	Far []machine.Endpoint
+	// LastResort are suspect ones, for when Near and Far are empty.
+	LastResort []machine.Endpoint
 }
 
 // snapshotCache holds the parts of the last snapshot that change seldom.
@@ -83,7 +87,13 @@
 // fillEndpoints groups the endpoints that may get new work by service.
 func (f *Fleet) fillEndpoints(s *Snapshot) {
 	s.endpoints = make(map[string]EndpointSet)
+	s.withheld = make(map[string]string)
 	for name, centre := range f.centres {
+		if centre.Out {
+			for _, e := range centre.Endpoints() {
+				s.withheld[e.Service] = name
+			}
+		}
 		for service, list := range centre.CandidatesByService() {
 			set := s.endpoints[service]
 			if name == f.self.DataCentre {
@@ -93,6 +103,11 @@
 			}
 			s.endpoints[service] = set
 		}
+		for service, list := range centre.LastResortsByService() {
+			set := s.endpoints[service]
+			set.LastResort = append(set.LastResort, list...)
+			s.endpoints[service] = set
+		}
 	}
 }
 
@@ -123,5 +138,15 @@
 // Endpoints returns the endpoints of a service that may get new work.
 func (s *Snapshot) Endpoints(service string) EndpointSet { return s.endpoints[service] }
 
+// NoEndpoint returns the refusal of work that no endpoint may get.
+func (s *Snapshot) NoEndpoint(d *contract.Document, now time.Time) *Refusal {
+	if centre, ok := s.withheld[d.Service]; ok {
+		if r := s.MayStart(d, d.Idempotent, centre, now); r != nil {
+			return r
+		}
+	}
+	return &Refusal{Code: CodeNoEndpoint, Reason: "no live endpoint for service " + d.Service, RetryAfter: staleRetry}
+}
+
 // Objects returns the configuration objects of one kind, ordered by name.
 func (s *Snapshot) Objects(kind contract.Kind) []contract.Object { return s.objects[kind] }
