--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -65,7 +65,9 @@
 	case fleet.RunSteps:
 		return r.runSteps(ctx, a), true
 	case fleet.PutStatus:
-		_ = r.putStatus(ctx, a.Status)
+		if r.putStatus(ctx, a.Status) != nil {
+			return fleet.StatusFailed{Term: a.Term}, true
+		}
 		return nil, true
 	default:
 		return nil, false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	})
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
 		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+		{name: "planner", run: func(ctx context.Context) error { return leavePlanner(ctx, loop, p) }},
 	}}
 	return serve(ctx, loop, node, server, listener, stop)
 }
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -32,8 +32,10 @@
 	view *zone.Maintenance
 	// term counts the times that this process took the lease. Results of actions
 	// from an earlier term are dropped.
-	term  uint64
-	held  bool
+	term uint64
+	held bool
+	// left is true once the process is stopping; it takes the lease no more.
+	left  bool
 	lease uint64
 	// until is when the lease ends, by this process's clock and counted from
 	// when the last renewal was sent.
@@ -114,8 +116,11 @@
 
 func (RunSteps) isAction() {}
 
-// PutStatus writes the planner's status. It has no result.
-type PutStatus struct{ Status PlannerStatus }
+// PutStatus writes the planner's status. A failure is reported as StatusFailed.
+type PutStatus struct {
+	Term   uint64
+	Status PlannerStatus
+}
 
 func (PutStatus) isAction() {}
 
@@ -128,6 +133,9 @@
 // Apply implements Event. A new holder knows nothing: it reads the records and
 // goes on from them.
 func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
+	if f.planner.left {
+		return nil
+	}
 	p := newPlanner(f.planner.wake)
 	p.term, p.held, p.lease, p.until, p.loading = f.planner.term+1, true, e.Lease, e.Until, true
 	f.planner = p
@@ -146,6 +154,9 @@
 
 // Apply implements Event.
 func (e PlannerElsewhere) Apply(f *Fleet, now time.Time) []Action {
+	if f.planner.left {
+		return nil
+	}
 	return []Action{SeekPlanner{Self: f.plannerName(), Delay: e.Delay}}
 }
 
@@ -185,6 +196,23 @@
 	return []Action{SeekPlanner{Self: f.plannerName()}}
 }
 
+// LeavePlanner stops planning in this process for good and replies with the
+// lease to revoke, 0 when it holds none. Reply must have a free buffer place.
+type LeavePlanner struct{ Reply chan<- uint64 }
+
+// Apply implements Event. Steps under way go on; the next planner continues from
+// the records.
+func (e LeavePlanner) Apply(f *Fleet, now time.Time) []Action {
+	lease := uint64(0)
+	if f.planner.held {
+		lease = f.planner.lease
+	}
+	f.planner.held, f.planner.left = false, true
+	f.planner.wake.set(time.Time{})
+	e.Reply <- lease
+	return nil
+}
+
 // plannerName identifies this incarnation of the process as holder.
 func (f *Fleet) plannerName() string { return f.self.ID }
 
@@ -395,7 +423,19 @@
 		}
 		f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "hold", Reason: reason})
 	}
-	return []Action{PutStatus{Status: status}}
+	return []Action{PutStatus{Term: f.planner.term, Status: status}}
+}
+
+// StatusFailed reports that the status could not be written.
+type StatusFailed struct{ Term uint64 }
+
+// Apply implements Event. The next plan writes the status again.
+func (e StatusFailed) Apply(f *Fleet, now time.Time) []Action {
+	if f.planner.current(e.Term) {
+		f.planner.status = PlannerStatus{}
+		f.planner.wake.setEarlier(now.Add(RetryDelay))
+	}
+	return nil
 }
 
 func equalNames(a, b []string) bool {
--- a/test/maintenance/failure_test.go
+++ b/test/maintenance/failure_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/standin"
 )
 
@@ -197,3 +199,22 @@
 		t.Errorf("status %+v, error %v", status, err)
 	}
 }
+
+// TestPlannedStopGivesThePlannerUp guards against a stopping process that goes on
+// planning or takes the lease again.
+func TestPlannedStopGivesThePlannerUp(t *testing.T) {
+	t.Parallel()
+	w, p1, _ := tinyWorld(t)
+	w.wave(t, "w1", []string{"bookings"}, false)
+	w.advance(20 * time.Second)
+	reply := make(chan uint64, 1)
+	p1.add(fleet.LeavePlanner{Reply: reply}.Apply(p1.fleet, w.now), false)
+	if err := w.store.Revoke(t.Context(), platform.LeaseID(<-reply)); err != nil {
+		t.Fatal(err)
+	}
+	w.mustRest(t, 2*time.Hour)
+	status, err := w.orders.Status(t.Context())
+	if err != nil || status.Holder != "p2" {
+		t.Errorf("status %+v, error %v", status, err)
+	}
+}
--- a/test/maintenance/sim_test.go
+++ b/test/maintenance/sim_test.go
@@ -51,6 +51,8 @@
 	moves, drains, reboots int
 	// joined holds "instance pool" for every pool that an instance moved to.
 	joined map[string]bool
+	// bytes counts the keys and values of records that processes read or wrote.
+	bytes int64
 	// outSince holds since when each machine is out of service; outTime is the
 	// sum of the finished times.
 	outSince map[string]time.Time
@@ -341,6 +343,7 @@
 
 func (t *tap) Swap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
 	var version platform.Version
+	t.p.w.bytes += int64(len(key) + len(value))
 	err := t.around(func() (err error) {
 		version, err = t.Store.Swap(ctx, key, expect, value, lease)
 		t.p.w.wrote(key)
