Prove that a joining instance is charged before its pool is swapped

Ruled out: relying on the order inside a batch (the other steps go on when the write of a charge fails).

Conclusion: both mechanisms are tested.

--- a/internal/control/maintenance_test.go
+++ b/internal/control/maintenance_test.go
@@ -10,6 +10,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/standin"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
@@ -58,3 +59,30 @@
 		t.Errorf("%s with %d writes", o.Result, store.Calls().Writes)
 	}
 }
+
+// TestCommandIsNotSentForAChangedRecord guards against a command that follows
+// from a state of the instance that is over.
+func TestCommandIsNotSentForAChangedRecord(t *testing.T) {
+	now := time.Unix(0, 0)
+	store := standin.NewStore(func() time.Time { return now })
+	store.AddMachines([]platform.Machine{{ID: "i", State: "serving", Healthy: true}})
+	r := control.NewMaintenanceRunner(store, func() time.Time { return now })
+	version, err := store.Swap(context.Background(), control.InstancePrefix+"i", 0, []byte("{}"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := machine.Command{Kind: machine.CommandDrain, Instance: "i", Operation: 2}
+	for _, c := range []struct {
+		revision  uint64
+		result    zone.StepResult
+		operation uint64
+	}{
+		{uint64(version) + 1, zone.StepConflict, 0},
+		{uint64(version), zone.StepDone, 2},
+	} {
+		o := r.RunStep(context.Background(), zone.Step{Kind: zone.StepCommand, Subject: "i", Revision: c.revision, Command: &command}, now.Add(time.Second))
+		if taken := store.Truth()[0].Operation; o.Result != c.result || taken != c.operation {
+			t.Errorf("revision %d: %s, operation %d taken", c.revision, o.Result, taken)
+		}
+	}
+}
--- a/internal/proof/budget.go
+++ b/internal/proof/budget.go
@@ -52,6 +52,7 @@
 //   - A planned charge leaves at least the minimum of members available.
 //   - A charge is released only when the instance is gone, in another pool, or
 //     serving and seen healthy.
+//   - A moved instance is charged by every service of its new pool when it joins.
 //   - At a planned drain the minimum of members besides the drained one is in
 //     service in truth, except for failures younger than Blind.
 type Budgets struct {
@@ -80,7 +81,9 @@
 func (c *Budgets) Add(e MaintenanceEvent) error {
 	switch {
 	case e.Instance != nil:
+		old := c.instances[e.Instance.ID]
 		c.instances[e.Instance.ID] = *e.Instance
+		return c.joined(e.At, old, *e.Instance)
 	case e.Deleted != "":
 		delete(c.instances, e.Deleted)
 	case e.Budget != nil:
@@ -91,6 +94,18 @@
 	return nil
 }
 
+func (c *Budgets) joined(at time.Time, old, next machine.Instance) error {
+	if old.Phase != machine.PhaseMoving || next.Phase != machine.PhaseFilling {
+		return nil
+	}
+	for service, b := range c.budgets {
+		if _, charged := b.Charges[next.ID]; b.Pool == next.Pool && !charged {
+			return violation("I1", at, "%s joins %s without a charge of %s", next.ID, next.Pool, service)
+		}
+	}
+	return nil
+}
+
 func violation(invariant string, at time.Time, format string, args ...any) error {
 	return &Violation{Invariant: invariant, At: at, What: fmt.Sprintf(format, args...)}
 }
--- a/internal/proof/maintenance_test.go
+++ b/internal/proof/maintenance_test.go
@@ -85,6 +85,10 @@
 		"early release":       {[]proof.MaintenanceEvent{wroteBudget(true, "a"), draining, wroteBudget(true)}, "I1"},
 		"release unchanged":   {[]proof.MaintenanceEvent{wroteBudget(true, "a"), wroteBudget(true)}, "I1"},
 		"release while down":  {[]proof.MaintenanceEvent{wroteBudget(true, "a"), draining, machineEffect("drain", "a", "", 2, false), back, late}, "I1"},
+		"joins uncharged": {[]proof.MaintenanceEvent{
+			wroteInstance("c", "other", machine.PhaseMoving, 3, machine.Goal{Kind: machine.GoalMove, Pool: "main"}),
+			wroteInstance("c", "main", machine.PhaseFilling, 4, machine.Goal{Kind: machine.GoalMove, Pool: "main"}),
+		}, "I1"},
 		"last in truth": {[]proof.MaintenanceEvent{
 			{At: maintenanceStart.Add(-time.Hour), Effect: &proof.MachineEffect{Machine: "b", Kind: "down"}},
 			wroteBudget(true, "a"), draining, machineEffect("drain", "a", "", 2, false),
--- a/internal/zone/plan_test.go
+++ b/internal/zone/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +100,29 @@
 	}
 }
 
+// TestPoolIsSwappedAfterTheNewBudgetsCount guards against an instance that counts
+// as available in its new pool before it is healthy there, when the write of a
+// charge fails.
+func TestPoolIsSwappedAfterTheNewBudgetsCount(t *testing.T) {
+	m := servingView(8, 1)
+	m.Waves = map[string]machine.Wave{}
+	joining := machine.Instance{
+		ID: "x", Pool: "spare", Phase: machine.PhaseMoving, Epoch: 3, Goal: machine.Goal{Kind: machine.GoalMove, Pool: "main"}, Revision: 1,
+	}
+	m.Instances["x"] = joining
+	m.Observed["x"] = machine.Observed{ID: "x", Pool: "spare", State: machine.MachineDrained, Healthy: true, Operation: 2}
+	for _, lost := range []string{"b", ""} {
+		p := m.Plan(planStart)
+		if text := kinds(p); strings.Contains(text, string(StepSwap)) {
+			t.Fatalf("swapped with %d charges: %s", charges(m), text)
+		}
+		carryOut(m, p, lost)
+	}
+	if p := m.Plan(planStart); kinds(p) != "swap-pool " {
+		t.Errorf("steps: %s", kinds(p))
+	}
+}
+
 // TestWaveFinishesOneRackBeforeTheNext guards against a wave that spreads over
 // all racks at once.
 func TestWaveFinishesOneRackBeforeTheNext(t *testing.T) {
