--- a/internal/zone/policy_test.go
+++ b/internal/zone/policy_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/proof"
 )
 
 // The loop in this file measures policies only: workers, tasks and time in
@@ -74,13 +75,16 @@
 	// load multiplies the demand of every team.
 	load   float64
 	policy policy
+	// checker watches urgent work of small teams and what gives way.
+	checker proof.ShareChecker
 }
 
 func newLoop(seed uint64, load float64, p policy) *loop {
 	l := &loop{
 		now: time.Unix(0, 0), begin: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 1)), load: load, policy: p,
 		centre: NewDataCentre("north", "west"), tasks: make(map[*machine.Task]*loopTask),
-		bad: map[string]bool{"w03": true, "w11": true}, shortfall: make(map[string]float64),
+		checker: proof.ShareChecker{Urgent: urgentTarget, Patience: time.Minute},
+		bad:     map[string]bool{"w03": true, "w11": true}, shortfall: make(map[string]float64),
 		teams: []loopTeam{
 			{"large-a", 4, 150, true}, {"large-b", 4, 120, true},
 			{"small-a", 1, 16, false}, {"small-b", 1, 16, false}, {"small-c", 1, 16, false}, {"small-d", 1, 16, false},
@@ -157,6 +161,9 @@
 	lt := &loopTask{task: t, size: size, remaining: runs, impossible: impossible}
 	l.tasks[t] = lt
 	l.order = append(l.order, lt)
+	if urgent && !team.large {
+		l.checker.Take(proof.ShareEvent{At: l.now, Kind: proof.UrgentQueued, Team: team.name, Task: t.ID, Within: true})
+	}
 	l.centre.Workers.Backlog().Add(t)
 }
 
@@ -249,13 +256,17 @@
 		t.worker, t.started = s.Worker, l.now
 		if t.firstStart.IsZero() && !l.bad[s.Worker] {
 			t.firstStart = l.now
+			l.checker.Take(proof.ShareEvent{At: l.now, Kind: proof.UrgentStarted, Team: s.Task.Team, Task: s.Task.ID})
 		}
 	case Checkpoint:
+		l.preempted(s.Preemption)
 		l.tasks[s.Task].endsAt = l.now.Add(loopSavingTime)
 		set.Worker(s.Worker).Placement(s.Task.ID).Ending = true
 	case Throttle:
+		l.preempted(s.Preemption)
 		set.Throttle(s.Worker, s.Task.ID, s.MilliCores)
 	case Stop:
+		l.preempted(s.Preemption)
 		t := l.tasks[s.Task]
 		l.lost += l.now.Sub(t.started)
 		set.Free(s.Task.ID, s.Worker)
@@ -271,6 +282,17 @@
 	}
 }
 
+// preempted passes a task that gives way on to the checker.
+func (l *loop) preempted(p Preemption) {
+	for _, t := range l.order {
+		if t.task.ID == p.For {
+			l.checker.Take(proof.ShareEvent{
+				At: l.now, Kind: proof.WorkPreempted, Team: p.Task.Team, Task: p.Task.ID, For: t.task.Team, Use: p.Use, Fair: p.Fair,
+			})
+		}
+	}
+}
+
 // sample adds up how far each team is below its share of the true use.
 func (l *loop) sample() {
 	var demands []contract.Demand
@@ -436,6 +458,10 @@
 		l := newLoop(seed, load, p)
 		l.run()
 		results[p.name()] = l.result()
+		violations := l.checker.Finish(l.now)
+		if p.name() == "plan" && len(violations) > 0 {
+			t.Errorf("%d violations, the first one: %v", len(violations), violations[0])
+		}
 		t.Logf("%s: %v; refused %d, run time lost by stops %v", p.name(), results[p.name()], l.refused, l.lost)
 	}
 	plan, baseline := results["plan"], results["first come"]
