--- a/test/e2e/task_test.go
+++ b/test/e2e/task_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os/exec"
+	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -180,3 +182,38 @@
 	postJSON(t, url(f.platform, standin.PathWorkerFaults), standin.WorkerFaults{LoseStartAnswers: 8, LoseStarts: 4})
 	f.checkDone(t, f.second, f.submit(t, f.second, 40))
 }
+
+// TestOperatorsSeeTasksAndShares guards the operators' view: an impossible task
+// is refused with the reason, a batch is cancelled, and the commands follow to
+// the scheduler from another entry instance.
+func TestOperatorsSeeTasksAndShares(t *testing.T) {
+	f := startTaskFleet(t, 60_000)
+	ids := f.submit(t, f.second, 6)
+	eventually(t, "the tasks run", func() bool { return f.task(t, f.second, ids[5]).Phase == machine.TaskRunning })
+	binary := build(t)
+	run := func(args ...string) string {
+		out, err := exec.Command(binary, append(args, "--entry", f.second.address)...).CombinedOutput()
+		if err != nil {
+			return "error: " + string(out)
+		}
+		return string(out)
+	}
+	// A fresh instance learns the holder of the role within a second.
+	eventually(t, "share show", func() bool {
+		out := run("share", "show")
+		return strings.Contains(out, "depots") && strings.Contains(out, "DISTANCE")
+	})
+	if out := run("worker", "list"); !strings.Contains(out, "w3") {
+		t.Errorf("worker list: %s", out)
+	}
+	eventually(t, "an impossible task is refused", func() bool {
+		out := run("task", "submit", "records", "--accelerators", "9", "--key", secret)
+		return strings.Contains(out, "impossible: needs 1000 millicores, 512 MB and 9 accelerators")
+	})
+	if out := run(append([]string{"task", "cancel", "--key", secret}, ids...)...); strings.Contains(out, "error") {
+		t.Errorf("task cancel: %s", out)
+	}
+	for _, id := range ids {
+		eventually(t, "task "+id+" is cancelled", func() bool { return f.task(t, f.first, id).Phase == machine.TaskCancelled })
+	}
+}
