--- a/internal/control/queue_bench_test.go
+++ b/internal/control/queue_bench_test.go
@@ -16,7 +16,8 @@
 )
 
 // BenchmarkAdoptQueue reads the queue that a vanished scheduler and instance
-// leave: one read of the roster, one list of segments, and the seal.
+// leave: one read of the roster and one list of segments. The seal, one write
+// 10 minutes later, is not included.
 func BenchmarkAdoptQueue(b *testing.B) {
 	for _, tasks := range []int{400, 2000, 10_000} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
