--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -26,8 +26,9 @@
 	return nil
 }
 
-// readmit asks again for a slot whose admission may not be used any more,
-// because the request waited for an endpoint or the process was paused.
+// readmit asks again for a slot: the admission may not be used any more, because
+// the request waited for an endpoint or the process was paused, or the slot is
+// occupied by an attempt that was lost.
 func (h *Handler) readmit(ctx context.Context, j *job) *fleet.Refusal {
 	h.release(j)
 	return h.admit(ctx, j)
@@ -38,8 +39,12 @@
 	if !j.admitted {
 		return
 	}
-	j.admitted = false
-	_ = h.parts.Control.SendTraffic(context.Background(), fleet.Release{Team: j.team, Service: j.Service})
+	release := fleet.Release{Team: j.team, Service: j.Service}
+	if j.lost {
+		release.Until = j.Deadline
+	}
+	j.admitted, j.lost = false, false
+	_ = h.parts.Control.SendTraffic(context.Background(), release)
 }
 
 // await returns the one reply of the control thread. A caller that gives up
--- a/internal/traffic/send.go
+++ b/internal/traffic/send.go
@@ -37,9 +37,16 @@
 			return Outcome{Kind: Answered, Status: result.Status, Body: result.Body, Attempts: plan.Attempts()}
 		}
 		avoid = endpoint.ID
+		j.lost = result.End == link.AttemptLost
 		if !h.mayRetry(&plan, budget, j.Deadline) {
 			return unanswered(&plan, failed(result.Err))
 		}
+		if !j.lost {
+			continue
+		}
+		if refusal := h.readmit(ctx, j); refusal != nil {
+			return unanswered(&plan, refusal)
+		}
 	}
 }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -149,6 +149,9 @@
 	// send until startBefore.
 	admitted    bool
 	startBefore time.Time
+	// lost is true when an attempt in the slot was lost: an endpoint may go on
+	// with it until the deadline.
+	lost bool
 }
 
 // Serve runs one request to its outcome.
--- a/internal/traffic/world_test.go
+++ b/internal/traffic/world_test.go
@@ -58,6 +58,8 @@
 	endpoints []proof.EndpointEvent
 	head      contract.Head
 	calls     int
+	// releases are the slots given back so far.
+	releases []fleet.Release
 	// background are probes that run beside the calls.
 	background sync.WaitGroup
 	// running counts requests by observer and endpoint; busiest is the highest.
@@ -176,6 +178,9 @@
 		e.Reply <- fleet.Admission{StartBefore: time.Now().Add(2 * time.Second)}
 		return nil
 	case fleet.Release:
+		n.w.mu.Lock()
+		defer n.w.mu.Unlock()
+		n.w.releases = append(n.w.releases, e)
 		return nil
 	}
 	n.apply(e)
--- a/test/e2e/limit_test.go
+++ b/test/e2e/limit_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -76,6 +78,7 @@
 
 // limitFleet is two entry instances that share a team with a small limit.
 type limitFleet struct {
+	binary        string
 	platform      string
 	terms         settings.Limits
 	endpoint      *countingEndpoint
@@ -85,7 +88,7 @@
 func startLimitFleet(t *testing.T, limit int, terms settings.Limits) *limitFleet {
 	t.Helper()
 	binary := build(t)
-	f := &limitFleet{platform: freeAddress(t), terms: terms}
+	f := &limitFleet{binary: binary, platform: freeAddress(t), terms: terms}
 	start(t, binary, "standin", "platform", "--listen", f.platform)
 	waitListening(t, f.platform)
 	var address string
@@ -243,10 +246,17 @@
 }
 
 // TestPlannedStopReturnsSlots guards against a planned stop that keeps slots
-// reserved for the hold.
+// reserved for the hold, and against a command that does not show who holds
+// them.
 func TestPlannedStopReturnsSlots(t *testing.T) {
 	f := startLimitFleet(t, 4, shortTerms)
 	eventually(t, "the second instance holds slots", func() bool { return held(t, f.first)["entry-2"] > 0 })
+	out, err := exec.Command(f.binary, "limit", "show", "--entry", f.first.address, "depots").CombinedOutput()
+	for _, part := range []string{"team/depots", "settled", "entry-2/", "valid until"} {
+		if err != nil || !strings.Contains(string(out), part) {
+			t.Errorf("limit show: error %v, no %q in:\n%s", err, part, out)
+		}
+	}
 	f.second.signal(syscall.SIGTERM)
 	if err := f.second.cmd.Wait(); err != nil {
 		t.Errorf("exit: %v", err)
