--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,9 +55,13 @@
 	if err != nil {
 		return err
 	}
-	tickets := ticketPeers{peers: node, control: loop}
+	claims := control.NewClaims(p, time.Now, log)
+	if err := addRequestMetrics(metrics, endpoints, claims); err != nil {
+		return err
+	}
+	tickets := ticketPeers{peers: node, control: loop, running: newRunning()}
 	handler := traffic.NewHandler(traffic.Parts{
-		Self: self, Control: loop, Sender: endpoints, Claims: control.NewClaims(p, time.Now, log),
+		Self: self, Control: loop, Sender: endpoints, Claims: claims,
 		Forwarder: tickets, Clock: time.Now, Random: traffic.ProcessRandom{},
 	})
 	tickets.serve(handler, time.Now)
@@ -76,14 +80,17 @@
 		Clock:   time.Now,
 	})
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, handOvers: []handOver{
-		{name: "slots", run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+		{name: "departure", timeout: handOverTimeout, run: func(ctx context.Context) error { return announceDeparture(ctx, loop, node) }},
+		{name: "forwarded requests", timeout: shutdownTimeout, run: tickets.running.finish},
+		{name: "slots", timeout: handOverTimeout, run: func(ctx context.Context) error { return returnSlots(ctx, loop, log) }},
+		{name: "roles", timeout: handOverTimeout, run: func(ctx context.Context) error { return endRoles(ctx, loop, p) }},
 	}}
 	return serve(ctx, loop, node, server, listener, stop)
 }
 
-// serve runs the loop, the peer node and the server until ctx ends, then stops as
-// planned. The loop and the node end
-// after the server, so that running requests can release their slots.
+// serve runs the loop, the peer node and the server until ctx ends, then stops
+// as planned. The loop and the node end after the server, so that running
+// requests can release their slots.
 func serve(ctx context.Context, loop *control.Loop, node *peer.Node, server *front.Server, l net.Listener, stop plannedStop) error {
 	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoop()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -4,11 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
+	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/peer"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
 )
 
 const (
@@ -18,13 +23,18 @@
 	// handOverTimeout bounds each step of the hand-over. What a step could not
 	// give back is reclaimed by the others later.
 	handOverTimeout = 5 * time.Second
+	// departureTimeout bounds the message to one peer, departureParallel the
+	// messages at once.
+	departureTimeout  = time.Second
+	departureParallel = 16
 )
 
 // handOver is one step of a planned stop after the last request has ended, such
 // as returning allotments.
 type handOver struct {
-	name string
-	run  func(ctx context.Context) error
+	name    string
+	timeout time.Duration
+	run     func(ctx context.Context) error
 }
 
 // plannedStop is the order of a graceful shutdown.
@@ -56,13 +66,33 @@
 }
 
 func (p plannedStop) handOver(ctx context.Context, h handOver) {
-	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	limited, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
 	if err := h.run(limited); err != nil {
 		p.log.WithError(err).Warnf("front: %s not handed over", h.name)
 	}
 }
 
+// announceDeparture tells every known peer that this instance leaves. A peer that
+// does not hear it removes the instance later, when it is silent.
+func announceDeparture(ctx context.Context, loop *control.Loop, p peers) error {
+	reply := make(chan []link.Member, 1)
+	if err := loop.Send(ctx, fleet.KnownMembers{Reply: reply}); err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(departureParallel)
+	for _, m := range <-reply {
+		group.Go(func() error {
+			limited, cancel := context.WithTimeout(groupCtx, departureTimeout)
+			defer cancel()
+			_, _ = p.Exchange(limited, m.Address, peer.KindLeaving, nil)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 // returnSlots gives back all slots, now that the requests that used them have
 // ended. What is not returned is free for others after the hold.
 func returnSlots(ctx context.Context, loop *control.Loop, log *logrus.Entry) error {
@@ -78,3 +108,27 @@
 		return ctx.Err()
 	}
 }
+
+// endRoles ends the platform leases of the instance, so that its roles pass on
+// at once and its own record disappears.
+func endRoles(ctx context.Context, loop *control.Loop, p platform.Store) error {
+	reply := make(chan fleet.Departure, 1)
+	if err := loop.Send(ctx, fleet.Depart{Reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case departure := <-reply:
+		return revoke(ctx, p, departure.Leases)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func revoke(ctx context.Context, p platform.Store, leases []uint64) error {
+	for _, id := range leases {
+		if err := p.Revoke(ctx, platform.LeaseID(id)); err != nil {
+			return errors.Wrapf(err, "revoke lease %d", id)
+		}
+	}
+	return nil
+}
--- a/internal/traffic/route.go
+++ b/internal/traffic/route.go
@@ -57,7 +57,11 @@
 		if len(set.Near)+len(set.Far)+len(set.LastResort) > 0 {
 			return machine.Endpoint{}, nil
 		}
-		return machine.Endpoint{}, h.explained(j, view.NoEndpoint(j.document, h.parts.Clock()))
+		refusal := j.authenticate(view)
+		if refusal == nil {
+			refusal = view.NoEndpoint(j.document, h.parts.Clock())
+		}
+		return machine.Endpoint{}, h.explained(j, refusal)
 	}
 	refusal := h.mayStart(j, view, e)
 	if refusal == nil && j.late(h.parts.Clock()) {
--- a/internal/traffic/send.go
+++ b/internal/traffic/send.go
@@ -41,11 +41,10 @@
 		if !h.mayRetry(&plan, budget, j.Deadline) {
 			return unanswered(&plan, failed(result.Err))
 		}
-		if !j.lost {
-			continue
-		}
-		if refusal := h.readmit(ctx, j); refusal != nil {
-			return unanswered(&plan, refusal)
+		if j.lost {
+			if refusal = h.readmit(ctx, j); refusal != nil {
+				return unanswered(&plan, refusal)
+			}
 		}
 	}
 }
