Count slots of ended loans as free before waiting requests are served

Change: loans that are over are forgotten first. In the state machine a process that resumes now learns of the configuration before its traffic goroutines release their slots.

Ruled out: counting loans by their end in each sum, which makes every admission walk the loans.

--- a/internal/contract/allotment_loan.go
+++ b/internal/contract/allotment_loan.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// Expire forgets loans that are over, so that their slots count as free.
+func (a *Allotment) Expire(now time.Time) { a.loans.expire(now) }
+
 // Lend answers a loan request of another holder. Waiting is the number of own
 // requests that wait, holdUntil the end of the giver's hold.
 func (a *Allotment) Lend(now time.Time, id, taker string, slots, waiting int, holdUntil time.Time) LoanReply {
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -190,6 +190,7 @@
 // forward after any change.
 func (f *Fleet) drive(now time.Time, a *contract.Allotment) []Action {
 	actions := f.refreshLimits(now)
+	a.Expire(now)
 	f.serveWaiting(now, a)
 	actions = append(actions, f.planSwap(now, a)...)
 	actions = append(actions, f.planLoan(now, a)...)
--- a/internal/proof/limit_machine_test.go
+++ b/internal/proof/limit_machine_test.go
@@ -180,8 +180,8 @@
 	w.advance(time.Duration(rapid.IntRange(25, 70).Draw(t, "s"))*time.Second, true)
 	w.saturate(team)
 	p.paused = false
-	w.resumeWorks(p)
 	w.deliverHeads(p)
+	w.resumeWorks(p)
 	w.saturateAt(p, team)
 	if rapid.Bool().Draw(t, "renew") {
 		w.keep(p, p.fleet.Tick(p.now(w)))
@@ -199,8 +199,8 @@
 			continue
 		}
 		p.paused = false
-		w.resumeWorks(p)
 		w.deliverHeads(p)
+		w.resumeWorks(p)
 		w.collect(p)
 		return
 	}
