--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -8,29 +8,73 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/front"
 )
 
-// returnTimeout bounds the wait for the last swaps of a planned stop, after the
-// running requests have finished. What is not returned by then is free for
-// others after the hold.
-const returnTimeout = 5 * time.Second
+const (
+	// shutdownTimeout bounds the wait for running requests. It exceeds the
+	// longest deadline of a request, so that no request is cut.
+	shutdownTimeout = front.MaxDeadline + 5*time.Second
+	// handOverTimeout bounds each step of the hand-over. What a step could not
+	// give back is reclaimed by the others later.
+	handOverTimeout = 5 * time.Second
+)
 
-// beginReturn starts the return of all slots. The answer comes when running
-// requests have finished.
-func beginReturn(ctx context.Context, loop *control.Loop) <-chan fleet.Returned {
-	reply := make(chan fleet.Returned, 1)
-	_ = loop.Send(ctx, fleet.ReleaseAllotments{Reply: reply})
-	return reply
+// handOver is one step of a planned stop after the last request has ended, such
+// as returning allotments.
+type handOver struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// plannedStop is the order of a graceful shutdown.
+type plannedStop struct {
+	drainDelay time.Duration
+	handOvers  []handOver
+	log        *logrus.Entry
 }
 
-// awaitReturn waits until all slots are returned.
-func awaitReturn(reply <-chan fleet.Returned, log *logrus.Entry) {
-	timer := time.NewTimer(returnTimeout)
-	defer timer.Stop()
+// run withdraws readiness, serves on until the load balancer has noticed, waits
+// for running requests and hands over what the instance holds. Leases of
+// claimed idempotency keys are left to lapse: revoking them would delete the
+// claims and let a repeat run a second time.
+func (p plannedStop) run(ctx context.Context, server *front.Server) error {
+	p.log.Infof("front: readiness withdrawn, accepting for another %v", p.drainDelay)
+	server.Drain()
+	time.Sleep(p.drainDelay)
+	p.log.Info("front: listener closed, finishing running requests")
+	limited, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(limited); err != nil {
+		return err
+	}
+	for _, h := range p.handOvers {
+		p.handOver(ctx, h)
+	}
+	p.log.Info("front: stopped")
+	return nil
+}
+
+func (p plannedStop) handOver(ctx context.Context, h handOver) {
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := h.run(limited); err != nil {
+		p.log.WithError(err).Warnf("front: %s not handed over", h.name)
+	}
+}
+
+// returnSlots gives back all slots, now that the requests that used them have
+// ended. What is not returned is free for others after the hold.
+func returnSlots(ctx context.Context, loop *control.Loop, log *logrus.Entry) error {
+	reply := make(chan fleet.Returned, 1)
+	if err := loop.Send(ctx, fleet.ReleaseAllotments{Reply: reply}); err != nil {
+		return err
+	}
 	select {
 	case returned := <-reply:
 		log.Infof("limits: slots returned, %d kept", returned.Kept)
-	case <-timer.C:
-		log.Warn("limits: slots were not returned in time, others get them after the hold")
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -29,6 +29,8 @@
 	Near []machine.Endpoint
 	// Far are those of other data centres.
 	Far []machine.Endpoint
+	// LastResort are suspect ones, for when Near and Far are empty.
+	LastResort []machine.Endpoint
 }
 
 // snapshotCache holds the parts of the last snapshot that change seldom.
@@ -103,6 +105,11 @@
 			}
 			s.endpoints[service] = set
 		}
+		for service, list := range centre.LastResortsByService() {
+			set := s.endpoints[service]
+			set.LastResort = append(set.LastResort, list...)
+			s.endpoints[service] = set
+		}
 	}
 }
 
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -162,8 +162,11 @@
 	b.Handle(KindProbe, echo)
 	serveNode(t, b)
 	relay := newSilencer(t, b.Address())
-	if _, err := a.Exchange(t.Context(), relay.address(), KindProbe, nil); err != nil {
-		t.Fatal(err)
+	// The second answer shows that the handshake is over on both sides.
+	for range 2 {
+		if _, err := a.Exchange(t.Context(), relay.address(), KindProbe, nil); err != nil {
+			t.Fatal(err)
+		}
 	}
 	relay.silenceKnown()
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
@@ -184,7 +187,7 @@
 	server      net.Addr
 	client      atomic.Pointer[net.Addr]
 	mute        atomic.Bool
-	short       atomic.Bool
+	dead        atomic.Bool
 }
 
 func newSilencer(t *testing.T, server string) *silencer {
@@ -211,15 +214,8 @@
 // silenceKnown drops short-header packets until a new handshake starts.
 func (s *silencer) silenceKnown() { s.mute.Store(true) }
 
-// awaitShortHeader waits until a handshake through the silencer is over.
-func (s *silencer) awaitShortHeader(t *testing.T) {
-	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !s.short.Load(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("no handshake")
-		}
-	}
-}
+// silenceAll drops all packets from now on.
+func (s *silencer) silenceAll() { s.dead.Store(true) }
 
 // longHeader is set in the first byte of handshake packets.
 const longHeader = 0x80
@@ -234,10 +230,8 @@
 		s.client.Store(&from)
 		if buffer[0]&longHeader != 0 {
 			s.mute.Store(false)
-		} else {
-			s.short.Store(true)
 		}
-		if !s.mute.Load() {
+		if !s.mute.Load() && !s.dead.Load() {
 			_, _ = s.back.WriteTo(buffer[:n], s.server)
 		}
 	}
@@ -250,7 +244,7 @@
 		if err != nil {
 			return
 		}
-		if client := s.client.Load(); client != nil && !s.mute.Load() {
+		if client := s.client.Load(); client != nil && !s.mute.Load() && !s.dead.Load() {
 			_, _ = s.front.WriteTo(buffer[:n], *client)
 		}
 	}
@@ -345,8 +339,9 @@
 func TestLongExchangeNoticesASilentConnection(t *testing.T) {
 	dir := testKeys(t, "a", "b")
 	a, b := newTestNode(t, dir, "a"), newTestNode(t, dir, "b")
-	release := make(chan struct{})
+	entered, release := make(chan struct{}, 2), make(chan struct{})
 	b.Handle(KindTicketRun, func(ctx context.Context, _ link.Member, _ Kind, _ []byte) ([]byte, error) {
+		entered <- struct{}{}
 		select {
 		case <-release:
 		case <-ctx.Done():
@@ -355,7 +350,7 @@
 	})
 	serveNode(t, b)
 	relay := newSilencer(t, b.Address())
-	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	results := make(chan error, 2)
 	go func() {
@@ -366,8 +361,9 @@
 		_, err := a.Exchange(ctx, relay.address(), KindTicketRun, nil)
 		results <- err
 	}()
-	relay.awaitShortHeader(t)
-	relay.silenceKnown()
+	<-entered
+	<-entered
+	relay.silenceAll()
 	if err := <-results; !errors.Is(err, ErrNoReply) {
 		t.Errorf("silent connection: %v", err)
 	}
