--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -200,8 +200,8 @@
 		}
 	}
 	f.start.out = out
-	f.dirty = true
 	f.endpointWake.set(f.nextProbe())
+	f.dirty = true
 }
 
 func (f *Fleet) explainCentre(name string, out bool, reason string, now time.Time) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,8 @@
 	peers        peersState
 	start        StartRule
 	cache        snapshotCache
+	// departing is true at the end of a planned stop. No role is taken any more.
+	departing bool
 	// dirty is set when anything changed that snapshots show, configDirty when
 	// no endpoint is concerned, freshDirty when only the freshness changed.
 	// Grouping 1,200 endpoints by service costs ten times as much as the rest.
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -114,8 +114,11 @@
 
 func (RunSteps) isAction() {}
 
-// PutStatus writes the planner's status. It has no result.
-type PutStatus struct{ Status PlannerStatus }
+// PutStatus writes the planner's status. A failure is reported as StatusFailed.
+type PutStatus struct {
+	Term   uint64
+	Status PlannerStatus
+}
 
 func (PutStatus) isAction() {}
 
@@ -128,6 +131,9 @@
 // Apply implements Event. A new holder knows nothing: it reads the records and
 // goes on from them.
 func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
+	if f.departing {
+		return nil
+	}
 	p := newPlanner(f.planner.wake)
 	p.term, p.held, p.lease, p.until, p.loading = f.planner.term+1, true, e.Lease, e.Until, true
 	f.planner = p
@@ -146,6 +152,9 @@
 
 // Apply implements Event.
 func (e PlannerElsewhere) Apply(f *Fleet, now time.Time) []Action {
+	if f.departing {
+		return nil
+	}
 	return []Action{SeekPlanner{Self: f.plannerName(), Delay: e.Delay}}
 }
 
@@ -236,8 +245,11 @@
 	if !f.planner.current(e.Term) {
 		return nil
 	}
-	f.planner.view.SetOrders(e.Waves, e.Moves)
-	return append(f.plan(now), WatchOrders{Term: e.Term, After: e.Version})
+	next := WatchOrders{Term: e.Term, After: e.Version}
+	if !f.planner.view.SetOrders(e.Waves, e.Moves) {
+		return []Action{next}
+	}
+	return append(f.plan(now), next)
 }
 
 // OrdersFailed reports that the orders could not be read.
@@ -392,7 +404,19 @@
 		}
 		f.Explain(Decision{At: now, Subject: Subject{SubjectPlanner, f.self.ID}, Action: "hold", Reason: reason})
 	}
-	return []Action{PutStatus{Status: status}}
+	return []Action{PutStatus{Term: f.planner.term, Status: status}}
+}
+
+// StatusFailed reports that the status could not be written.
+type StatusFailed struct{ Term uint64 }
+
+// Apply implements Event. The next plan writes the status again.
+func (e StatusFailed) Apply(f *Fleet, now time.Time) []Action {
+	if f.planner.current(e.Term) {
+		f.planner.status = PlannerStatus{}
+		f.planner.wake.setEarlier(now.Add(RetryDelay))
+	}
+	return nil
 }
 
 func equalNames(a, b []string) bool {
