--- a/internal/contract/register.go
+++ b/internal/contract/register.go
@@ -188,7 +188,10 @@
 	if err := c.Object.Check(); err != nil {
 		return ChangeInvalid, err
 	}
-	if r.objects[c.Object.Ref].Revision != c.Base {
+	known := r.objects[c.Object.Ref]
+	// A deleted object is new again for an operator, who no longer sees its
+	// revision.
+	if known.Revision != c.Base && !(known.Deleted && c.Base == 0) {
 		return ChangeConflict, nil
 	}
 	if err := r.checkReferences(c.Object); err != nil {
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -243,3 +243,24 @@
 	*s.lists++
 	return s.Store.List(ctx, prefix)
 }
+
+// TestWithdrawnObjectCanBeCreatedAgain guards against a name that is lost once
+// its object was deleted, and against a delete that is based on an old revision.
+func TestWithdrawnObjectCanBeCreatedAgain(t *testing.T) {
+	committer := eagerCommitter(fixedStore())
+	mustCommit(t, committer, teamChange("create", 0, "depots", 1))
+	mustCommit(t, committer, teamChange("edit", 1, "depots", 2))
+	remove := teamChange("remove", 1, "depots", 0)
+	remove.Object.Deleted, remove.Object.Team = true, nil
+	if outcome := mustCommit(t, committer, remove); outcome.Result != contract.ChangeConflict {
+		t.Errorf("delete from an old revision: %s", outcome.Result)
+	}
+	remove.Base = 2
+	mustCommit(t, committer, remove)
+	if outcome := mustCommit(t, committer, teamChange("again", 0, "depots", 3)); outcome.Result != contract.ChangeAccepted {
+		t.Errorf("created again: %s %s", outcome.Result, outcome.Reason)
+	}
+	if outcome := mustCommit(t, committer, teamChange("third", 0, "depots", 4)); outcome.Result != contract.ChangeConflict {
+		t.Errorf("created over a live object: %s", outcome.Result)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,9 +108,11 @@
 // EndpointsUnchanged is the end of a watch without a change.
 type EndpointsUnchanged struct{ After uint64 }
 
-// Apply implements Event.
+// Apply implements Event. The instances that share the endpoints may have
+// changed meanwhile.
 func (e EndpointsUnchanged) Apply(f *Fleet, now time.Time) []Action {
-	return []Action{WatchEndpoints{After: e.After}}
+	f.shareEndpoints(now)
+	return append([]Action{WatchEndpoints{After: e.After}}, f.tickEndpoints(now)...)
 }
 
 // EndpointsFailed reports that the list of endpoints could not be read.
