Let teams take turns in the queue for busy endpoints

Cause: requests that wait for a busy endpoint of a shared service were woken in the order of arrival, so that a large team's queue held up a small team.

Change: the queue of a service keeps one list for each team and wakes the teams in turn.

--- a/internal/traffic/route.go
+++ b/internal/traffic/route.go
@@ -17,7 +17,7 @@
 			return e, refusal
 		}
 	}
-	w := newWaiter()
+	w := newWaiter(j.team)
 	first := g.join(w)
 	for {
 		if first {
