--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -12,6 +13,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/peer"
+	"github.com/crocusjunction/crocusjunction/internal/platform"
 )
 
 const (
@@ -106,3 +108,27 @@
 		return ctx.Err()
 	}
 }
+
+// endRoles ends the platform leases of the instance, so that its roles pass on
+// at once and its own record disappears.
+func endRoles(ctx context.Context, loop *control.Loop, p platform.Store) error {
+	reply := make(chan fleet.Departure, 1)
+	if err := loop.Send(ctx, fleet.Depart{Reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case departure := <-reply:
+		return revoke(ctx, p, departure.Leases)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func revoke(ctx context.Context, p platform.Store, leases []uint64) error {
+	for _, id := range leases {
+		if err := p.Revoke(ctx, platform.LeaseID(id)); err != nil {
+			return errors.Wrapf(err, "revoke lease %d", id)
+		}
+	}
+	return nil
+}
