Test keys during an outage and measure keyed requests

Cause: no process test showed that a ticket needs no platform and that a chosen key is refused without one; the price of keyed requests was counted in one unit test only.

Change: TestKeysWhilePlatformIsDown and BenchmarkKeyedRequest; freeAddress looks for a port that is free for UDP too. Its TCP check alone let an instance fail once with 'listen udp: address already in use' while other tests ran.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -37,12 +37,13 @@
 type benchFleet struct {
 	entry     string
 	endpoints []string
+	store     *standin.Store
 }
 
 func startBenchFleet(b *testing.B) benchFleet {
 	b.Helper()
 	store := standin.NewStore(time.Now)
-	f := benchFleet{}
+	f := benchFleet{store: store}
 	for i := range benchEndpoints {
 		address := startBenchServer(b, standin.NewEndpoint(0))
 		f.endpoints = append(f.endpoints, address)
@@ -165,6 +166,62 @@
 	}
 }
 
+// BenchmarkKeyedRequest measures requests that run at most once and the platform
+// writes that each of them costs.
+func BenchmarkKeyedRequest(b *testing.B) {
+	f := startBenchFleet(b)
+	client := &fasthttp.Client{}
+	run := func(name string, key func(i int) string) {
+		b.Run(name, func(b *testing.B) {
+			before := f.store.Calls()
+			for i := range b.N {
+				if !benchKeyed(client, f.entry, key(i)) {
+					b.Fatal("not answered")
+				}
+			}
+			b.ReportMetric(float64(f.store.Calls().Writes-before.Writes)/float64(b.N), "platform-writes/op")
+		})
+	}
+	run("none", func(int) string { return "" })
+	run("ticket", func(int) string { return benchTicket(b, client, f.entry) })
+	round := 0
+	run("chosen", func(i int) string {
+		if i == 0 {
+			round++
+		}
+		return fmt.Sprintf("booking-%d-%d", round, i)
+	})
+}
+
+func benchKeyed(client *fasthttp.Client, entry, key string) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + entry + "/v1/work/" + benchService)
+	req.Header.Set(front.HeaderKey, benchSecret)
+	if key != "" {
+		req.Header.Set(front.HeaderIdempotencyKey, key)
+	}
+	req.SetBodyString("hold washer 7")
+	return client.Do(req, resp) == nil && resp.StatusCode() == fasthttp.StatusOK
+}
+
+// benchTicket returns a ticket; its issue is part of what is measured.
+func benchTicket(b *testing.B, client *fasthttp.Client, entry string) string {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + entry + "/v1/tickets")
+	req.Header.Set(front.HeaderKey, benchSecret)
+	var list front.TicketList
+	if err := client.Do(req, resp); err != nil || json.Unmarshal(resp.Body(), &list) != nil || len(list.Tickets) != 1 {
+		b.Fatalf("ticket: %s, error %v", resp.Body(), err)
+	}
+	return list.Tickets[0]
+}
+
 // measure sends b.N requests from a number of callers.
 func measure(b *testing.B, callers int, address func(caller int) string) {
 	client := &fasthttp.Client{MaxConnsPerHost: callers, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
--- a/test/e2e/outcome_test.go
+++ b/test/e2e/outcome_test.go
@@ -168,6 +168,30 @@
 	}
 }
 
+// TestKeysWhilePlatformIsDown guards against a keyed request that runs without a
+// claim, and against tickets that need the platform.
+func TestKeysWhilePlatformIsDown(t *testing.T) {
+	c := startCluster(t, "1ms")
+	// The instance must hold slots of the team before the outage.
+	eventually(t, "the first entry instance answers", func() bool {
+		r, err := c.work(t, c.first, "warm up")
+		return err == nil && r.outcome == "answered"
+	})
+	postJSON(t, url(c.platform, standin.PathFaults), standin.Faults{Outage: true})
+	ticket := tickets(t, c.first, 1)[0]
+	for _, want := range []struct{ key, outcome string }{{ticket, "answered"}, {ticket, "answered"}, {"booking-9", "not-run"}} {
+		body := "deposit with " + want.key
+		r, err := c.callWith(t, c.first, body, want.key, 3*time.Second)
+		if err != nil || r.outcome != want.outcome {
+			t.Errorf("%s: outcome %q %s, error %v", want.key, r.outcome, r.body, err)
+		}
+	}
+	counts := bodies(t, c.endpointAddress)
+	if counts["deposit with "+ticket] != 1 || counts["deposit with booking-9"] != 0 {
+		t.Errorf("runs %v", counts)
+	}
+}
+
 // TestSilentConnection guards against an endpoint that is judged dead because of
 // one connection that went silent, and against the use of that connection.
 func TestSilentConnection(t *testing.T) {
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -60,15 +60,33 @@
 	return binaryPath
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns a loopback address whose port was free for TCP and UDP a
+// moment ago. Entry instances listen on UDP for their peers.
 func freeAddress(t *testing.T) string {
+	t.Helper()
+	const attempts = 20
+	for range attempts {
+		if address, ok := tryAddress(t); ok {
+			return address
+		}
+	}
+	t.Fatal("no port is free for both TCP and UDP")
+	return ""
+}
+
+func tryAddress(t *testing.T) (string, bool) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	return l.Addr().String()
+	packets, err := net.ListenPacket("udp", l.Addr().String())
+	if err != nil {
+		return "", false
+	}
+	_ = packets.Close()
+	return l.Addr().String(), true
 }
 
 // process is one running program.
