--- a/test/e2e/outcome_test.go
+++ b/test/e2e/outcome_test.go
@@ -65,6 +65,16 @@
 	return list.Tickets
 }
 
+// awaitForwarding waits until the second entry instance knows the first one. A
+// ticket that arrives earlier gets "unknown".
+func (c *cluster) awaitForwarding(t *testing.T) {
+	t.Helper()
+	eventually(t, "a ticket is forwarded", func() bool {
+		r, err := c.callWith(t, c.second, "warm up", tickets(t, c.first, 1)[0], 5*time.Second)
+		return err == nil && r.outcome == "answered"
+	})
+}
+
 // phaseOf returns the phase of an endpoint as an entry instance sees it.
 func phaseOf(t *testing.T, e *entryProcess, id string) machine.EndpointPhase {
 	t.Helper()
@@ -130,6 +140,7 @@
 // first call is running and after it.
 func TestRepeatGetsTheSameAnswer(t *testing.T) {
 	c := startCluster(t, "500ms")
+	c.awaitForwarding(t)
 	issued := tickets(t, c.first, 1)[0]
 	for name, key := range map[string]string{"ticket": issued, "key": "booking-8"} {
 		body := "deposit with " + name
@@ -157,6 +168,30 @@
 	}
 }
 
+// TestKeysWhilePlatformIsDown guards against a keyed request that runs without a
+// claim, and against tickets that need the platform.
+func TestKeysWhilePlatformIsDown(t *testing.T) {
+	c := startCluster(t, "1ms")
+	// The instance must hold slots of the team before the outage.
+	eventually(t, "the first entry instance answers", func() bool {
+		r, err := c.work(t, c.first, "warm up")
+		return err == nil && r.outcome == "answered"
+	})
+	postJSON(t, url(c.platform, standin.PathFaults), standin.Faults{Outage: true})
+	ticket := tickets(t, c.first, 1)[0]
+	for _, want := range []struct{ key, outcome string }{{ticket, "answered"}, {ticket, "answered"}, {"booking-9", "not-run"}} {
+		body := "deposit with " + want.key
+		r, err := c.callWith(t, c.first, body, want.key, 3*time.Second)
+		if err != nil || r.outcome != want.outcome {
+			t.Errorf("%s: outcome %q %s, error %v", want.key, r.outcome, r.body, err)
+		}
+	}
+	counts := bodies(t, c.endpointAddress)
+	if counts["deposit with "+ticket] != 1 || counts["deposit with booking-9"] != 0 {
+		t.Errorf("runs %v", counts)
+	}
+}
+
 // TestSilentConnection guards against an endpoint that is judged dead because of
 // one connection that went silent, and against the use of that connection.
 func TestSilentConnection(t *testing.T) {
@@ -249,9 +284,12 @@
 // TestPlannedStopFinishesForwardedRequests guards against a planned stop of the
 // issuer of a ticket that cuts a request which another instance forwarded.
 func TestPlannedStopFinishesForwardedRequests(t *testing.T) {
-	c := startCluster(t, "4s")
+	c := startCluster(t, "1ms")
+	c.awaitForwarding(t)
+	// The request outlasts the drain delay and every other step of the stop.
+	postJSON(t, url(c.endpointAddress, standin.PathEndpointFaults), standin.EndpointFaults{DelayMS: 9000})
 	ticket := tickets(t, c.first, 1)[0]
-	result := c.callLater(t, c.second, "deposit", ticket, 10*time.Second)
+	result := c.callLater(t, c.second, "deposit", ticket, 14*time.Second)
 	eventually(t, "the endpoint runs the request", func() bool { return bodies(t, c.endpointAddress)["deposit"] == 1 })
 	c.first.signal(syscall.SIGTERM)
 	if got := <-result; got.err != nil || got.r.outcome != "answered" || string(got.r.body) != "deposit" {
