Take a drain back when a service became short, and plan on pointers

One plan took 8 ms at 1,200 instances and holds up the control thread for that long.

Change: a held charge no longer allows a stop of a service that is short, and a drain that the platform was not seen to take is recalled. The checker lets a drain whose record is written begin within 5 s of a change of the minimum or of the data centres out, since the command follows in the next plan; violating traces cover both sides. The lists of a plan hold pointers.

Ruled out: sending a half-done drain again in every case.

--- a/internal/contract/budget.go
+++ b/internal/contract/budget.go
@@ -94,9 +94,13 @@
 	return ok
 }
 
-// Ask reports whether a planned charge of an available instance fits.
+// Short reports whether fewer instances are available than the minimum.
+func (b *Budget) Short() bool { return b.Available < b.Record.MinAvailable }
+
+// Ask reports whether a planned charge of an available instance fits. A charge
+// that is held no longer fits when instances failed since it was taken.
 func (b *Budget) Ask(instance string, epoch uint64) Verdict {
-	if b.Holds(instance, epoch) {
+	if b.Holds(instance, epoch) && !b.Short() {
 		return ChargeHeld
 	}
 	if b.Headroom() < 1 {
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -119,6 +119,13 @@
 	return i.To(PhaseFilling, now, reason)
 }
 
+// Recall returns the record of an instance whose drain was not seen to begin and
+// that is needed in service after all.
+func (i Instance) Recall(now time.Time, reason string) Instance {
+	i.Goal = Goal{}
+	return i.To(PhaseFilling, now, reason)
+}
+
 // Join returns the record of a moving instance in its new pool. It is the one
 // write that changes the pool of an instance that serves.
 func (i Instance) Join(now time.Time, reason string) Instance {
--- a/internal/machine/pool.go
+++ b/internal/machine/pool.go
@@ -17,13 +17,13 @@
 	// Target is the number of members. Zero switches replacement off.
 	Target int
 	// Members are ordered by data centre, rack and id.
-	Members []Instance
+	Members []*Instance
 }
 
 // SortByDomain orders instances by data centre, rack and id, so that a walk over
 // them finishes one failure domain before the next.
-func SortByDomain(list []Instance) {
-	slices.SortFunc(list, func(x, y Instance) int {
+func SortByDomain(list []*Instance) {
+	slices.SortFunc(list, func(x, y *Instance) int {
 		return cmp.Or(
 			strings.Compare(x.DataCentre, y.DataCentre), strings.Compare(x.Rack, y.Rack), strings.Compare(x.ID, y.ID),
 		)
--- a/internal/machine/wave.go
+++ b/internal/machine/wave.go
@@ -56,9 +56,9 @@
 
 // Order returns the instances in the order in which the wave takes them out:
 // failure domains with an instance out already first, then domain by domain.
-func (w *Wave) Order(owed []Instance, open map[string]bool) []Instance {
+func (w *Wave) Order(owed []*Instance, open map[string]bool) []*Instance {
 	SortByDomain(owed)
-	var first, rest []Instance
+	var first, rest []*Instance
 	for _, i := range owed {
 		if open[i.Domain()] {
 			first = append(first, i)
--- a/internal/proof/budget.go
+++ b/internal/proof/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
@@ -54,24 +55,37 @@
 //     serving and seen healthy.
 //   - A moved instance is charged by every service of its new pool when it joins.
 //   - At a planned drain the minimum of members besides the drained one is in
-//     service in truth, except for failures younger than Blind.
+//     service in truth, except for failures younger than Blind. A change of the
+//     minimum or of the data centres out counts after settingsNotice.
 type Budgets struct {
 	// Blind is how long a failure may stay unknown to the planner.
 	Blind     time.Duration
 	instances map[string]machine.Instance
 	budgets   map[string]contract.BudgetRecord
+	// earlier holds each budget as it was before its settings last changed.
+	earlier map[string]earlierBudget
 	// downSince holds since when a machine is not in service; zero while it is.
 	downSince map[string]time.Time
 	// failed holds the machines that are out of service without a command.
 	failed map[string]bool
 }
 
+// settingsNotice is how long a drain whose record is written may still begin
+// after the settings of a budget changed: the command follows in the next plan.
+const settingsNotice = 5 * time.Second
+
+type earlierBudget struct {
+	record contract.BudgetRecord
+	until  time.Time
+}
+
 // NewBudgets returns a checker of an empty fleet.
 func NewBudgets(blind time.Duration) *Budgets {
 	return &Budgets{
 		Blind:     blind,
 		instances: make(map[string]machine.Instance),
 		budgets:   make(map[string]contract.BudgetRecord),
+		earlier:   make(map[string]earlierBudget),
 		downSince: make(map[string]time.Time),
 		failed:    make(map[string]bool),
 	}
@@ -113,6 +127,9 @@
 func (c *Budgets) budget(at time.Time, next contract.BudgetRecord) error {
 	old := c.budgets[next.Service]
 	c.budgets[next.Service] = next
+	if old.Service != "" && (old.MinAvailable != next.MinAvailable || !slices.Equal(old.Out, next.Out)) {
+		c.earlier[next.Service] = earlierBudget{record: old, until: at.Add(settingsNotice)}
+	}
 	for id, charge := range old.Charges {
 		if _, kept := next.Charges[id]; !kept {
 			if err := c.released(at, next, id, charge); err != nil {
@@ -202,6 +219,10 @@
 		if _, charged := b.Charges[i.ID]; !charged {
 			return violation("I1", at, "%s drained without a charge of %s", i.ID, service)
 		}
+		earlier := c.earlier[service]
+		if at.Before(earlier.until) && c.inService(earlier.record, at) >= earlier.record.MinAvailable {
+			continue
+		}
 		if up := c.inService(b, at); up < b.MinAvailable {
 			return violation("I1", at, "%s drained while %d members of %s are in service, minimum %d", i.ID, up, b.Pool, b.MinAvailable)
 		}
--- a/internal/proof/maintenance_test.go
+++ b/internal/proof/maintenance_test.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// budgetOf is a later write with another minimum.
+func budgetOf(after time.Duration, minimum int, charged ...string) proof.MaintenanceEvent {
+	e := wroteBudget(true, charged...)
+	e.At, e.Budget.MinAvailable = maintenanceStart.Add(after), minimum
+	return e
+}
+
+// later is a drain by operation 2 some time after the start.
+func later(after time.Duration, id string) proof.MaintenanceEvent {
+	e := machineEffect("drain", id, "", 2, false)
+	e.At = maintenanceStart.Add(after)
+	return e
+}
+
 type maintenanceChecker interface {
 	Add(proof.MaintenanceEvent) error
 }
@@ -89,6 +103,8 @@
 			wroteInstance("c", "other", machine.PhaseMoving, 3, machine.Goal{Kind: machine.GoalMove, Pool: "main"}),
 			wroteInstance("c", "main", machine.PhaseFilling, 4, machine.Goal{Kind: machine.GoalMove, Pool: "main"}),
 		}, "I1"},
+		"minimum raised":  {[]proof.MaintenanceEvent{budgetOf(0, 1, "a"), budgetOf(time.Second, 2, "a"), draining, later(time.Minute, "a")}, "I1"},
+		"raised just now": {[]proof.MaintenanceEvent{budgetOf(0, 1, "a"), budgetOf(time.Second, 2, "a"), draining, later(2*time.Second, "a")}, ""},
 		"last in truth": {[]proof.MaintenanceEvent{
 			{At: maintenanceStart.Add(-time.Hour), Effect: &proof.MachineEffect{Machine: "b", Kind: "down"}},
 			wroteBudget(true, "a"), draining, machineEffect("drain", "a", "", 2, false),
--- a/internal/zone/disrupt.go
+++ b/internal/zone/disrupt.go
@@ -35,8 +35,8 @@
 // stop plans the drain of a serving instance. It charges every service of the
 // pool first; the drain follows in a later plan, when all charges are read back
 // from the records. It reports whether the stop goes on.
-func (p *planning) stop(i machine.Instance, g machine.Goal, reason string) bool {
-	if p.kept[i.ID] || p.touched[i.ID] || !p.stoppable(&i) {
+func (p *planning) stop(i *machine.Instance, g machine.Goal, reason string) bool {
+	if p.kept[i.ID] || p.touched[i.ID] || !p.stoppable(i) {
 		return false
 	}
 	budgets := p.budgets[i.Pool]
@@ -94,9 +94,8 @@
 // longer wanted or no longer allowed. The record gets a higher epoch first; the
 // charges are released in a later plan.
 func (p *planning) cancel() {
-	for _, id := range slices.Sorted(maps.Keys(p.Instances)) {
-		i := p.Instances[id]
-		if !p.kept[id] && !p.touched[id] && p.charged(&i) {
+	for _, i := range p.list {
+		if !p.kept[i.ID] && !p.touched[i.ID] && p.charged(i) {
 			p.write(StepCancel, i.Cancel(p.now, "charged stop is no longer wanted or allowed"))
 		}
 	}
@@ -108,7 +107,7 @@
 		order := p.Moves[id]
 		i, ok := p.Instances[id]
 		if ok && i.Pool != order.Pool {
-			p.stop(i, machine.Goal{Kind: machine.GoalMove, Pool: order.Pool}, "move to "+order.Pool+" ordered by "+order.Author)
+			p.stop(&i, machine.Goal{Kind: machine.GoalMove, Pool: order.Pool}, "move to "+order.Pool+" ordered by "+order.Author)
 		}
 	}
 }
@@ -118,9 +117,9 @@
 	if pool.Spare == "" || pool.Target == 0 {
 		return
 	}
-	var lost, lent []machine.Instance
+	var lost, lent []*machine.Instance
 	for _, i := range pool.Members {
-		if p.replaceable(&i) {
+		if p.replaceable(i) {
 			lost = append(lost, i)
 		}
 		if i.Lent && i.Phase == machine.PhaseServing {
@@ -140,7 +139,7 @@
 
 // giveBack returns surplus members on loan to the spare pool. Without surplus
 // and borrow they stay for good.
-func (p *planning) giveBack(pool *machine.Pool, lent []machine.Instance, surplus, borrow int) {
+func (p *planning) giveBack(pool *machine.Pool, lent []*machine.Instance, surplus, borrow int) {
 	back := machine.Goal{Kind: machine.GoalMove, Pool: pool.Spare}
 	for n, i := range p.heldFirst(lent) {
 		if n < surplus {
@@ -174,10 +173,10 @@
 
 // heldFirst returns the instances with those first that are charged already, so
 // that a new planner goes on with the choice of the one before.
-func (p *planning) heldFirst(list []machine.Instance) []machine.Instance {
-	var held, rest []machine.Instance
+func (p *planning) heldFirst(list []*machine.Instance) []*machine.Instance {
+	var held, rest []*machine.Instance
 	for _, i := range list {
-		if p.charged(&i) {
+		if p.charged(i) {
 			held = append(held, i)
 			continue
 		}
@@ -217,10 +216,10 @@
 
 // owed returns the members of one pool that the wave still has to reboot, with
 // those that it has taken out.
-func (p *planning) owed(w *machine.Wave, pool string) []machine.Instance {
-	var list []machine.Instance
+func (p *planning) owed(w *machine.Wave, pool string) []*machine.Instance {
+	var list []*machine.Instance
 	for _, i := range p.members[pool] {
-		if w.Owes(&i, p.Pools[pool].Spare) && i.Attempts < p.Limits.MaxAttempts {
+		if w.Owes(i, p.Pools[pool].Spare) && i.Attempts < p.Limits.MaxAttempts {
 			list = append(list, i)
 		}
 	}
@@ -230,7 +229,7 @@
 // wave takes out as many instances as the budgets allow, failure domain by
 // failure domain.
 func (p *planning) wave(w *machine.Wave) {
-	var owed []machine.Instance
+	var owed []*machine.Instance
 	open := make(map[string]bool)
 	out := 0
 	for _, pool := range w.Pools {
@@ -241,7 +240,7 @@
 			} else {
 				out++
 			}
-			if !serving || p.charged(&i) {
+			if !serving || p.charged(i) {
 				open[i.Domain()] = true
 			}
 		}
@@ -252,7 +251,7 @@
 		if w.OneByOne && out > 0 {
 			return
 		}
-		if full[i.Pool] && !p.charged(&i) || !p.roomIn(i.Pool) {
+		if full[i.Pool] && !p.charged(i) || !p.roomIn(i.Pool) {
 			continue
 		}
 		if p.stop(i, machine.Goal{Kind: machine.GoalReboot, Wave: w.Name}, "wave "+w.Name) {
@@ -319,7 +318,7 @@
 			return true
 		}
 	}
-	for _, i := range p.Instances {
+	for _, i := range p.list {
 		if i.Goal.Wave == w.Name && i.Attempts < p.Limits.MaxAttempts {
 			return true
 		}
--- a/internal/zone/maintenance.go
+++ b/internal/zone/maintenance.go
@@ -180,6 +180,7 @@
 	StepFail    StepKind = "fail"
 	StepCancel  StepKind = "cancel"
 	StepGiveUp  StepKind = "give-up"
+	StepRecall  StepKind = "recall"
 	StepReplace StepKind = "replace"
 	StepKeep    StepKind = "keep"
 	StepRetire  StepKind = "retire"
--- a/internal/zone/planning.go
+++ b/internal/zone/planning.go
@@ -16,8 +16,10 @@
 	*Maintenance
 	now  time.Time
 	plan Plan
+	// list holds all instances by failure domain.
+	list []*machine.Instance
 	// members holds the instances of each pool, by failure domain.
-	members map[string][]machine.Instance
+	members map[string][]*machine.Instance
 	// budgets holds the budgets of the services of each pool, by service name.
 	budgets  map[string][]*contract.Budget
 	services []*contract.Budget
@@ -31,7 +33,7 @@
 	rackDown, centreDown, centreSize map[string]int
 	repairs                          int
 	// joining holds the instances that are about to join each pool.
-	joining map[string][]machine.Instance
+	joining map[string][]*machine.Instance
 	// incoming counts the replacements that are on their way into each pool.
 	incoming    map[string]int
 	rackRepairs map[string]int
@@ -45,10 +47,10 @@
 func (m *Maintenance) Plan(now time.Time) Plan {
 	p := &planning{
 		Maintenance: m, now: now,
-		members: make(map[string][]machine.Instance), budgets: make(map[string][]*contract.Budget),
+		members: make(map[string][]*machine.Instance), budgets: make(map[string][]*contract.Budget),
 		touched: make(map[string]bool), kept: make(map[string]bool),
 		rackDown: make(map[string]int), centreDown: make(map[string]int), centreSize: make(map[string]int),
-		rackRepairs: make(map[string]int), reassigned: make(map[string]int), incoming: make(map[string]int), joining: make(map[string][]machine.Instance),
+		rackRepairs: make(map[string]int), reassigned: make(map[string]int), incoming: make(map[string]int), joining: make(map[string][]*machine.Instance),
 	}
 	p.index()
 	if p.hold(); p.blind() {
@@ -86,27 +88,33 @@
 // index groups the instances by pool and failure domain.
 func (p *planning) index() {
 	p.outs = slices.Sorted(maps.Keys(p.Out))
-	for id, i := range p.Instances {
+	p.list = make([]*machine.Instance, 0, len(p.Instances))
+	for _, i := range p.Instances {
+		p.list = append(p.list, &i)
+	}
+	machine.SortByDomain(p.list)
+	for _, i := range p.list {
 		p.members[i.Pool] = append(p.members[i.Pool], i)
-		if i.Phase == machine.PhaseMoving {
-			p.joining[i.Goal.Pool] = append(p.joining[i.Goal.Pool], i)
-		}
-		if i.Goal.Kind == machine.GoalMove && i.Goal.Lent && i.Phase != machine.PhaseFilling {
-			p.incoming[i.Goal.Pool]++
-		}
-		p.centreSize[i.DataCentre]++
-		o := p.Observed[id]
-		if i.Phase == machine.PhaseFailed || i.Phase == machine.PhaseServing && !o.Up() {
-			p.rackDown[i.Domain()]++
-			p.centreDown[i.DataCentre]++
-		}
-		if p.inRepair(&i, o) {
-			p.repairs++
-			p.rackRepairs[i.Domain()]++
-		}
+		p.indexOne(i, p.Observed[i.ID])
 	}
-	for _, list := range p.members {
-		machine.SortByDomain(list)
+}
+
+// indexOne counts what the instance adds to its pool and failure domain.
+func (p *planning) indexOne(i *machine.Instance, o machine.Observed) {
+	if i.Phase == machine.PhaseMoving {
+		p.joining[i.Goal.Pool] = append(p.joining[i.Goal.Pool], i)
+	}
+	if i.Goal.Kind == machine.GoalMove && i.Goal.Lent && i.Phase != machine.PhaseFilling {
+		p.incoming[i.Goal.Pool]++
+	}
+	p.centreSize[i.DataCentre]++
+	if i.Phase == machine.PhaseFailed || i.Phase == machine.PhaseServing && !o.Up() {
+		p.rackDown[i.Domain()]++
+		p.centreDown[i.DataCentre]++
+	}
+	if p.inRepair(i, o) {
+		p.repairs++
+		p.rackRepairs[i.Domain()]++
 	}
 }
 
@@ -253,11 +261,15 @@
 
 // adopt creates records for machines that have none.
 func (p *planning) adopt() {
-	for _, id := range slices.Sorted(maps.Keys(p.Observed)) {
-		o := p.Observed[id]
-		if _, ok := p.Instances[id]; ok || o.Missing {
-			continue
+	var fresh []string
+	for id, o := range p.Observed {
+		if _, ok := p.Instances[id]; !ok && !o.Missing {
+			fresh = append(fresh, id)
 		}
+	}
+	slices.Sort(fresh)
+	for _, id := range fresh {
+		o := p.Observed[id]
 		i := machine.Instance{
 			ID: id, DataCentre: o.DataCentre, Rack: o.Rack, Pool: p.poolOf(o), Phase: machine.PhaseFilling,
 			Epoch: o.Operation + 1, Since: p.now, Reason: "new machine",
--- a/internal/zone/progress.go
+++ b/internal/zone/progress.go
@@ -2,18 +2,17 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
 // progress takes every instance one step further in what its record says.
 func (p *planning) progress() {
-	for _, id := range slices.Sorted(maps.Keys(p.Instances)) {
-		i := p.Instances[id]
-		o := p.Observed[id]
+	for _, i := range p.list {
+		o := p.Observed[i.ID]
 		switch i.Phase {
 		case machine.PhaseServing:
 			p.serving(i, o)
@@ -34,7 +33,7 @@
 // serving detects a failure. While planned disruption is held the view may be
 // wrong, so a failure must last for the grace period. A data centre that is out
 // counts as unavailable as a whole; its members are not judged.
-func (p *planning) serving(i machine.Instance, o machine.Observed) {
+func (p *planning) serving(i *machine.Instance, o machine.Observed) {
 	after := p.Limits.DetectAfter
 	if p.plan.Hold != "" {
 		after = p.Limits.Grace
@@ -50,7 +49,7 @@
 }
 
 // lost reports whether an instance that is on its way out failed.
-func (p *planning) lost(i machine.Instance, o machine.Observed) bool {
+func (p *planning) lost(i *machine.Instance, o machine.Observed) bool {
 	if !p.passed(o.BadSince, p.Limits.DetectAfter) {
 		return false
 	}
@@ -58,19 +57,27 @@
 	return true
 }
 
-func (p *planning) draining(i machine.Instance, o machine.Observed) {
+func (p *planning) draining(i *machine.Instance, o machine.Observed) {
 	switch {
 	case p.lost(i, o):
 	case o.Took(i.Epoch) && o.State == machine.MachineDrained:
 		p.drained(i)
+	case !o.Took(i.Epoch) && p.short(i.Pool):
+		p.write(StepRecall, i.Recall(p.now, "a service has too few instances for the drain"))
 	case p.passed(i.Since, p.Limits.DrainTimeout):
 		p.write(StepGiveUp, i.GiveUp(p.now, "drain not finished after "+p.Limits.DrainTimeout.String()))
 	default:
-		p.command(&i, o, "drain for "+string(i.Goal.Kind))
+		p.command(i, o, "drain for "+string(i.Goal.Kind))
 	}
 }
 
-func (p *planning) drained(i machine.Instance) {
+// short reports whether a service of the pool has fewer instances available than
+// its minimum.
+func (p *planning) short(pool string) bool {
+	return slices.ContainsFunc(p.budgets[pool], (*contract.Budget).Short)
+}
+
+func (p *planning) drained(i *machine.Instance) {
 	if i.Goal.Kind == machine.GoalMove {
 		p.write(StepMove, i.To(machine.PhaseMoving, p.now, "drained, moves to "+i.Goal.Pool))
 		return
@@ -80,7 +87,7 @@
 
 // moving swaps the pool once every service of the new pool counts the instance,
 // so that it is never taken for an available member before it is healthy.
-func (p *planning) moving(i machine.Instance, o machine.Observed) {
+func (p *planning) moving(i *machine.Instance, o machine.Observed) {
 	if p.lost(i, o) {
 		return
 	}
@@ -93,25 +100,25 @@
 	p.write(StepSwap, i.Join(p.now, "moved from "+i.Pool), Fact{"from", i.Pool}, Fact{"to", i.Goal.Pool})
 }
 
-func (p *planning) rebooting(i machine.Instance, o machine.Observed) {
+func (p *planning) rebooting(i *machine.Instance, o machine.Observed) {
 	switch {
 	case o.Took(i.Epoch) && o.State == machine.MachineReady && o.Healthy:
-		p.write(StepFill, i.Refill(p.poolAfterRepair(&i), p.now, "rebooted"), Fact{"pool", i.Pool})
+		p.write(StepFill, i.Refill(p.poolAfterRepair(i), p.now, "rebooted"), Fact{"pool", i.Pool})
 	case p.passed(i.Since, p.Limits.BootTimeout):
 		p.write(StepFail, i.Fail(p.now, "not back "+p.Limits.BootTimeout.String()+" after its reboot"), seenFacts(o)...)
 	default:
-		p.command(&i, o, "reboot for "+string(i.Goal.Kind))
+		p.command(i, o, "reboot for "+string(i.Goal.Kind))
 	}
 }
 
-func (p *planning) filling(i machine.Instance, o machine.Observed) {
+func (p *planning) filling(i *machine.Instance, o machine.Observed) {
 	switch {
 	case o.Took(i.Epoch) && o.Up() && o.Pool == i.Pool:
 		p.write(StepServe, i.Serve(p.now, "seen healthy"))
 	case p.passed(i.Since, p.Limits.FillTimeout):
 		p.write(StepFail, i.Fail(p.now, "not in service "+p.Limits.FillTimeout.String()+" after its fill"), seenFacts(o)...)
 	default:
-		p.command(&i, o, "fill into "+i.Pool)
+		p.command(i, o, "fill into "+i.Pool)
 	}
 }
 
@@ -128,7 +135,7 @@
 
 // failed brings an instance back: at once when it is healthy by itself, else by
 // a reboot within the limits of repair.
-func (p *planning) failed(i machine.Instance, o machine.Observed) {
+func (p *planning) failed(i *machine.Instance, o machine.Observed) {
 	switch {
 	case o.Up() || o.Took(i.Epoch) && o.Healthy:
 		p.write(StepFill, i.To(machine.PhaseFilling, p.now, "came back by itself"))
@@ -144,27 +151,27 @@
 
 // repair drains a failed instance and reboots it once the answer to the drain
 // shows that it is still unhealthy.
-func (p *planning) repair(i machine.Instance, o machine.Observed) {
-	if p.Out[i.DataCentre] || i.Attempts >= p.Limits.MaxAttempts || !p.passed(i.Since, p.patience(&i)) {
+func (p *planning) repair(i *machine.Instance, o machine.Observed) {
+	if p.Out[i.DataCentre] || i.Attempts >= p.Limits.MaxAttempts || !p.passed(i.Since, p.patience(i)) {
 		return
 	}
 	if o.Took(i.Epoch) {
 		p.write(StepReboot, i.Reboot(p.now, "repair"), seenFacts(o)...)
 		return
 	}
-	if !p.inRepair(&i, o) {
+	if !p.inRepair(i, o) {
 		if p.repairs >= max(1, len(p.Instances)*p.Limits.RepairPercent/100) {
 			p.refuse(i.ID, "other repairs are under way", Fact{"repairs", fmt.Sprint(p.repairs)})
 			return
 		}
-		if p.rackRepairs[i.Domain()] > 0 && p.correlated(&i) {
+		if p.rackRepairs[i.Domain()] > 0 && p.correlated(i) {
 			p.refuse(i.ID, "another repair in the rack is under way", Fact{"rack", i.Domain()})
 			return
 		}
 		p.repairs++
 		p.rackRepairs[i.Domain()]++
 	}
-	p.command(&i, o, "drain before repair")
+	p.command(i, o, "drain before repair")
 }
 
 // correlated reports whether the failure is one of several in a rack or data
--- a/test/maintenance/random_test.go
+++ b/test/maintenance/random_test.go
@@ -17,7 +17,7 @@
 // Seed and number of the random runs unless flags say otherwise.
 const (
 	randomSeed = "20260601"
-	randomRuns = "25"
+	randomRuns = "100"
 )
 
 func TestMain(m *testing.M) {
