--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -32,10 +32,8 @@
 	view *zone.Maintenance
 	// term counts the times that this process took the lease. Results of actions
 	// from an earlier term are dropped.
-	term uint64
-	held bool
-	// left is true once the process is stopping; it takes the lease no more.
-	left  bool
+	term  uint64
+	held  bool
 	lease uint64
 	// until is when the lease ends, by this process's clock and counted from
 	// when the last renewal was sent.
@@ -133,7 +131,7 @@
 // Apply implements Event. A new holder knows nothing: it reads the records and
 // goes on from them.
 func (e PlannerTaken) Apply(f *Fleet, now time.Time) []Action {
-	if f.planner.left {
+	if f.departing {
 		return nil
 	}
 	p := newPlanner(f.planner.wake)
@@ -154,7 +152,7 @@
 
 // Apply implements Event.
 func (e PlannerElsewhere) Apply(f *Fleet, now time.Time) []Action {
-	if f.planner.left {
+	if f.departing {
 		return nil
 	}
 	return []Action{SeekPlanner{Self: f.plannerName(), Delay: e.Delay}}
@@ -196,23 +194,6 @@
 	return []Action{SeekPlanner{Self: f.plannerName()}}
 }
 
-// LeavePlanner stops planning in this process for good and replies with the
-// lease to revoke, 0 when it holds none. Reply must have a free buffer place.
-type LeavePlanner struct{ Reply chan<- uint64 }
-
-// Apply implements Event. Steps under way go on; the next planner continues from
-// the records.
-func (e LeavePlanner) Apply(f *Fleet, now time.Time) []Action {
-	lease := uint64(0)
-	if f.planner.held {
-		lease = f.planner.lease
-	}
-	f.planner.held, f.planner.left = false, true
-	f.planner.wake.set(time.Time{})
-	e.Reply <- lease
-	return nil
-}
-
 // plannerName identifies this incarnation of the process as holder.
 func (f *Fleet) plannerName() string { return f.self.ID }
 
--- a/test/maintenance/failure_test.go
+++ b/test/maintenance/failure_test.go
@@ -207,10 +207,12 @@
 	w, p1, _ := tinyWorld(t)
 	w.wave(t, "w1", []string{"bookings"}, false)
 	w.advance(20 * time.Second)
-	reply := make(chan uint64, 1)
-	p1.add(fleet.LeavePlanner{Reply: reply}.Apply(p1.fleet, w.now), false)
-	if err := w.store.Revoke(t.Context(), platform.LeaseID(<-reply)); err != nil {
-		t.Fatal(err)
+	reply := make(chan fleet.Departure, 1)
+	p1.add(fleet.Depart{Reply: reply}.Apply(p1.fleet, w.now), false)
+	for _, lease := range (<-reply).Leases {
+		if err := w.store.Revoke(t.Context(), platform.LeaseID(lease)); err != nil {
+			t.Fatal(err)
+		}
 	}
 	w.mustRest(t, 2*time.Hour)
 	status, err := w.orders.Status(t.Context())
