--- a/test/e2e/wave_test.go
+++ b/test/e2e/wave_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -24,6 +27,7 @@
 // maintainedFleet is a platform with 16 machines in one pool and three entry
 // instances.
 type maintainedFleet struct {
+	binary   string
 	platform string
 	entries  map[string]*entryProcess
 }
@@ -31,7 +35,7 @@
 func startMaintainedFleet(t *testing.T) *maintainedFleet {
 	t.Helper()
 	binary := build(t)
-	f := &maintainedFleet{platform: freeAddress(t), entries: make(map[string]*entryProcess)}
+	f := &maintainedFleet{binary: binary, platform: freeAddress(t), entries: make(map[string]*entryProcess)}
 	start(t, binary, "standin", "platform", "--listen", f.platform)
 	waitListening(t, f.platform)
 	postJSON(t, url(f.platform, standin.PathParkOptions), standin.ParkOptions{DrainMS: 1000, RebootMS: 500, FillMS: 200, LagMS: 100})
@@ -210,3 +214,63 @@
 		t.Errorf("%d of %d machines were rebooted", len(reboots), maintained)
 	}
 }
+
+// command runs one operator command and returns its output and exit code.
+func (f *maintainedFleet) command(t *testing.T, entry string, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(f.binary, args...)
+	cmd.Env = append(os.Environ(), "CROCUSJUNCTION_ENTRY="+f.entries[entry].address, "USER=operator")
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// TestMaintenanceCommands guards against commands that do not reach the records,
+// that accept what cannot be done, or that show something else.
+func TestMaintenanceCommands(t *testing.T) {
+	f := startMaintainedFleet(t)
+	eventually(t, "every machine has a record", func() bool { return f.count(t, serves) == maintained })
+	eventually(t, "every entry instance knows the pool", func() bool {
+		out, code := f.command(t, "entry-2", "pool", "list")
+		return code == 0 && strings.Contains(out, "main") && strings.Contains(out, "entry-")
+	})
+	eventually(t, "the budgets have records", func() bool {
+		out, _ := f.command(t, "entry-2", "budget", "show")
+		return strings.Contains(out, "stock")
+	})
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"pool move i00 nowhere", 1, "no pool nowhere"},
+		{"pool move i99 main", 1, "no instance i99"},
+		{"pool move i00", 2, "needs an instance and a pool"},
+		{"instance list --phase serving", 0, "i15"},
+		{"instance show i03", 0, "serving"},
+		{"instance show i99", 1, "no instance i99"},
+		{"budget show", 0, "stock"},
+		{"budget show nothing", 1, "no budget of nothing"},
+		{"wave start w1 nowhere", 1, "no pool nowhere"},
+		{"wave start w1 main --one-by-one", 0, "running"},
+		{"wave start w1 main", 1, "exists already"},
+		{"wave pause w1", 0, "paused"},
+		{"wave pause w1", 0, "paused"},
+		{"wave resume w2", 1, "no wave w2"},
+		{"wave show", 0, "paused"},
+		{"wave resume w1", 0, "running"},
+		{"wave show --json", 0, "\"total\": 16"},
+	} {
+		out, code := f.command(t, "entry-2", strings.Fields(c.args)...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%s: exit code %d, want %d; want %q in:\n%s", c.args, code, c.code, c.want, out)
+		}
+	}
+	holder := f.holder(t)
+	eventually(t, "an explained drain with its budgets", func() bool {
+		out, _ := f.command(t, holder, "explain", "instance", "i00")
+		return strings.Contains(out, "drain") && strings.Contains(out, "budget=bookings") && strings.Contains(out, "budget=stock")
+	})
+}
--- a/test/maintenance/measure_test.go
+++ b/test/maintenance/measure_test.go
@@ -140,6 +140,9 @@
 		baseline := s.compare(t, "one by one", true, false)
 		wave := s.compare(t, "wave", false, false)
 		s.compare(t, "wave, failures", false, true)
+		tight := s
+		tight.minimum = (s.machines - s.spares) / s.pools
+		tight.compare(t, "wave without headroom", false, false)
 		if wave.rollOut >= baseline.rollOut {
 			t.Errorf("%s: wave %s, one by one %s", s.name, wave.rollOut, baseline.rollOut)
 		}
