Bring back a given-up instance that is seen ready and healthy

Change: a failed instance that is healthy and has nothing to do is filled, at once the first time and after the doubling pause later. The pause is bounded.

Ruled out: an operator's order for it (self-repair needs none).

--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -239,6 +239,12 @@
 // Up reports whether the instance is seen in service and healthy.
 func (o *Observed) Up() bool { return o.BadSince.IsZero() && o.IdleSince.IsZero() }
 
+// Idle reports whether the instance is seen healthy, has no requests and waits to
+// be filled.
+func (o *Observed) Idle() bool {
+	return o.BadSince.IsZero() && (o.State == MachineReady || o.State == MachineDrained)
+}
+
 // DownSince returns since when the instance is not up, zero while it is.
 func (o *Observed) DownSince() time.Time {
 	if o.BadSince.IsZero() || !o.IdleSince.IsZero() && o.IdleSince.Before(o.BadSince) {
--- a/internal/zone/progress.go
+++ b/internal/zone/progress.go
@@ -139,6 +139,8 @@
 	switch {
 	case o.Up() || o.Took(i.Epoch) && o.Healthy:
 		p.write(StepFill, i.To(machine.PhaseFilling, p.now, "came back by itself"))
+	case o.Idle() && (i.Attempts == 0 || p.passed(i.Since, p.patience(i))):
+		p.write(StepFill, i.To(machine.PhaseFilling, p.now, "healthy and not in service"))
 	case o.Missing && p.passed(i.Since, p.Limits.RetireAfter):
 		p.touched[i.ID] = true
 		p.plan.Steps = append(p.plan.Steps, Step{
@@ -183,11 +185,14 @@
 		p.centreDown[centre] >= p.Limits.HoldCount && p.centreDown[centre]*100 >= p.centreSize[centre]*p.Limits.CentrePercent
 }
 
+// maxDoublings bounds the pause between repairs, to 32 times the grace period.
+const maxDoublings = 5
+
 // patience is how long a failed instance is left alone before its repair. It
 // doubles with every attempt that did not help.
 func (p *planning) patience(i *machine.Instance) time.Duration {
 	if i.Attempts > 0 {
-		return p.Limits.Grace << (i.Attempts - 1)
+		return p.Limits.Grace << min(i.Attempts-1, maxDoublings)
 	}
 	if p.correlated(i) {
 		return p.Limits.Grace
--- a/test/maintenance/wave_test.go
+++ b/test/maintenance/wave_test.go
@@ -302,4 +302,8 @@
 	if err != nil || len(status.GivenUp) != 1 {
 		t.Errorf("status %+v, error %v", status, err)
 	}
+	// Somebody mends the machine: it is ready and healthy without a command.
+	w.store.SetMachineFaults("i0-00-0", standin.MachineFaults{Down: true})
+	w.store.SetMachineFaults("i0-00-0", standin.MachineFaults{})
+	w.mustRest(t, 3*time.Hour)
 }
