--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -119,6 +119,13 @@
 	return i.To(PhaseFilling, now, reason)
 }
 
+// Recall returns the record of an instance whose drain was not seen to begin and
+// that is needed in service after all.
+func (i Instance) Recall(now time.Time, reason string) Instance {
+	i.Goal = Goal{}
+	return i.To(PhaseFilling, now, reason)
+}
+
 // Join returns the record of a moving instance in its new pool. It is the one
 // write that changes the pool of an instance that serves.
 func (i Instance) Join(now time.Time, reason string) Instance {
@@ -232,6 +239,12 @@
 // Up reports whether the instance is seen in service and healthy.
 func (o *Observed) Up() bool { return o.BadSince.IsZero() && o.IdleSince.IsZero() }
 
+// Idle reports whether the instance is seen healthy, has no requests and waits to
+// be filled.
+func (o *Observed) Idle() bool {
+	return o.BadSince.IsZero() && (o.State == MachineReady || o.State == MachineDrained)
+}
+
 // DownSince returns since when the instance is not up, zero while it is.
 func (o *Observed) DownSince() time.Time {
 	if o.BadSince.IsZero() || !o.IdleSince.IsZero() && o.IdleSince.Before(o.BadSince) {
