Show a repeated deposit and a maintenance wave in the demo; steady two tests

Cause: the demo did not show at-most-once requests or maintenance. Two tests did not give the same verdict each time. TestFreshnessNeverOverstates failed when a commit fell on the very instant of a read. TestFrozenEntryChecksAgainWhenItResumes failed once because SIGSTOP takes effect after the call returns.

Change: two steps more in the demo. The freshness check compares with commits strictly before AsOf, which is the invariant as Freshness states it: a commit at the instant of a read may come after the read. The end-to-end tests wait until every thread of a frozen process is stopped.

Ruled out: a pause after SIGSTOP, which only makes the failure rarer.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -32,6 +32,13 @@
 	team        = "depots"
 	keyID       = "depots-1"
 	secret      = "demo-secret"
+	pool        = "main"
+)
+
+// Sizes of the demo's pool.
+const (
+	machines     = 4
+	minAvailable = 2
 )
 
 // Times of the demo.
@@ -123,6 +130,7 @@
 	if err := peer.WriteTestCertificates(certificates, members, time.Now(), certificateValidity); err != nil {
 		return nil, err
 	}
+	f.addMachines()
 	address, err := serve(ctx, group, standin.NewPlatformServer(f.store))
 	if err != nil {
 		return nil, err
@@ -140,6 +148,20 @@
 	return f, nil
 }
 
+// addMachines puts the machines of the pool into the platform, two to a rack.
+func (f *fleet) addMachines() {
+	f.store.SetParkOptions(standin.ParkOptions{DrainMS: 100, RebootMS: 200, FillMS: 50})
+	var list []platform.Machine
+	for n := range machines {
+		list = append(list, platform.Machine{
+			ID: fmt.Sprintf("machine-%d", n), DataCentre: []string{centreNorth, centreSouth}[n/2], Rack: fmt.Sprint(n / 2),
+			Pool: pool, State: "serving", Healthy: true,
+		})
+	}
+	f.store.RecordEffects()
+	f.store.AddMachines(list)
+}
+
 func entryID(centre string) string { return "entry-" + centre }
 
 func (f *fleet) startEndpoint(ctx context.Context, group *errgroup.Group, centre string) error {
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -25,6 +25,8 @@
 		{"grant a new key", grantKey},
 		{"take data centre north out", takeOut},
 		{"bring data centre north back", bringBack},
+		{"repeat a deposit with one idempotency key", repeatDeposit},
+		{"reboot all machines in a maintenance wave", runWave},
 	}
 }
 
@@ -34,14 +36,18 @@
 	body    string
 }
 
-// work sends one request to the entry instance of a data centre.
-func (f *fleet) work(centre, body string) (reply, error) {
+// work sends one request to the entry instance of a data centre, with further
+// headers given as name, value pairs.
+func (f *fleet) work(centre, body string, headers ...string) (reply, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + f.entries[centre] + "/v1/work/" + service)
 	req.Header.Set(front.HeaderKey, secret)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	req.SetBodyString(body)
 	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
 		return reply{}, errors.Wrap(err, "send work")
@@ -90,8 +96,9 @@
 
 func configure(ctx context.Context, f *fleet) (string, error) {
 	objects := []contract.Object{
+		{Ref: contract.Ref{Kind: contract.KindPool, Name: pool}, Pool: &contract.PoolOrder{Name: pool, Target: machines}},
 		{Ref: contract.Ref{Kind: contract.KindTeam, Name: team}, Team: &contract.Team{Name: team, UpperLimit: 16, Share: 1}},
-		{Ref: contract.Ref{Kind: contract.KindDocument, Name: service}, Document: &contract.Document{Service: service, Team: team, Pool: "main", MinAvailable: 1}},
+		{Ref: contract.Ref{Kind: contract.KindDocument, Name: service}, Document: &contract.Document{Service: service, Team: team, Pool: pool, MinAvailable: minAvailable}},
 		keyObject(keyID),
 	}
 	var revision uint64
@@ -233,3 +240,31 @@
 	}
 	return 0, nil
 }
+
+// repeatDeposit sends the same deposit through both entry instances, as a caller
+// does that lost the first answer, and checks that it ran once.
+func repeatDeposit(ctx context.Context, f *fleet) (string, error) {
+	before := f.runs()
+	for _, centre := range []string{centreNorth, centreSouth} {
+		r, err := f.work(centre, "deposit 42", front.HeaderIdempotencyKey, "deposit-42")
+		if err != nil {
+			return centre, err
+		}
+		if r.outcome != string(traffic.Answered) || r.body != "deposit 42" {
+			return centre, errors.Errorf("outcome %s: %s", r.outcome, r.body)
+		}
+	}
+	if ran := f.runs() - before; ran != 1 {
+		return "", errors.Errorf("the deposit ran %d times", ran)
+	}
+	return "both callers got the answer, the deposit ran once", nil
+}
+
+// runs returns the number of requests that all endpoints have started.
+func (f *fleet) runs() int {
+	n := 0
+	for _, e := range f.endpoints {
+		n += len(e.Runs())
+	}
+	return n
+}
--- a/internal/link/freshness_test.go
+++ b/internal/link/freshness_test.go
@@ -42,6 +42,10 @@
 	return n
 }
 
+// headBefore returns the newest revision that was committed before a time. A
+// commit at the very instant of a read may come after the read.
+func (h *history) headBefore(at time.Time) uint64 { return h.headAt(at.Add(-1)) }
+
 // TestFreshnessNeverOverstates guards against evidence that counts for more than
 // it shows: no change may have been committed before AsOf that the process
 // lacks. Answers arrive late, twice and in any order, and peers may be ahead.
@@ -84,8 +88,8 @@
 			case "fail":
 				f.ReadFailed(h.now)
 			}
-			if !f.AsOf().IsZero() && h.headAt(f.AsOf()) > own {
-				t.Fatalf("as of %s, own revision %d, head was %d", f.AsOf(), own, h.headAt(f.AsOf()))
+			if !f.AsOf().IsZero() && h.headBefore(f.AsOf()) > own {
+				t.Fatalf("as of %s, own revision %d, head was %d", f.AsOf(), own, h.headBefore(f.AsOf()))
 			}
 		}
 	})
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -122,7 +122,7 @@
 	c := startCluster(t, "1ms")
 	awaitConfirmed(t, c.first)
 	before := c.runs(t)
-	c.second.signal(syscall.SIGSTOP)
+	c.second.freeze()
 	answer := changeAt(t, c.first, "withdraw", 3, withdrawnKey())
 	if answer.Confirmed || answer.OldEnds == nil {
 		t.Fatalf("the frozen data centre is reported as confirmed: %+v", answer)
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -141,6 +142,34 @@
 	}
 }
 
+// freeze stops the process with SIGSTOP and waits until every thread has
+// stopped: the signal takes effect after the call returns.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(p.t, "every thread has stopped", p.frozen)
+}
+
+// frozen reports whether the state of every thread in /proc is T (stopped).
+func (p *process) frozen() bool {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(tasks) == 0 {
+		return false
+	}
+	for _, path := range tasks {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		// The state follows the command name, which ends with a parenthesis.
+		_, fields, ok := strings.Cut(string(data), ") ")
+		if !ok || !strings.HasPrefix(fields, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // waitListening waits until address accepts TCP connections.
 func waitListening(t *testing.T, address string) {
 	t.Helper()
--- a/test/e2e/wave_test.go
+++ b/test/e2e/wave_test.go
@@ -140,7 +140,7 @@
 	}
 	eventually(t, "the first drains", func() bool { return f.count(t, draining) > 0 })
 	frozen := f.holder(t)
-	f.entries[frozen].signal(syscall.SIGSTOP)
+	f.entries[frozen].freeze()
 	second := f.successor(t, frozen)
 	eventually(t, "the second planner drains", func() bool {
 		return f.count(t, rebooted) > 0 && f.count(t, draining) > 0
