Wait longer in watches whose answers prove nothing

Cause: with scheduling and maintenance merged, an entry instance moved 2.4 KB/s for control on average and the busiest one 4.6 KB/s, above the bound of 2 KB/s. A count of calls at the stand-in showed the cause: the election of the scheduler (4.5 calls a second from two instances), the lists of machines and workers, which were read at the pace of the head, and renewals of member records.

Change: watches of machines, workers, queue segments and the election wait 3 to 4 s; a change still ends them at once. Member records are renewed every 5 s under a lease of 15 s. The watch of the head keeps its 700 ms, since its answers prove freshness.

Ruled out: waits of 10 s for segments. A silent connection would then delay urgent work by up to 12 s, above the 7.7 s of the target.

--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -218,7 +218,7 @@
 	if !pause(ctx, a.Delay) {
 		return nil
 	}
-	list, err := r.platform.WatchMachines(ctx, a.After, r.wait(WatchWait))
+	list, err := r.platform.WatchMachines(ctx, a.After, r.wait(machinesWait))
 	if err != nil {
 		return fleet.MachinesFailed{Term: a.Term, After: a.After}
 	}
--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -35,6 +35,9 @@
 	// endpointsWait is the wait for the list of endpoints. A change ends it at
 	// once; without one, an answer each second would cost 400 B/s.
 	endpointsWait = 3 * time.Second
+	// machinesWait and workersWait are the same for machines and workers.
+	machinesWait = 3 * time.Second
+	workersWait  = 3 * time.Second
 )
 
 // PlatformRunner performs actions against the platform.
--- a/internal/control/taskqueue.go
+++ b/internal/control/taskqueue.go
@@ -25,11 +25,13 @@
 // Waits and attempts of the task queue.
 const (
 	// segmentWait is the wait of one watch for the next segment or the roster.
-	// Nothing is proved by its answer, so that it may be longer than WatchWait;
-	// a planned stop waits for it.
-	segmentWait = 2 * time.Second
-	// electionWait is the wait of one watch of the scheduler's lease.
-	electionWait  = time.Second
+	// Nothing is proved by its answer, so that it may be longer than WatchWait. A
+	// connection that goes silent is noticed after the wait and the call timeout
+	// of 2 s, which must stay below the 7.7 s for the start of urgent work.
+	segmentWait = 4 * time.Second
+	// electionWait is the wait of one watch of the scheduler's lease. The end of
+	// the lease ends it at once.
+	electionWait  = 4 * time.Second
 	queueAttempts = 4
 	queuePause    = 50 * time.Millisecond
 )
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -53,7 +53,7 @@
 	if !pause(ctx, a.Delay) {
 		return nil
 	}
-	list, err := r.platform.WatchWorkers(ctx, a.DataCentre, a.After, WatchWait)
+	list, err := r.platform.WatchWorkers(ctx, a.DataCentre, a.After, workersWait)
 	if err != nil {
 		return fleet.WorkersSeen{Term: a.Term, Version: a.After}
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -13,9 +13,9 @@
 	ProbePeriod = time.Second
 	// MemberTTL is the life of the lease that holds the instance's own record
 	// in the platform. It outlives two missed renewals.
-	MemberTTL = 10 * time.Second
+	MemberTTL = 15 * time.Second
 	// memberRenewal is the time between two renewals.
-	memberRenewal = 3 * time.Second
+	memberRenewal = 5 * time.Second
 	// memberListPeriod is the time between two reads of the members' records. A
 	// list of 40 members takes about 8 KB, 140 B/s.
 	memberListPeriod = 60 * time.Second
