--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"sync"
@@ -17,21 +16,10 @@
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
 	"github.com/crocusjunction/crocusjunction/internal/standin"
 )
 
-// checkSeeded runs a property with a fixed seed, so that every run has the same
-// verdict. A seed on the command line takes precedence.
-func checkSeeded(t *testing.T, seed uint64, property func(*rapid.T)) {
-	t.Helper()
-	given := flag.Lookup("rapid.seed").Value
-	if given.String() == "0" {
-		_ = given.Set(fmt.Sprint(seed))
-		defer func() { _ = given.Set("0") }()
-	}
-	rapid.Check(t, property)
-}
-
 // fixedStore is a platform whose leases never lapse.
 func fixedStore() *standin.Store {
 	return standin.NewStore(func() time.Time { return time.Unix(1000, 0) })
@@ -91,7 +79,7 @@
 // reported as a conflict with itself, or reported as accepted although its
 // write was lost.
 func TestLostAnswersAreResolved(t *testing.T) {
-	checkSeeded(t, 3, func(t *rapid.T) {
+	proptest.Check(t, 3, func(t *rapid.T) {
 		store := fixedStore()
 		committer := eagerCommitter(store)
 		accepted := uint64(0)
@@ -162,7 +150,7 @@
 func TestReadsWhileOthersWriteDoNotRevert(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	checkSeeded(t, 4, func(t *rapid.T) {
+	proptest.Check(t, 4, func(t *rapid.T) {
 		store := fixedStore()
 		writer := eagerCommitter(store)
 		truth := contract.NewRegister()
--- a/internal/fleet/config_bench_test.go
+++ b/internal/fleet/config_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -161,6 +162,28 @@
 	}
 }
 
+// BenchmarkHeapOfConfiguration measures the heap that a fleet with its snapshot
+// keeps, in bytes.
+func BenchmarkHeapOfConfiguration(b *testing.B) {
+	for _, size := range benchSizes {
+		size.run(b, func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				f := size.fleet()
+				b.ReportMetric(float64(heapInUse()-before), "heap-B")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // BenchmarkWithdrawTeamKeys measures the withdrawal of 100 keys of one team that
 // arrive as one ring after another, with a snapshot for each.
 func BenchmarkWithdrawTeamKeys(b *testing.B) {
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -11,6 +11,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/proof"
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
 )
 
 // Seeds of the property tests.
@@ -151,7 +152,7 @@
 // that go back, and against processes that do not recover. Messages are lost,
 // cross each other and arrive twice; up to three faults overlap.
 func TestConfigurationUnderFaults(t *testing.T) {
-	checkSeeded(t, seedSpread, func(t *rapid.T) {
+	proptest.Check(t, seedSpread, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "data centres"), rapid.IntRange(1, 3).Draw(t, "processes"))
 		w.setUp()
 		w.loseShare = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "lost share")
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -2,32 +2,16 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/proof"
 )
 
-// checkSeeded runs a property with a fixed seed, so that every run has the same
-// verdict. A seed on the command line takes precedence.
-func checkSeeded(t *testing.T, seed uint64, property func(*rapid.T)) {
-	t.Helper()
-	given := flag.Lookup("rapid.seed").Value
-	if given.String() == "0" {
-		_ = given.Set(fmt.Sprint(seed))
-		defer func() { _ = given.Set("0") }()
-	}
-	rapid.Check(t, property)
-}
-
 // Times of the messages of a world.
 const (
 	minLatency   = time.Millisecond
--- a/internal/link/attempt_test.go
+++ b/internal/link/attempt_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -12,7 +14,7 @@
 // TestNonIdempotentIsSentOnce guards against a second send of a non-idempotent
 // request after a byte may have left, and against a send after the deadline.
 func TestNonIdempotentIsSentOnce(t *testing.T) {
-	checkSeeded(t, 20261204, func(t *rapid.T) {
+	proptest.Check(t, 20261204, func(t *rapid.T) {
 		idempotent := rapid.Bool().Draw(t, "idempotent")
 		deadline := start.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond)
 		plan, now := NewAttemptPlan("r1", idempotent, deadline), start
@@ -64,7 +66,7 @@
 // TestRetryBudgetBound guards against retries above a tenth of the requests
 // plus the floor, over random mixes of requests, pauses and retries.
 func TestRetryBudgetBound(t *testing.T) {
-	checkSeeded(t, 20261204, func(t *rapid.T) {
+	proptest.Check(t, 20261204, func(t *rapid.T) {
 		budget, now := NewRetryBudget(start), start
 		requests, retries := 0, 0
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
@@ -97,7 +99,7 @@
 // TestConnectionIsNotKeptAfterLoss guards against a late answer that reaches
 // the next request on the same connection.
 func TestConnectionIsNotKeptAfterLoss(t *testing.T) {
-	checkSeeded(t, 20261204, func(t *rapid.T) {
+	proptest.Check(t, 20261204, func(t *rapid.T) {
 		c, now := NewConnection(start), start
 		for {
 			idle := time.Duration(rapid.IntRange(0, 6000).Draw(t, "idle")) * time.Millisecond
--- a/internal/link/freshness_test.go
+++ b/internal/link/freshness_test.go
@@ -1,25 +1,13 @@
 package link
 
 import (
-	"flag"
-	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
-)
 
-// checkSeeded runs a property with a fixed seed, so that every run has the same
-// verdict. A seed on the command line takes precedence.
-func checkSeeded(t *testing.T, seed uint64, property func(*rapid.T)) {
-	t.Helper()
-	given := flag.Lookup("rapid.seed").Value
-	if given.String() == "0" {
-		_ = given.Set(fmt.Sprint(seed))
-		defer func() { _ = given.Set("0") }()
-	}
-	rapid.Check(t, property)
-}
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
+)
 
 var epoch = time.Unix(1000, 0)
 
@@ -50,7 +38,7 @@
 // it shows: no change may have been committed before AsOf that the process
 // lacks. Answers arrive late, twice and in any order, and peers may be ahead.
 func TestFreshnessNeverOverstates(t *testing.T) {
-	checkSeeded(t, 1, func(t *rapid.T) {
+	proptest.Check(t, 1, func(t *rapid.T) {
 		h := &history{now: epoch}
 		f := NewFreshness(4 * time.Second)
 		own := uint64(0)
--- a/internal/link/membership_test.go
+++ b/internal/link/membership_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
 )
 
 func member(id, centre string, incarnation uint64) Member {
@@ -16,7 +18,7 @@
 // against lists that are sent for ever, and against a removed member that
 // comes back from a peer's list.
 func TestMembersConverge(t *testing.T) {
-	checkSeeded(t, 2, func(t *rapid.T) {
+	proptest.Check(t, 2, func(t *rapid.T) {
 		n := rapid.IntRange(2, 12).Draw(t, "members")
 		all := make([]*Membership, n)
 		for i := range n {
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -3,7 +3,7 @@
 // fitted slope of each benchmark that has several sizes.
 //
 // A size is the last "name=number" part of a benchmark's name, as in
-// BenchmarkPlan/workers=1200.
+// BenchmarkPlan/workers=1200. Earlier parts of this form grow with it.
 package main
 
 import (
--- a/test/capacity/table.go
+++ b/test/capacity/table.go
@@ -30,7 +30,7 @@
 
 var (
 	linePattern = regexp.MustCompile(`^(Benchmark\S+?)(?:-\d+)?\s+\d+\s+(.+)$`)
-	sizePattern = regexp.MustCompile(`/[a-z_]+=(\d+)$`)
+	sizePattern = regexp.MustCompile(`/([a-z_]+)=(\d+)`)
 )
 
 // parse reads the output of go test -bench.
@@ -56,9 +56,9 @@
 // add records the value and unit pairs of one line.
 func (s *samples) add(name string, fields []string) error {
 	size := 0.0
-	if match := sizePattern.FindStringSubmatch(name); match != nil {
-		size, _ = strconv.ParseFloat(match[1], 64)
-		name = strings.TrimSuffix(name, match[0]) + "/" + strings.Split(match[0][1:], "=")[0]
+	if matches := sizePattern.FindAllStringSubmatch(name, -1); matches != nil {
+		size, _ = strconv.ParseFloat(matches[len(matches)-1][2], 64)
+		name = sizePattern.ReplaceAllString(name, "/$1")
 	}
 	for i := 0; i+1 < len(fields); i += 2 {
 		value, err := strconv.ParseFloat(fields[i], 64)
--- a/test/tasks/world_test.go
+++ b/test/tasks/world_test.go
@@ -4,9 +4,7 @@
 import (
 	"container/heap"
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -20,6 +18,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/link"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/proof"
+	"github.com/crocusjunction/crocusjunction/internal/proptest"
 	"github.com/crocusjunction/crocusjunction/internal/standin"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/zone"
@@ -40,14 +39,7 @@
 	worldEnd     = 10 * time.Minute
 )
 
-// TestMain fixes the seed and the number of random histories, so that every run
-// gives the same verdict. -rapid.seed and -rapid.checks override them.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "60")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "rapid.checks", "60") }
 
 type timed struct {
 	at  time.Time
