--- a/internal/front/maintenance.go
+++ b/internal/front/maintenance.go
@@ -80,10 +80,10 @@
 func (s *Server) maintenanceRoutes() []route {
 	get, post := fasthttp.MethodGet, fasthttp.MethodPost
 	return []route{
-		{method: get, prefix: "/v1/maintenance/instances", handle: s.listInstances},
-		{method: get, prefix: "/v1/maintenance/budgets", handle: s.listBudgets},
-		{method: get, prefix: "/v1/maintenance/pools", handle: s.listPools},
-		{method: get, prefix: "/v1/maintenance/waves", handle: s.listWaves},
+		{method: get, prefix: "/v1/maintenance/instances", handle: readOrders(s.listInstances)},
+		{method: get, prefix: "/v1/maintenance/budgets", handle: readOrders(s.listBudgets)},
+		{method: get, prefix: "/v1/maintenance/pools", handle: readOrders(s.listPools)},
+		{method: get, prefix: "/v1/maintenance/waves", handle: readOrders(s.listWaves)},
 		{method: post, prefix: "/v1/maintenance/move", handle: s.moveInstance},
 		{method: post, prefix: "/v1/maintenance/wave/start", handle: s.startWave},
 		{method: post, prefix: "/v1/maintenance/wave/pause/", handle: s.pauseWave},
@@ -109,6 +109,16 @@
 	writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
 }
 
+// readOrders turns a read of the planner's records into a handler.
+func readOrders[T any](read func(context.Context) (T, error)) handlerFunc {
+	return func(ctx *fasthttp.RequestCtx, _ string) {
+		limited, cancel := orderContext()
+		defer cancel()
+		value, err := read(limited)
+		writeOrder(ctx, value, err)
+	}
+}
+
 func orderContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), orderTimeout)
 }
@@ -178,32 +188,26 @@
 	writeOrder(ctx, w, err)
 }
 
-func (s *Server) listInstances(ctx *fasthttp.RequestCtx, _ string) {
-	limited, cancel := orderContext()
-	defer cancel()
-	instances, err := s.parts.Orders.Instances(limited)
+func (s *Server) listInstances(ctx context.Context) (InstanceList, error) {
+	instances, err := s.parts.Orders.Instances(ctx)
 	if err != nil {
-		writeOrder(ctx, nil, err)
-		return
+		return InstanceList{}, err
 	}
-	moves, err := s.parts.Orders.Moves(limited)
-	writeOrder(ctx, InstanceList{Instances: instances, Moves: moves}, err)
+	moves, err := s.parts.Orders.Moves(ctx)
+	return InstanceList{Instances: instances, Moves: moves}, err
 }
 
-func (s *Server) listBudgets(ctx *fasthttp.RequestCtx, _ string) {
-	limited, cancel := orderContext()
-	defer cancel()
-	budgets, err := s.parts.Orders.Budgets(limited)
+func (s *Server) listBudgets(ctx context.Context) ([]BudgetView, error) {
+	budgets, err := s.parts.Orders.Budgets(ctx)
 	if err != nil {
-		writeOrder(ctx, nil, err)
-		return
+		return nil, err
 	}
-	instances, err := s.parts.Orders.Instances(limited)
+	instances, err := s.parts.Orders.Instances(ctx)
 	views := make([]BudgetView, 0, len(budgets))
 	for _, b := range budgets {
 		views = append(views, viewBudget(b, instances))
 	}
-	writeOrder(ctx, views, err)
+	return views, err
 }
 
 func viewBudget(b contract.BudgetRecord, instances []machine.Instance) BudgetView {
@@ -224,17 +228,14 @@
 	return view
 }
 
-func (s *Server) listPools(ctx *fasthttp.RequestCtx, _ string) {
-	limited, cancel := orderContext()
-	defer cancel()
-	instances, err := s.parts.Orders.Instances(limited)
+func (s *Server) listPools(ctx context.Context) (PoolList, error) {
+	instances, err := s.parts.Orders.Instances(ctx)
 	if err != nil {
-		writeOrder(ctx, nil, err)
-		return
+		return PoolList{}, err
 	}
 	list := PoolList{Pools: viewPools(s.parts.Loop.Snapshot().Objects(contract.KindPool), instances)}
-	list.Planner, err = s.parts.Orders.Status(limited)
-	writeOrder(ctx, list, err)
+	list.Planner, err = s.parts.Orders.Status(ctx)
+	return list, err
 }
 
 // viewPools counts the members of the configured pools, in their order, and of
@@ -263,25 +264,21 @@
 	return list
 }
 
-func (s *Server) listWaves(ctx *fasthttp.RequestCtx, _ string) {
-	limited, cancel := orderContext()
-	defer cancel()
-	waves, err := s.parts.Orders.Waves(limited)
+func (s *Server) listWaves(ctx context.Context) (WaveList, error) {
+	waves, err := s.parts.Orders.Waves(ctx)
 	if err != nil {
-		writeOrder(ctx, nil, err)
-		return
+		return WaveList{}, err
 	}
-	instances, err := s.parts.Orders.Instances(limited)
+	instances, err := s.parts.Orders.Instances(ctx)
 	if err != nil {
-		writeOrder(ctx, nil, err)
-		return
+		return WaveList{}, err
 	}
 	list := WaveList{Waves: make([]WaveView, 0, len(waves))}
 	for _, w := range waves {
 		list.Waves = append(list.Waves, viewWave(w, instances))
 	}
-	list.Planner, err = s.parts.Orders.Status(limited)
-	writeOrder(ctx, list, err)
+	list.Planner, err = s.parts.Orders.Status(ctx)
+	return list, err
 }
 
 func viewWave(w machine.Wave, instances []machine.Instance) WaveView {
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -327,11 +327,11 @@
 func (s *Store) WatchMachines(ctx context.Context, after uint64, wait time.Duration) (platform.MachineList, error) {
 	var list platform.MachineList
 	deadline := time.Now().Add(wait)
-	for {
+	for count := countWatch; ; count = countNothing {
 		// Commands end by the clock and wake nobody, so the wait is cut into
 		// short pieces.
 		piece := min(max(time.Until(deadline), 0), machineWatchPiece)
-		err := s.await(ctx, piece, func() bool {
+		err := s.await(ctx, count, piece, func() bool {
 			s.advance()
 			list = s.listMachines(after)
 			return list.Version != after
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -147,6 +147,9 @@
 func countWrite(c *Calls) { c.Writes++ }
 func countWatch(c *Calls) { c.Watches++ }
 
+// countNothing is for the further pieces of a watch that was counted.
+func countNothing(*Calls) {}
+
 // expire ends lapsed leases. The lock is held.
 func (s *Store) expire() {
 	now := s.clock()
@@ -270,7 +273,7 @@
 // Watch implements platform.Store.
 func (s *Store) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Record, error) {
 	var record platform.Record
-	err := s.await(ctx, wait, func() bool {
+	err := s.await(ctx, countWatch, wait, func() bool {
 		e := s.entries[key]
 		record = platform.Record{Key: key, Value: e.value, Version: e.version}
 		return e.version != after
@@ -281,7 +284,7 @@
 // WatchInstances implements platform.Directory.
 func (s *Store) WatchInstances(ctx context.Context, after uint64, wait time.Duration) (platform.InstanceList, error) {
 	var list platform.InstanceList
-	err := s.await(ctx, wait, func() bool {
+	err := s.await(ctx, countWatch, wait, func() bool {
 		list = s.instances
 		return list.Version != after
 	})
@@ -289,8 +292,8 @@
 }
 
 // await calls read under the lock until it reports a change or wait has passed.
-func (s *Store) await(ctx context.Context, wait time.Duration, read func() bool) error {
-	if err := s.begin(ctx, countWatch); err != nil {
+func (s *Store) await(ctx context.Context, count func(*Calls), wait time.Duration, read func() bool) error {
+	if err := s.begin(ctx, count); err != nil {
 		return err
 	}
 	timer := time.NewTimer(wait)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -95,10 +95,7 @@
 	_, err := m.meter.Int64ObservableGauge(name,
 		metric.WithUnit(unit),
 		metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(read())
-			return nil
-		}))
+		metric.WithInt64Callback(observe(read)))
 	return wrapName(err, name)
 }
 
@@ -107,13 +104,17 @@
 	_, err := m.meter.Int64ObservableCounter(name,
 		metric.WithUnit(unit),
 		metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(read())
-			return nil
-		}))
+		metric.WithInt64Callback(observe(read)))
 	return wrapName(err, name)
 }
 
+func observe(read func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(read())
+		return nil
+	}
+}
+
 func wrapName(err error, name string) error {
 	if err == nil {
 		return nil
