--- a/test/measure/departure.sh
+++ b/test/measure/departure.sh
@@ -14,6 +14,7 @@
 pids=()
 stop() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   rm -rf "$dir"
 }
 trap stop EXIT
