Ask the control thread through one function

Change: control.Ask sends the event, and waits for the reply, the end of the control thread or the context. The views of the front end use it through query, with the time limit of the configuration status.

Ruled out: the request's own context for views. It ends at a planned stop, although the request is still served.

Conclusion: replies, routes and status codes are unchanged; a stopped control thread is now an error instead of a wait.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -54,18 +54,9 @@
 // CheckWith returns a Checker that asks the control thread.
 func CheckWith(l *Loop) Checker {
 	return func(ctx context.Context, head contract.Head, c contract.Change) (fleet.ChangeChecked, error) {
-		reply := make(chan fleet.ChangeChecked, 1)
-		if err := l.Send(ctx, fleet.CheckChange{Head: head, Change: c, Reply: reply}); err != nil {
-			return fleet.ChangeChecked{}, err
-		}
-		select {
-		case checked := <-reply:
-			return checked, nil
-		case <-l.stopped:
-			return fleet.ChangeChecked{}, ErrStopped
-		case <-ctx.Done():
-			return fleet.ChangeChecked{}, ctx.Err()
-		}
+		return Ask(ctx, l, func(reply chan<- fleet.ChangeChecked) fleet.Event {
+			return fleet.CheckChange{Head: head, Change: c, Reply: reply}
+		})
 	}
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -76,13 +76,15 @@
 // announceDeparture tells every known peer that this instance leaves. A peer that
 // does not hear it removes the instance later, when it is silent.
 func announceDeparture(ctx context.Context, loop *control.Loop, p peers) error {
-	reply := make(chan []link.Member, 1)
-	if err := loop.Send(ctx, fleet.KnownMembers{Reply: reply}); err != nil {
+	members, err := control.Ask(ctx, loop, func(reply chan<- []link.Member) fleet.Event {
+		return fleet.KnownMembers{Reply: reply}
+	})
+	if err != nil {
 		return err
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(departureParallel)
-	for _, m := range <-reply {
+	for _, m := range members {
 		group.Go(func() error {
 			limited, cancel := context.WithTimeout(groupCtx, departureTimeout)
 			defer cancel()
@@ -96,32 +98,26 @@
 // returnSlots gives back all slots, now that the requests that used them have
 // ended. What is not returned is free for others after the hold.
 func returnSlots(ctx context.Context, loop *control.Loop, log *logrus.Entry) error {
-	reply := make(chan fleet.Returned, 1)
-	if err := loop.Send(ctx, fleet.ReleaseAllotments{Reply: reply}); err != nil {
+	returned, err := control.Ask(ctx, loop, func(reply chan<- fleet.Returned) fleet.Event {
+		return fleet.ReleaseAllotments{Reply: reply}
+	})
+	if err != nil {
 		return err
 	}
-	select {
-	case returned := <-reply:
-		log.Infof("limits: slots returned, %d kept", returned.Kept)
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	log.Infof("limits: slots returned, %d kept", returned.Kept)
+	return nil
 }
 
 // endRoles ends the platform leases of the instance, so that its roles pass on
 // at once and its own record disappears.
 func endRoles(ctx context.Context, loop *control.Loop, p platform.Store) error {
-	reply := make(chan fleet.Departure, 1)
-	if err := loop.Send(ctx, fleet.Depart{Reply: reply}); err != nil {
+	departure, err := control.Ask(ctx, loop, func(reply chan<- fleet.Departure) fleet.Event {
+		return fleet.Depart{Reply: reply}
+	})
+	if err != nil {
 		return err
 	}
-	select {
-	case departure := <-reply:
-		return revoke(ctx, p, departure.Leases)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return revoke(ctx, p, departure.Leases)
 }
 
 func revoke(ctx context.Context, p platform.Store, leases []uint64) error {
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/strictjson"
@@ -80,16 +81,13 @@
 
 // spread passes a committed head on and waits for confirmations.
 func (s *Server) spread(ctx context.Context, head contract.Head) Spread {
-	reply := make(chan fleet.SpreadPlan, 1)
-	if err := s.parts.Loop.Send(ctx, fleet.HeadCommitted{Head: head, Reply: reply}); err != nil {
-		return Spread{}
-	}
-	select {
-	case plan := <-reply:
-		return s.confirmations(ctx, plan)
-	case <-ctx.Done():
+	plan, err := control.Ask(ctx, s.parts.Loop, func(reply chan<- fleet.SpreadPlan) fleet.Event {
+		return fleet.HeadCommitted{Head: head, Reply: reply}
+	})
+	if err != nil {
 		return Spread{}
 	}
+	return s.confirmations(ctx, plan)
 }
 
 // confirmations runs a plan. The time at which the old configuration ends is
--- a/internal/front/endpoint.go
+++ b/internal/front/endpoint.go
@@ -39,13 +39,12 @@
 }
 
 func (s *Server) listEndpoints(ctx *fasthttp.RequestCtx, _ string) {
-	reply := make(chan []fleet.EndpointView, 1)
-	if err := s.parts.Loop.Send(ctx, fleet.EndpointQuery{Reply: reply}); err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+	endpoints, ok := query(s, ctx, func(reply chan<- []fleet.EndpointView) fleet.Event { return fleet.EndpointQuery{Reply: reply} })
+	if !ok {
 		return
 	}
 	answer := EndpointList{Endpoints: []EndpointInfo{}, Dropped: s.parts.Dropped(), Outcomes: s.parts.Traffic.Counts()}
-	for _, e := range <-reply {
+	for _, e := range endpoints {
 		answer.Endpoints = append(answer.Endpoints, EndpointInfo{
 			ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address, Phase: e.Phase, Trial: e.Trial,
 			Running: e.Running, Bound: e.Bound(), DataCentreOut: e.DataCentreOut,
--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -19,16 +19,17 @@
 
 // explain serves /v1/explain/{kind}/{name}.
 func (s *Server) explain(ctx *fasthttp.RequestCtx, path string) {
-	kind, name, ok := strings.Cut(path, "/")
-	if !ok || name == "" {
+	kind, name, found := strings.Cut(path, "/")
+	if !found || name == "" {
 		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "use /v1/explain/KIND/NAME"})
 		return
 	}
-	reply := make(chan []fleet.Decision, 1)
 	subject := fleet.Subject{Kind: fleet.SubjectKind(kind), Name: name}
-	if err := s.parts.Loop.Send(ctx, fleet.ExplainQuery{Subject: subject, Reply: reply}); err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+	decisions, ok := query(s, ctx, func(reply chan<- []fleet.Decision) fleet.Event {
+		return fleet.ExplainQuery{Subject: subject, Reply: reply}
+	})
+	if !ok {
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, Explanation{Decisions: <-reply})
+	writeJSON(ctx, fasthttp.StatusOK, Explanation{Decisions: decisions})
 }
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -42,12 +42,11 @@
 }
 
 func (s *Server) limits(ctx *fasthttp.RequestCtx, _ string) {
-	reply := make(chan fleet.LimitsReport, 1)
-	if err := s.parts.Loop.Send(ctx, fleet.LimitsQuery{Reply: reply}); err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+	report, ok := query(s, ctx, func(reply chan<- fleet.LimitsReport) fleet.Event { return fleet.LimitsQuery{Reply: reply} })
+	if !ok {
 		return
 	}
-	answer := LimitsAnswer{Here: <-reply, Fleet: []RecordedLimit{}}
+	answer := LimitsAnswer{Here: report, Fleet: []RecordedLimit{}}
 	limited, cancel := context.WithTimeout(context.Background(), limitsTimeout)
 	defer cancel()
 	records, err := s.parts.Limits(limited)
--- a/internal/front/schedule.go
+++ b/internal/front/schedule.go
@@ -16,20 +16,18 @@
 // shares serves /v1/share. Only the scheduler of the data centre knows them;
 // the answer of another entry instance names it.
 func (s *Server) shares(ctx *fasthttp.RequestCtx, _ string) {
-	reply := make(chan fleet.ShareView, 1)
-	if err := s.parts.Loop.Send(ctx, fleet.ShareQuery{Reply: reply}); err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+	view, ok := query(s, ctx, func(reply chan<- fleet.ShareView) fleet.Event { return fleet.ShareQuery{Reply: reply} })
+	if !ok {
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, <-reply)
+	writeJSON(ctx, fasthttp.StatusOK, view)
 }
 
 // workers serves /v1/worker, like shares.
 func (s *Server) workers(ctx *fasthttp.RequestCtx, _ string) {
-	reply := make(chan fleet.WorkerListView, 1)
-	if err := s.parts.Loop.Send(ctx, fleet.WorkerQuery{Reply: reply}); err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+	view, ok := query(s, ctx, func(reply chan<- fleet.WorkerListView) fleet.Event { return fleet.WorkerQuery{Reply: reply} })
+	if !ok {
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, <-reply)
+	writeJSON(ctx, fasthttp.StatusOK, view)
 }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 )
 
@@ -51,19 +52,16 @@
 func (s *Server) configStatus(ctx *fasthttp.RequestCtx, _ string) {
 	limited, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	reply := make(chan fleet.ConfigStatus, 1)
-	if err := s.parts.Loop.Send(limited, fleet.SpreadQuery{Reply: reply}); err != nil {
+	status, err := control.Ask(limited, s.parts.Loop, func(reply chan<- fleet.ConfigStatus) fleet.Event {
+		return fleet.SpreadQuery{Reply: reply}
+	})
+	if err != nil {
 		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
 		return
 	}
-	select {
-	case status := <-reply:
-		answer := statusOfConfig(status)
-		answer.Spread = s.confirmations(limited, status.Plan)
-		writeJSON(ctx, fasthttp.StatusOK, answer)
-	case <-limited.Done():
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: limited.Err().Error()})
-	}
+	answer := statusOfConfig(status)
+	answer.Spread = s.confirmations(limited, status.Plan)
+	writeJSON(ctx, fasthttp.StatusOK, answer)
 }
 
 func statusOfConfig(s fleet.ConfigStatus) ConfigStatus {
