Run the whole path on the users' platform: client, scheduler, ingress, node

Cause: the product had no program for the platform. Change: platform/ is the client; contract/job, contract/policy, machine/worker, machine/upkeep, link/lease, zone/placement and scheduler decide; ingress serves callers; node assembles them with one control thread.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -29,6 +29,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			entryCommand(),
+			nodeCommand(),
 			standinCommand(),
 			settingsCommand(),
 			explainCommand(),
--- /dev/null
+++ b/internal/contract/job/progress.go
@@ -0,0 +1,42 @@
+package job
+
+// State is what a caller sees of a job.
+type State string
+
+// States of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes any more.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Progress is the part of a job's state that must survive the loss of every
+// process. Tasks are numbered through all steps and occurrences (Job.ordinal).
+type Progress struct {
+	State State `cbor:"1,keyasint,omitempty"`
+	// Done has one bit for each task that ended done.
+	Done []byte `cbor:"2,keyasint,omitempty"`
+	// FailedRuns lists the numbers of the runs of a task that ended failed. Run
+	// numbers instead of a count make a repeated report harmless.
+	FailedRuns map[int][]int `cbor:"3,keyasint,omitempty"`
+	// Saved is the newest checkpoint of a task or gang.
+	Saved map[int]string `cbor:"4,keyasint,omitempty"`
+	// EndedAt is when the final state was reached, in Unix milliseconds.
+	EndedAt int64 `cbor:"5,keyasint,omitempty"`
+}
+
+func (p *Progress) done(ordinal int) bool {
+	return ordinal/8 < len(p.Done) && p.Done[ordinal/8]&(1<<(ordinal%8)) != 0
+}
+
+func (p *Progress) setDone(ordinal int) {
+	for len(p.Done) <= ordinal/8 {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[ordinal/8] |= 1 << (ordinal % 8)
+}
--- /dev/null
+++ b/internal/contract/policy/policy.go
@@ -0,0 +1,145 @@
+// Package policy holds what operators and teams agreed on: queues, teams with
+// their keys and upper limits, and services. A Configuration is immutable, so
+// that traffic goroutines may read it without a lock.
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// Configuration is one accepted version of the operators' configuration.
+type Configuration struct {
+	// Version grows with each change, in uneven steps.
+	Version  int64
+	queues   []Queue
+	byName   map[string]*Queue
+	teams    map[string]*Team
+	teamOf   map[string]string
+	services map[string]Service
+	limits   RequestLimits
+}
+
+// Queue takes jobs for the workers of one service.
+type Queue struct {
+	Name string
+	// Host and Prefix select the queue; the longest prefix of a host wins.
+	Host, Prefix string
+	Service      string
+	// Public queues take jobs without a key.
+	Public bool
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is the number of failed runs of a task after which its job fails.
+	Attempts int
+	// Stretch times the longest chain of work, plus Objective, is the time in
+	// which a job should complete.
+	Stretch   float64
+	Objective time.Duration
+	// Advised queues start tasks only on workers that the advice service names.
+	Advised bool
+}
+
+// Team is a customer of the fleet.
+type Team struct {
+	Name string
+	Keys []string
+	// Weight is the team's share while the fleet is full.
+	Weight float64
+	// Cap bounds what the team may have running; a field of 0 has no bound.
+	Cap machine.Resources
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name string
+	// Guarded workers refuse what does not fit; others must not be overfilled.
+	Guarded bool
+	// Spare pools hold machines that are switched off and cost nothing.
+	Spare bool
+}
+
+// RequestLimits bound a caller's request.
+type RequestLimits struct {
+	HeaderBytes, BodyBytes int
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// New returns a configuration of the given parts, which it takes over.
+func New(version int64, queues []Queue, teams []Team, services []Service, limits RequestLimits) *Configuration {
+	c := &Configuration{
+		Version:  version,
+		queues:   queues,
+		byName:   make(map[string]*Queue, len(queues)),
+		teams:    make(map[string]*Team, len(teams)),
+		teamOf:   make(map[string]string),
+		services: make(map[string]Service, len(services)),
+		limits:   limits,
+	}
+	slices.SortStableFunc(c.queues, func(a, b Queue) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	for i := range c.queues {
+		c.byName[c.queues[i].Name] = &c.queues[i]
+	}
+	for i := range teams {
+		c.teams[teams[i].Name] = &teams[i]
+		for _, key := range teams[i].Keys {
+			c.teamOf[key] = teams[i].Name
+		}
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	return c
+}
+
+// Route returns the queue that serves path on host and the rest of the path
+// behind its prefix.
+func (c *Configuration) Route(host, path string) (*Queue, string, bool) {
+	first, _ := slices.BinarySearchFunc(c.queues, host, func(q Queue, h string) int { return cmp.Compare(q.Host, h) })
+	for i := first; i < len(c.queues) && c.queues[i].Host == host; i++ {
+		if rest, ok := strings.CutPrefix(path, c.queues[i].Prefix); ok {
+			return &c.queues[i], rest, true
+		}
+	}
+	return nil, "", false
+}
+
+// Queue returns the queue of a name.
+func (c *Configuration) Queue(name string) (*Queue, bool) {
+	q, ok := c.byName[name]
+	return q, ok
+}
+
+// Queues returns all queues; the caller must not change them.
+func (c *Configuration) Queues() []Queue { return c.queues }
+
+// TeamOf returns the team that a key belongs to.
+func (c *Configuration) TeamOf(key string) (string, bool) {
+	team, ok := c.teamOf[key]
+	return team, ok
+}
+
+// Team returns the team of a name.
+func (c *Configuration) Team(name string) (*Team, bool) {
+	t, ok := c.teams[name]
+	return t, ok
+}
+
+// Service returns the service of a name.
+func (c *Configuration) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns all services by name; the caller must not change them.
+func (c *Configuration) Services() map[string]Service { return c.services }
+
+// Limits returns the bounds of a request.
+func (c *Configuration) Limits() RequestLimits { return c.limits }
--- a/internal/machine/resources.go
+++ b/internal/machine/resources.go
@@ -3,10 +3,10 @@
 // Resources is an amount of what a worker has and a task uses.
 type Resources struct {
 	// MilliCores are thousandths of a processor core.
-	MilliCores int64 `json:"millicores"`
+	MilliCores int64 `json:"millicores" cbor:"1,keyasint,omitempty"`
 	// MemoryMB is in units of 2^20 bytes.
-	MemoryMB     int64 `json:"memory_mb"`
-	Accelerators int64 `json:"accelerators,omitempty"`
+	MemoryMB     int64 `json:"memory_mb" cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Plus returns the sum.
--- /dev/null
+++ b/internal/machine/worker/worker.go
@@ -0,0 +1,233 @@
+// Package worker holds one incarnation of a worker as the scheduler sees it:
+// its room, the runs on it, how long orders given to it can have effect, and
+// which of its ends are acknowledged. It does no I/O and reads no clock.
+package worker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// Bounds of a worker's lease. The platform shortens a longer one to its own
+// maximum.
+const (
+	// ClockError is the greatest error of a worker's clock rate, in percent.
+	ClockError = 2
+	// HoldMargin covers the uncertainty of the estimate of a worker's clock.
+	HoldMargin = 250 * time.Millisecond
+)
+
+// Description is what a worker says about itself in the store's list.
+type Description struct {
+	ID, Service, Address, Zone string
+	Capacity                   machine.Resources
+	// Labels are the kind of the worker and its rack.
+	Labels   []string
+	Draining bool
+	// Remaining is the least time that a draining worker stays.
+	Remaining time.Duration
+	// Cold is how much longer the worker is slow after its start.
+	Cold time.Duration
+	// Born is the start of the incarnation in Unix milliseconds.
+	Born int64
+}
+
+// Worker is one incarnation of a worker.
+type Worker struct {
+	Description
+	// Listed is false once the store's list lacks the worker.
+	Listed bool
+	// DrainSeenAt is when the worker was first seen draining.
+	DrainSeenAt time.Time
+	// Recorded means that the scheduler's durable list names the worker, so that a
+	// successor asks it before it moves tasks.
+	Recorded bool
+	// Heard means that the worker has answered this scheduler, so that it refuses
+	// all earlier ones.
+	Heard bool
+	// Silent is set when the last question got no answer.
+	Silent bool
+	// Asking is true while a question is under way.
+	Asking bool
+	// NextAsk is when the next question is due.
+	NextAsk time.Time
+	// Reserved machines get nothing new because upkeep or a move is near.
+	Reserved bool
+
+	runs  map[RunKey]*job.Run
+	inUse machine.Resources
+	// expiresAt is when everything on the worker has ended for certain if no
+	// further order is given.
+	expiresAt time.Time
+	clock     clockReading
+	ends      endLog
+	trust     trust
+	pacedAt   time.Time
+}
+
+// RunKey names a run on a worker.
+type RunKey struct {
+	Task   job.TaskName
+	Number int
+}
+
+type clockReading struct {
+	millis     int64
+	receivedAt time.Time
+}
+
+// New returns a worker that has not been asked yet.
+func New(d Description) *Worker {
+	return &Worker{Description: d, Listed: true, runs: make(map[RunKey]*job.Run)}
+}
+
+// Rack returns the worker's rack label: the second of its labels.
+func (w *Worker) Rack() string {
+	if len(w.Labels) < 2 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
+
+// HasLabel reports whether the worker carries a label; an empty one is carried
+// by all.
+func (w *Worker) HasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
+// Runs returns the runs that may be alive; the caller must not change the map.
+func (w *Worker) Runs() map[RunKey]*job.Run { return w.runs }
+
+// Add notes a run that is ordered or was found on the worker.
+func (w *Worker) Add(r *job.Run) {
+	r.Worker = w.ID
+	w.runs[RunKey{r.Task.Name(), r.Number}] = r
+	w.inUse = w.inUse.Plus(r.Task.Spec().Room())
+}
+
+// Remove notes that a run is over and frees its room.
+func (w *Worker) Remove(r *job.Run) {
+	key := RunKey{r.Task.Name(), r.Number}
+	if w.runs[key] != r {
+		return
+	}
+	delete(w.runs, key)
+	w.inUse = w.inUse.Minus(r.Task.Spec().Room())
+}
+
+// InUse returns the room that runs occupy, including those that are ending.
+func (w *Worker) InUse() machine.Resources { return w.inUse }
+
+// Free returns the room that is left.
+func (w *Worker) Free() machine.Resources { return w.Capacity.Minus(w.inUse) }
+
+// Fits reports whether a task of the step has room.
+func (w *Worker) Fits(s *job.Step) bool { return s.Room().FitsIn(w.Free()) }
+
+// Usable reports whether new tasks may start on the worker.
+func (w *Worker) Usable(now time.Time) bool {
+	return w.Listed && w.Heard && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.trust.aside(now)
+}
+
+// CountStep returns how many runs of a step's occurrence the worker holds.
+func (w *Worker) CountStep(o *job.Occurrence, step int) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Task.Occurrence == o && r.Task.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// ReadClock notes a reading of the worker's clock.
+func (w *Worker) ReadClock(millis int64, receivedAt time.Time) {
+	if millis > 0 && !receivedAt.Before(w.clock.receivedAt) {
+		w.clock = clockReading{millis, receivedAt}
+	}
+}
+
+// ClockAt estimates the worker's clock in milliseconds. It is never behind by
+// more than the time an answer takes.
+func (w *Worker) ClockAt(now time.Time) int64 {
+	return w.clock.millis + now.Sub(w.clock.receivedAt).Milliseconds()
+}
+
+// ClockKnown reports whether the worker's clock was ever read.
+func (w *Worker) ClockKnown() bool { return w.clock.millis > 0 }
+
+// Ordered notes that an order with a lease of hold is being sent, so that the
+// worker's tasks may live on that long.
+func (w *Worker) Ordered(now time.Time, hold time.Duration) {
+	drift := now.Sub(w.clock.receivedAt)
+	if w.clock.receivedAt.IsZero() {
+		drift = 0
+	}
+	end := now.Add((hold + drift*ClockError/100 + HoldMargin) * (100 + ClockError + 1) / 100)
+	if end.After(w.expiresAt) {
+		w.expiresAt = end
+	}
+}
+
+// ExpectOrders notes that orders of an earlier scheduler may have effect until
+// at.
+func (w *Worker) ExpectOrders(at time.Time) {
+	if at.After(w.expiresAt) {
+		w.expiresAt = at
+	}
+}
+
+// ExpiresAt returns when everything on the worker has ended for certain.
+func (w *Worker) ExpiresAt() time.Time { return w.expiresAt }
+
+// Expired reports whether everything on the worker has ended for certain.
+func (w *Worker) Expired(now time.Time) bool { return now.After(w.expiresAt) }
+
+// Mixed reports whether serving tasks share the worker with tasks that fill.
+func (w *Worker) Mixed() bool {
+	var serves, fills bool
+	for _, r := range w.runs {
+		s := r.Task.Spec()
+		serves = serves || s.LatencyObjective > 0
+		fills = fills || s.Fills
+	}
+	return serves && fills
+}
+
+// Find returns the run of a key, nil when there is none.
+func (w *Worker) Find(key RunKey) *job.Run { return w.runs[key] }
+
+// Lasting returns the number of lasting runs.
+func (w *Worker) Lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Task.Spec().Lasting {
+			n++
+		}
+	}
+	return n
+}
+
+// ServingLoad returns the worst tail latency of the serving runs, in parts of
+// their objectives.
+func (w *Worker) ServingLoad() float64 {
+	worst := 0.0
+	for _, r := range w.runs {
+		objective := r.Task.Spec().LatencyObjective.Milliseconds()
+		if objective > 0 && r.Phase == job.RunActive {
+			worst = max(worst, float64(r.Measured)/float64(objective))
+		}
+	}
+	return worst
+}
+
+// PaceDue reports whether the effect of the last change of pace can be seen.
+func (w *Worker) PaceDue(now time.Time, after time.Duration) bool {
+	return now.Sub(w.pacedAt) >= after
+}
+
+// Paced notes a change of pace.
+func (w *Worker) Paced(now time.Time) { w.pacedAt = now }
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/crocusjunction/crocusjunction/internal/ingress"
+	"github.com/crocusjunction/crocusjunction/internal/telemetry"
+)
+
+// metrics are the instruments of a node.
+type metrics struct{ *telemetry.Metrics }
+
+func newMetrics(n *node) (*metrics, error) {
+	m, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	counts := func(read func(s *Status) int64) func() int64 { return func() int64 { return read(n.loop.Status()) } }
+	for _, g := range []struct {
+		name, description string
+		read              func(s *Status) int64
+	}{
+		{"crocusjunction.config.version", "Configuration version in force.", func(s *Status) int64 {
+			if s.Config == nil {
+				return 0
+			}
+			return s.Config.Version
+		}},
+		{"crocusjunction.config.age_ms", "Age of the reading of the configuration in ms.", func(s *Status) int64 { return n.clock.Now().Sub(s.ConfigAsOf).Milliseconds() }},
+		{"crocusjunction.scheduler.leading", "1 while this node is the scheduler.", func(s *Status) int64 {
+			if s.Leading {
+				return 1
+			}
+			return 0
+		}},
+		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *Status) int64 { return s.Counts.Running }},
+		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *Status) int64 { return s.Counts.Unfinished }},
+		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *Status) int64 { return s.Counts.Workers }},
+	} {
+		if err := m.Gauge(g.name, "", g.description, counts(g.read)); err != nil {
+			return nil, err
+		}
+	}
+	for _, c := range []struct {
+		name, description string
+		read              func(s *Status) int64
+	}{
+		{"crocusjunction.task.starts", "Starts that were ordered.", func(s *Status) int64 { return s.Counts.Starts }},
+		{"crocusjunction.task.ends", "Ends that workers listed.", func(s *Status) int64 { return s.Counts.Ends }},
+		{"crocusjunction.task.failures", "Runs that ended failed.", func(s *Status) int64 { return s.Counts.Failed }},
+		{"crocusjunction.task.lost", "Runs that were lost with their worker.", func(s *Status) int64 { return s.Counts.Lost }},
+		{"crocusjunction.task.refused", "Starts that workers refused.", func(s *Status) int64 { return s.Counts.Refused }},
+		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *Status) int64 { return s.Counts.Takeovers }},
+	} {
+		if err := m.Counter(c.name, "", c.description, counts(c.read)); err != nil {
+			return nil, err
+		}
+	}
+	if err := m.Counter("crocusjunction.log.dropped", "{line}", "Log lines that were dropped.", n.log.Dropped); err != nil {
+		return nil, err
+	}
+	err = m.LabelledCounter("crocusjunction.platform.calls", "Calls to the platform by kind.", "kind", n.client.Counters().Each)
+	return &metrics{m}, err
+}
+
+// request records a finished request.
+func (m *metrics) request(kind string, a ingress.Answer, took time.Duration) {
+	code := ""
+	if a.Code == ingress.NotRun || a.Code == ingress.Unsettled || a.Code == ingress.Unavailable {
+		code = a.Code.String()
+	}
+	m.Request(a.Team, kind+" "+a.Code.String(), code, took)
+}
+
+// metricsPath is where the metrics are served.
+const metricsPath = "/metrics"
+
+func (m *metrics) handler() fasthttp.RequestHandler {
+	serve := fasthttpadaptor.NewFastHTTPHandler(m.Handler())
+	return func(c *fasthttp.RequestCtx) {
+		if !strings.HasPrefix(string(c.Path()), metricsPath) {
+			c.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		serve(c)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/election.go
@@ -0,0 +1,245 @@
+package scheduler
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/link/lease"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+)
+
+// Times of the election.
+const (
+	// seekSpread spreads the nodes' attempts, so that usually one of them writes.
+	seekSpread = 120 * time.Millisecond
+	// seekAgain is the pause after an attempt that failed.
+	seekAgain = 300 * time.Millisecond
+)
+
+// runsPerEpoch separates the run numbers of one scheduler from those of the
+// next. A task is started far less often under one scheduler.
+const runsPerEpoch = 1000
+
+// election is what a node knows of the scheduler's lease.
+type election struct {
+	authority lease.Authority
+	// holder and fence are those of the stored lease, fence 0 for none.
+	holder string
+	fence  int64
+	// epoch is the number that the next scheduler gets.
+	epoch         int
+	epochRevision int64
+	// synced is the revision up to which the copy of the jobs is complete.
+	synced   int64
+	seeking  bool
+	seekAt   time.Time
+	renewing bool
+	renewAt  time.Time
+	// leaving is set at a planned stop: the node takes the lease no more.
+	leaving bool
+}
+
+// LeaseGranted reports that this node holds the scheduler's lease. SentAt is
+// when it was asked for.
+type LeaseGranted struct {
+	Fence, Lease int64
+	Epoch        int
+	SentAt       time.Time
+	TTL          time.Duration
+}
+
+// Apply implements Event.
+func (e LeaseGranted) Apply(s *Scheduler, now time.Time) {
+	s.election.seeking = false
+	if s.election.leaving {
+		s.act(EndLease{e.Lease})
+		return
+	}
+	s.election.authority = lease.Grant(e.Fence, e.Lease, e.Epoch, e.SentAt, e.TTL, now)
+	s.election.renewAt = now.Add(lease.RenewEvery)
+	s.note("scheduler lease taken", "fence", e.Fence, "epoch", e.Epoch)
+}
+
+// LeaseRefused reports that another node holds the lease or that the attempt
+// failed.
+type LeaseRefused struct{ Reason string }
+
+// Apply implements Event.
+func (e LeaseRefused) Apply(s *Scheduler, now time.Time) {
+	s.election.seeking = false
+	s.election.seekAt = now.Add(seekAgain + s.spread())
+}
+
+// RenewOutcome is the result of a renewal.
+type RenewOutcome int
+
+// Results of a renewal.
+const (
+	Renewed RenewOutcome = iota
+	// RenewUnknown means that the store did not answer or refused the call.
+	RenewUnknown
+	// RenewEnded means that the lease no longer exists.
+	RenewEnded
+)
+
+// LeaseRenewed is the answer to RenewLease.
+type LeaseRenewed struct {
+	Lease   int64
+	Outcome RenewOutcome
+	SentAt  time.Time
+	TTL     time.Duration
+}
+
+// renewRetry is the pause after a renewal without an answer.
+const renewRetry = 150 * time.Millisecond
+
+// Apply implements Event.
+func (e LeaseRenewed) Apply(s *Scheduler, now time.Time) {
+	s.election.renewing = false
+	a := &s.election.authority
+	if a.Lease != e.Lease {
+		return
+	}
+	switch e.Outcome {
+	case Renewed:
+		a.Renew(e.SentAt, e.TTL)
+		s.election.renewAt = now.Add(lease.RenewEvery)
+	case RenewUnknown:
+		s.election.renewAt = now.Add(renewRetry)
+	case RenewEnded:
+		s.stepDown("the lease ended", now)
+	}
+}
+
+// Leave gives the scheduler's lease up at a planned stop.
+type Leave struct{}
+
+// Apply implements Event.
+func (Leave) Apply(s *Scheduler, now time.Time) {
+	s.election.leaving = true
+	if a := s.election.authority; a.Held() {
+		s.stepDown("planned stop", now)
+		s.act(EndLease{a.Lease})
+	}
+}
+
+// spread is this node's own share of seekSpread.
+func (s *Scheduler) spread() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.terms.Self))
+	return seekSpread * time.Duration(h.Sum32()%100) / 100
+}
+
+func (s *Scheduler) leaderSeen(holder string, fence int64, now time.Time) {
+	e := &s.election
+	if fence == e.fence {
+		return
+	}
+	e.holder, e.fence = holder, fence
+	e.seekAt = now.Add(s.spread())
+	if e.authority.Held() && fence > e.authority.Fence {
+		s.stepDown("another scheduler holds the lease", now)
+	}
+	if e.authority.Held() && fence == 0 {
+		s.stepDown("the lease is gone from the store", now)
+	}
+	if fence != 0 && holder != s.terms.Self {
+		s.note("scheduler seen", "holder", holder, "fence", fence)
+	}
+}
+
+// stepElection seeks, renews and enters or leaves the role.
+func (s *Scheduler) stepElection(now time.Time) {
+	e := &s.election
+	if !e.authority.Held() {
+		s.seek(now)
+		return
+	}
+	if !e.renewing && !now.Before(e.renewAt) {
+		e.renewing = true
+		s.act(RenewLease{e.authority.Lease})
+	}
+	if !e.renewing {
+		s.wake(e.renewAt)
+	}
+	// All that the last scheduler stored has been read when the copy reaches this
+	// node's own lease: its later writes fail on their condition.
+	if !s.leading && e.synced >= e.authority.Fence && s.config != nil {
+		s.lead(now)
+	}
+}
+
+func (s *Scheduler) seek(now time.Time) {
+	e := &s.election
+	if e.leaving || e.seeking || e.fence != 0 || e.synced == 0 || s.config == nil {
+		return
+	}
+	if now.Before(e.seekAt) {
+		s.wake(e.seekAt)
+		return
+	}
+	e.seeking = true
+	s.act(SeekLease{Epoch: e.epoch, EpochRevision: e.epochRevision})
+}
+
+// authorized reports whether orders may be given now.
+func (s *Scheduler) authorized(now time.Time) bool {
+	return s.leading && s.election.authority.Valid(now)
+}
+
+func (s *Scheduler) fence() int64 { return s.election.authority.Fence }
+
+// notAfter is when the right to send an order ends.
+func (s *Scheduler) notAfter() time.Time { return s.election.authority.Until() }
+
+func (s *Scheduler) epochBase() int { return s.election.authority.Epoch * runsPerEpoch }
+
+// lead enters the role: it rebuilds tasks from the stored progress and asks
+// every worker that may run some.
+func (s *Scheduler) lead(now time.Time) {
+	s.leading = true
+	s.counts.Takeovers++
+	s.workers = make(map[string]*worker.Worker)
+	s.usage = make(map[string]machine.Resources)
+	s.unfinish = make(map[job.ID]*job.Job)
+	s.flush = flushState{busy: make(map[job.ID]bool)}
+	s.place = placeState{dirty: true}
+	s.duties = newDutyState(now.Add(s.terms.DutyTurn + dutyMargin))
+	s.limbo = 0
+	// The last scheduler gave no order after its lease ended, and none of its
+	// orders lasts longer than this.
+	end := now.Add(s.terms.LongestHold*(100+worker.ClockError+1)/100 + worker.HoldMargin)
+	s.roster.writing = false
+	for _, m := range s.roster.members {
+		w := worker.New(worker.Description{ID: m.ID, Address: m.Address, Service: m.Service, Zone: m.DataCentre})
+		w.Listed = false
+		w.Recorded = true
+		w.ExpectOrders(end)
+		s.workers[m.ID] = w
+	}
+	for _, d := range s.listed {
+		s.meetWorker(d, now)
+	}
+	for _, j := range s.jobs {
+		s.leadJob(j)
+	}
+	s.note("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", len(s.unfinish), "workers", len(s.workers), "limbo", s.limbo)
+}
+
+// stepDown leaves the role.
+func (s *Scheduler) stepDown(reason string, now time.Time) {
+	s.note("scheduling ends", "reason", reason, "fence", s.fence())
+	s.leading = false
+	s.election.authority = lease.Authority{}
+	s.election.renewing = false
+	s.election.seekAt = now.Add(s.spread())
+	for _, j := range s.jobs {
+		j.Follow()
+	}
+	for _, w := range s.waves {
+		w.Reset()
+	}
+	s.workers, s.usage, s.unfinish, s.limbo = nil, nil, nil, 0
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,163 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+	"github.com/crocusjunction/crocusjunction/internal/zone/placement"
+)
+
+// Times of placement.
+const (
+	// placeGap gathers events into one round.
+	placeGap = 8 * time.Millisecond
+	// placeAgain is when tasks that found no worker are looked at again, should
+	// no event come before.
+	placeAgain = 250 * time.Millisecond
+	// copyLimit is the greatest age of the node's copies at which tasks start. It
+	// is below the time after which nothing may start on a draining worker.
+	copyLimit = 1800 * time.Millisecond
+)
+
+type placeState struct {
+	dirty  bool
+	nextAt time.Time
+}
+
+// stepPlace runs a round of placement when something has changed.
+func (s *Scheduler) stepPlace(now time.Time) {
+	if !s.place.dirty || !s.authorized(now) {
+		return
+	}
+	if now.Before(s.place.nextAt) {
+		s.wake(s.place.nextAt)
+		return
+	}
+	if !s.copiesFresh(now) {
+		s.place.nextAt = now.Add(placeAgain)
+		s.wake(s.place.nextAt)
+		return
+	}
+	s.place.nextAt = now.Add(placeGap)
+	s.place.dirty = false
+	if s.placeRound(now) {
+		s.place.dirty = true
+		s.place.nextAt = now.Add(placeAgain)
+		s.wake(s.place.nextAt)
+	}
+}
+
+func (s *Scheduler) copiesFresh(now time.Time) bool {
+	for part := range s.fresh {
+		if s.fresh[part].Age(now) > copyLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// pools groups the workers on which tasks may start by service.
+func (s *Scheduler) pools(now time.Time) map[string]*placement.Pool {
+	byService := make(map[string][]*worker.Worker)
+	for _, w := range s.workers {
+		if w.Usable(now) && w.ClockKnown() && !s.out[w.Zone] {
+			byService[w.Service] = append(byService[w.Service], w)
+		}
+	}
+	pools := make(map[string]*placement.Pool, len(byService))
+	for service, workers := range byService {
+		pools[service] = placement.NewPool(workers, now)
+	}
+	return pools
+}
+
+// placeRound starts what fits and reports whether a task is left waiting.
+func (s *Scheduler) placeRound(now time.Time) bool {
+	pools := s.pools(now)
+	left := false
+	for service, jobs := range s.ranked(now) {
+		pool := pools[service]
+		if pool == nil {
+			left = true
+			continue
+		}
+		for _, candidate := range jobs {
+			if pool.Empty() {
+				left = true
+				break
+			}
+			if s.placeJob(candidate.job, pool, now) {
+				left = true
+			}
+		}
+	}
+	return left
+}
+
+// placeJob starts a job's tasks and reports whether some are left waiting.
+func (s *Scheduler) placeJob(j *job.Job, pool *placement.Pool, now time.Time) bool {
+	left := false
+	j.Open(func(o *job.Occurrence) {
+		for step := range o.Steps() {
+			if o.OpenTasks(step) > 0 && o.Ready(step) && s.placeStep(o, step, pool, now) {
+				left = true
+			}
+		}
+	})
+	return left
+}
+
+func (s *Scheduler) placeStep(o *job.Occurrence, step int, pool *placement.Pool, now time.Time) bool {
+	if o.Job.Spec.Steps[step].Gang {
+		return s.placeGang(o, step, pool, now)
+	}
+	left := false
+	tasks := o.Tasks(step)
+	for i := range tasks {
+		t := &tasks[i]
+		if !s.startable(t, now) {
+			left = left || !t.Done() && len(t.Runs) == 0
+			continue
+		}
+		w := pool.Choose(t, anyWorker)
+		if w == nil || !s.withinCap(o.Job.Terms.Team, t.Spec().Need) {
+			return true
+		}
+		s.start(t, w, t.NextRun(s.epochBase()), now)
+	}
+	return left
+}
+
+func anyWorker(*worker.Worker) bool { return true }
+
+// startable reports whether a new run of a task may be ordered.
+func (s *Scheduler) startable(t *job.Task, now time.Time) bool {
+	return !t.Done() && len(t.Runs) == 0 && t.LimboUntil.IsZero() && !now.Before(t.NotBefore)
+}
+
+// placeGang starts all members of a gang or none.
+func (s *Scheduler) placeGang(o *job.Occurrence, step int, pool *placement.Pool, now time.Time) bool {
+	tasks := o.Tasks(step)
+	var need machine.Resources
+	for i := range tasks {
+		if !s.startable(&tasks[i], now) {
+			return len(tasks[i].Runs) == 0
+		}
+		need = need.Plus(tasks[i].Spec().Need)
+	}
+	if !s.withinCap(o.Job.Terms.Team, need) {
+		return true
+	}
+	chosen, ok := pool.ChooseGang(tasks)
+	if !ok {
+		return true
+	}
+	number := o.GangRun(step, s.epochBase())
+	for i := range tasks {
+		tasks[i].LastRun = max(tasks[i].LastRun, number)
+		s.start(&tasks[i], chosen[i], number, now)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/query.go
@@ -0,0 +1,45 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+)
+
+// JobView is what a node knows of a job.
+type JobView struct {
+	ID       job.ID
+	Known    bool
+	Queue    string
+	Team     string
+	State    job.State
+	Revision int64
+	// AsOf is the time up to which the node's copy is complete.
+	AsOf time.Time
+}
+
+// JobQuery asks for a job. Reply must have room for the answer.
+type JobQuery struct {
+	ID    job.ID
+	Reply chan<- JobView
+}
+
+// Apply implements Event.
+func (q JobQuery) Apply(s *Scheduler, _ time.Time) {
+	view := JobView{ID: q.ID, AsOf: s.JobsAsOf()}
+	if j := s.jobs[q.ID]; j != nil {
+		view.Known, view.Queue, view.Team = true, j.Terms.Queue, j.Terms.Team
+		view.State, view.Revision = j.State(), j.Revision
+	}
+	q.Reply <- view
+}
+
+// PendingQuery asks how many jobs of a queue have not begun. Reply must have
+// room for the answer.
+type PendingQuery struct {
+	Queue string
+	Reply chan<- int
+}
+
+// Apply implements Event.
+func (q PendingQuery) Apply(s *Scheduler, _ time.Time) { q.Reply <- s.pending[q.Queue] }
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,164 @@
+// Package scheduler holds the root of the control state of a node: a copy of
+// what the store says about configuration and jobs and, while the node is the
+// scheduler, the workers, runs, progress and waves. One control thread owns it.
+// It takes typed events, decides, and returns typed actions. It does no I/O and
+// reads no clock.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/link/lease"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+)
+
+// Event is one input of the control thread. Apply changes the scheduler; it
+// must not block. Actions are queued with Scheduler.act.
+type Event interface {
+	Apply(s *Scheduler, now time.Time)
+}
+
+// Terms are the bounds that the scheduler works with.
+type Terms struct {
+	// Self names this node.
+	Self string
+	// Hold is the lease of tasks that each question extends.
+	Hold time.Duration
+	// LongestHold bounds the lease that any order can have given.
+	LongestHold time.Duration
+	// StopTime is the longest time that a task takes to stop.
+	StopTime time.Duration
+	// StatusKept is how long the state of an ended job is shown.
+	StatusKept time.Duration
+	// DutyTurn is the least time between the duties of two holders for a machine.
+	DutyTurn time.Duration
+	// Impact is how long a serving task may be over its objective because of
+	// tasks that fill.
+	Impact time.Duration
+	// UpkeepTime is how long a machine is down for upkeep at least.
+	UpkeepTime time.Duration
+}
+
+// Scheduler is the control state of a node.
+type Scheduler struct {
+	terms   Terms
+	config  *policy.Configuration
+	out     map[string]bool
+	jobs    map[job.ID]*job.Job
+	pending pendingCounts
+	// earlyCancels are cancellations whose job is not known yet.
+	earlyCancels map[job.ID]bool
+	fresh        [partCount]lease.Freshness
+	election     election
+
+	// The rest is in use only while this node is the scheduler.
+	leading  bool
+	workers  map[string]*worker.Worker
+	listed   map[string]worker.Description
+	roster   roster
+	usage    map[string]machine.Resources
+	limbo    int
+	unfinish map[job.ID]*job.Job
+	flush    flushState
+	place    placeState
+	waves    map[int64]*upkeep.Wave
+	// waveProgress is what the store holds of waves.
+	waveProgress map[int64]WaveProgressRead
+	duties       dutyState
+
+	wakeAt  time.Time
+	actions []Action
+	counts  Counts
+}
+
+// Counts are totals for the metrics.
+type Counts struct {
+	Starts, Ends, Failed, Lost, Refused, Takeovers int64
+	Running, Unfinished, Workers                   int64
+}
+
+// New returns the state of a node that knows nothing yet.
+func New(t Terms) *Scheduler {
+	return &Scheduler{
+		terms:        t,
+		out:          make(map[string]bool),
+		jobs:         make(map[job.ID]*job.Job),
+		earlyCancels: make(map[job.ID]bool),
+		pending:      make(pendingCounts),
+		listed:       make(map[string]worker.Description),
+		waves:        make(map[int64]*upkeep.Wave),
+		waveProgress: make(map[int64]WaveProgressRead),
+	}
+}
+
+// Apply takes one event, decides and returns the actions that follow.
+func (s *Scheduler) Apply(e Event, now time.Time) []Action {
+	s.actions = nil
+	e.Apply(s, now)
+	s.step(now)
+	return s.actions
+}
+
+// Tick is the event of the control thread's timer.
+type Tick struct{}
+
+// Apply implements Event.
+func (Tick) Apply(*Scheduler, time.Time) {}
+
+// NextWake returns when the scheduler wants a Tick, zero for never.
+func (s *Scheduler) NextWake() time.Time { return s.wakeAt }
+
+// wake asks for a Tick at a time.
+func (s *Scheduler) wake(at time.Time) {
+	if s.wakeAt.IsZero() || at.Before(s.wakeAt) {
+		s.wakeAt = at
+	}
+}
+
+func (s *Scheduler) act(a Action) { s.actions = append(s.actions, a) }
+
+// step makes the state follow from what is known now. Each part is
+// level-triggered: it looks at the state and not at the event.
+func (s *Scheduler) step(now time.Time) {
+	s.wakeAt = time.Time{}
+	s.stepElection(now)
+	if !s.leading {
+		return
+	}
+	s.stepWorkers(now)
+	s.stepLimbo(now)
+	s.stepJobs(now)
+	s.stepRuns(now)
+	s.stepPlace(now)
+	s.stepPacing(now)
+	s.stepWaves(now)
+	s.stepFlush(now)
+	s.stepRemoval(now)
+}
+
+// Config returns the configuration in force, nil when none is known.
+func (s *Scheduler) Config() *policy.Configuration { return s.config }
+
+// ConfigAsOf returns the time up to which the configuration is complete.
+func (s *Scheduler) ConfigAsOf() time.Time { return s.fresh[Operator].AsOf() }
+
+// JobsAsOf returns the time up to which the copy of the jobs is complete.
+func (s *Scheduler) JobsAsOf() time.Time { return s.fresh[Jobs].AsOf() }
+
+// Leading reports whether this node is the scheduler.
+func (s *Scheduler) Leading() bool { return s.leading }
+
+// Counts returns totals for the metrics.
+func (s *Scheduler) Counts() Counts {
+	c := s.counts
+	c.Unfinished = int64(len(s.unfinish))
+	c.Workers = int64(len(s.workers))
+	for _, w := range s.workers {
+		c.Running += int64(len(w.Runs()))
+	}
+	return c
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -121,3 +121,17 @@
 	}
 	return errors.Wrapf(err, "instrument %s", name)
 }
+
+// LabelledCounter registers totals by one label that are read at each scrape.
+// Each calls its argument with every label value and total.
+func (m *Metrics) LabelledCounter(name, description, label string, each func(func(value string, total int64))) error {
+	_, err := m.meter.Int64ObservableCounter(name,
+		metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			each(func(value string, total int64) {
+				o.Observe(total, metric.WithAttributes(attribute.String(label, value)))
+			})
+			return nil
+		}))
+	return wrapName(err, name)
+}
