--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -24,6 +24,7 @@
 type placeState struct {
 	dirty  bool
 	nextAt time.Time
+	noteAt time.Time
 }
 
 // stepPlace runs a round of placement when something has changed.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -138,6 +138,7 @@
 	s.stepWaves(now)
 	s.stepFlush(now)
 	s.stepRemoval(now)
+	s.stepPoolNote(now)
 }
 
 // Config returns the configuration in force, nil when none is known.
