Move machines between pools with the demand and pace waves by their deadline

Change: package pools plans moves from demand; the rest of a pool is switched off in the spare pool; upkeep that was ordered counts as away; waves take idle machines first.

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -72,10 +72,10 @@
 // Done reports whether the task has ended done.
 func (t *Task) Done() bool { return t.done }
 
-// AtWork reports whether a lasting task serves: its run is confirmed and has
-// started up.
+// AtWork reports whether a lasting task serves: its run is confirmed, has
+// started up and is not about to be ended by the scheduler.
 func (t *Task) AtWork() bool {
-	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Phase == RunActive && r.Percent >= 100 })
+	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Phase == RunActive && r.Percent >= 100 && !r.Planned })
 }
 
 // Failures returns how many runs of the task have failed. A gang fails as a
--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -90,6 +90,8 @@
 // Invariant: at most AtOnce members are Ordered or Down.
 type Wave struct {
 	Order
+	// SeenAt is when this process learned of the order.
+	SeenAt  time.Time
 	Members []*Member
 	// Announced is the state that operators were told last.
 	Announced Announcement
@@ -112,8 +114,8 @@
 )
 
 // NewWave returns a wave without progress.
-func NewWave(o Order) *Wave {
-	w := &Wave{Order: o}
+func NewWave(o Order, now time.Time) *Wave {
+	w := &Wave{Order: o, SeenAt: now}
 	for _, name := range o.Machines {
 		w.Members = append(w.Members, &Member{Name: name})
 	}
@@ -182,3 +184,15 @@
 func (m *Member) Enter(p Phase, now time.Time) {
 	m.Phase, m.Since = p, now
 }
+
+// Pace returns how many members have to be in work at a time to meet the
+// deadline, when each takes cycle and reserve is kept at the end.
+func (w *Wave) Pace(now time.Time, cycle, reserve time.Duration) int {
+	left := w.SeenAt.Add(w.Deadline - reserve).Sub(now)
+	open := len(w.Members) - w.Count(Finished)
+	if left <= cycle {
+		return w.AtOnce
+	}
+	rounds := int(left / cycle)
+	return min(w.AtOnce, (open+rounds-1)/rounds)
+}
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -200,17 +200,6 @@
 // Find returns the run of a key, nil when there is none.
 func (w *Worker) Find(key RunKey) *job.Run { return w.runs[key] }
 
-// Lasting returns the number of lasting runs.
-func (w *Worker) Lasting() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.Task.Spec().Lasting {
-			n++
-		}
-	}
-	return n
-}
-
 // ServingLoad returns the worst tail latency of the serving runs, in parts of
 // their objectives.
 func (w *Worker) ServingLoad() float64 {
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -82,7 +82,7 @@
 	if s.waves[c.Order.Wave] != nil {
 		return
 	}
-	w := upkeep.NewWave(c.Order)
+	w := upkeep.NewWave(c.Order, now)
 	s.waves[c.Order.Wave] = w
 	if progress, ok := s.waveProgress[c.Order.Wave]; ok {
 		progress.applyTo(w, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -136,6 +136,7 @@
 	s.stepPlace(now)
 	s.stepPacing(now)
 	s.stepWaves(now)
+	s.stepMoves(now)
 	s.stepFlush(now)
 	s.stepRemoval(now)
 	s.stepPoolNote(now)
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine/pools"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
@@ -34,12 +35,18 @@
 	listedAt  time.Time
 	listing   bool
 	listAt    time.Time
+	planner   *pools.Planner
+	planAt    time.Time
+	moves     map[string]*moveState
 	// retired are workers whose machine was taken away from under them.
 	retired map[string]bool
 }
 
 func newDutyState(notBefore time.Time) dutyState {
-	return dutyState{notBefore: notBefore, retired: make(map[string]bool)}
+	return dutyState{
+		notBefore: notBefore, retired: make(map[string]bool),
+		planner: pools.NewPlanner(), moves: make(map[string]*moveState),
+	}
 }
 
 // MachinesListed is the answer to ListMachines.
@@ -65,18 +72,13 @@
 
 // stepWaves carries waves on.
 func (s *Scheduler) stepWaves(now time.Time) {
-	open := false
 	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
 		w := s.waves[number]
 		s.publishWave(w, now)
 		if w.Announced != upkeep.AnnouncedCompleted || w.Busy() > 0 {
-			open = true
 			s.stepWave(w, now)
 		}
 	}
-	if open {
-		s.listMachines(now)
-	}
 }
 
 func (s *Scheduler) listMachines(now time.Time) {
@@ -170,21 +172,23 @@
 	}
 }
 
-// reserveMembers keeps new work away from the machines that come next: one for
-// each place that is free or will be.
+// Pace of a wave.
+const (
+	// waveCycle is how long one machine takes: draining, upkeep and the time until
+	// the list of machines shows it up.
+	waveCycle = 4500 * time.Millisecond
+	// waveReserve is kept of a wave's time for machines that cannot go at first.
+	waveReserve = 4 * time.Second
+)
+
+// reserveMembers keeps new work away from the machines that come next. Idle
+// machines go as soon as there is a place; others only as fast as the deadline
+// asks for.
 func (s *Scheduler) reserveMembers(w *upkeep.Wave, now time.Time) {
-	for w.Count(upkeep.Draining) < w.AtOnce {
-		var next *upkeep.Member
-		fewest := 0
-		for _, m := range w.Members {
-			if m.Phase != upkeep.Waiting || s.duties.machines[m.Name].State != upkeep.MachineUp || now.Before(m.RetryAt) {
-				continue
-			}
-			if cost := s.removalCost(s.duties.machines[m.Name]); next == nil || cost < fewest {
-				next, fewest = m, cost
-			}
-		}
-		if next == nil {
+	pace := w.Pace(now, waveCycle, waveReserve)
+	for w.Count(upkeep.Draining)+w.Busy() < w.AtOnce {
+		next, cost := s.cheapestMember(w, now)
+		if next == nil || cost > 0 && w.Count(upkeep.Draining)+w.Busy() >= pace {
 			return
 		}
 		next.Enter(upkeep.Draining, now)
@@ -194,6 +198,22 @@
 	}
 }
 
+// cheapestMember returns the waiting member that interrupts least.
+func (s *Scheduler) cheapestMember(w *upkeep.Wave, now time.Time) (*upkeep.Member, int) {
+	var next *upkeep.Member
+	fewest := 0
+	for _, m := range w.Members {
+		known := s.duties.machines[m.Name]
+		if m.Phase != upkeep.Waiting || known.State != upkeep.MachineUp || now.Before(m.RetryAt) || s.duties.moves[m.Name] != nil {
+			continue
+		}
+		if cost := s.removalCost(known); next == nil || cost < fewest {
+			next, fewest = m, cost
+		}
+	}
+	return next, fewest
+}
+
 // removalCost orders machines by what taking them down interrupts: lasting
 // tasks that cannot go now weigh most.
 func (s *Scheduler) removalCost(m upkeep.Machine) int {
@@ -229,6 +249,22 @@
 	return away <= spec.MayMiss
 }
 
+// mayStop reports whether one lasting run may be ended now.
+func (s *Scheduler) mayStop(r *job.Run) bool {
+	spec := r.Task.Spec()
+	if !spec.Lasting || spec.MayMiss == 0 || r.Task.Occurrence.Job.Ended() {
+		return true
+	}
+	away := 1
+	tasks := r.Task.Occurrence.Tasks(r.Task.Step)
+	for i := range tasks {
+		if &tasks[i] != r.Task && !tasks[i].AtWork() {
+			away++
+		}
+	}
+	return away <= spec.MayMiss
+}
+
 // drainMember orders upkeep once the machine is empty enough.
 func (s *Scheduler) drainMember(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
 	wk := s.workers[s.duties.machines[m.Name].Worker]
@@ -246,6 +282,11 @@
 		return
 	}
 	m.Enter(upkeep.Ordered, now)
+	if wk != nil {
+		for _, r := range wk.Runs() {
+			r.Planned = true
+		}
+	}
 }
 
 // emptyEnough reports whether a machine may go down after draining for a time.
@@ -255,7 +296,7 @@
 		spec := r.Task.Spec()
 		switch {
 		case spec.Lasting:
-			ready = ready && s.mayMiss(wk, r)
+			ready = ready && s.lastingMayGo(wk, r, now)
 		case drained >= waitPatience:
 		case spec.Checkpoints && drained >= drainPatience:
 			if r.StopSent.IsZero() && r.Phase == job.RunActive {
@@ -273,6 +314,19 @@
 	return ready
 }
 
+// lastingMayGo reports whether a lasting run may end with its machine. Where
+// the machine holds more of a step than may be away, they move one by one.
+func (s *Scheduler) lastingMayGo(wk *worker.Worker, r *job.Run, now time.Time) bool {
+	if s.mayMiss(wk, r) {
+		return true
+	}
+	if r.StopSent.IsZero() && r.Phase == job.RunActive && s.mayStop(r) {
+		r.Planned = true
+		s.stopRun(wk, r, now)
+	}
+	return false
+}
+
 func (s *Scheduler) orderUpkeep(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
 	if !s.authorized(now) {
 		return
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -74,14 +74,19 @@
 		cost += weightRemote
 	}
 	if spec.Lasting {
-		// Lasting tasks spread, so that the loss of a worker takes few of them.
-		cost = cost - 2*w.Free().MilliCores + int64(w.Lasting())*weightLasting
+		// No worker holds more tasks of a step than need be, so that its loss takes
+		// few of them; apart from that they stay together and leave machines idle.
+		cost += int64(max(0, w.CountStep(t.Occurrence, t.Step)+1-lastingTogether)) * weightCrowded
 	}
 	return cost
 }
 
-// weightLasting spreads lasting tasks before free room counts.
-const weightLasting = 1 << 20
+// lastingTogether is how many lasting tasks of a step share a worker before
+// another one is preferred.
+const lastingTogether = 2
+
+// weightCrowded spreads the lasting tasks of a step before free room counts.
+const weightCrowded = 1 << 20
 
 // ChooseGang returns a worker for each task of a gang, or false when not all
 // fit. A gang that works best in one rack gets one if any rack has room.
