Read stored progress at every node

Cause: decodeProgress wrapped a nil error, which go-faster/errors turns into an error, so that only the scheduler's node showed completed jobs and each GET elsewhere read the store. Ruled out: late watches (6.4 answers a second on each node).

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -78,7 +78,7 @@
 func decodeProgress(item platform.Item) (job.Progress, error) {
 	var p job.Progress
 	err := cbor.Unmarshal(item.Value, &p)
-	return p, errors.Wrapf(err, "progress %s", item.Key)
+	return p, wrap(err, item.Key)
 }
 
 // decodeJobs maps an item below jobsPrefix to a change, nil for none.
