--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -56,8 +56,6 @@
 	FailedOn string
 	// NotBefore delays the next run after a failure.
 	NotBefore time.Time
-	// AwaySince is when a lasting task stopped working, zero while it works.
-	AwaySince time.Time
 	done      bool
 }
 
@@ -72,12 +70,6 @@
 // Done reports whether the task has ended done.
 func (t *Task) Done() bool { return t.done }
 
-// AtWork reports whether a lasting task serves: its run is confirmed, has
-// started up and is not about to be ended by the scheduler.
-func (t *Task) AtWork() bool {
-	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Phase == RunActive && r.Percent >= 100 && !r.Planned })
-}
-
 // Failures returns how many runs of the task have failed. A gang fails as a
 // whole: its runs are counted at its first member.
 func (t *Task) Failures() int {
@@ -193,6 +185,10 @@
 	Planned bool
 }
 
+// AtWork reports whether a lasting run serves: it is confirmed, has started up
+// and is not about to be ended by the scheduler.
+func (r *Run) AtWork() bool { return r.Phase == RunActive && r.Percent >= 100 && !r.Planned }
+
 // Drop removes a run that is over.
 func (t *Task) Drop(r *Run) {
 	t.Runs = slices.DeleteFunc(t.Runs, func(o *Run) bool { return o == r })
--- a/internal/machine/pools/pools.go
+++ b/internal/machine/pools/pools.go
@@ -44,6 +44,9 @@
 	Demand machine.Resources
 	// Least is the number of machines that lasting tasks need at least.
 	Least int
+	// Stuck means that a lasting task waits for a machine, whatever the demand says:
+	// its constraints leave none.
+	Stuck bool
 	// Machines are those that are up.
 	Machines []Machine
 	// Arriving is the number of machines on their way into the pool.
@@ -107,6 +110,9 @@
 	}
 	if !pool.Spare {
 		s.want = max(floor, pool.Least, machinesFor(pool.Demand, typical(all)))
+		if pool.Stuck && pool.Arriving == 0 {
+			s.want = max(s.want, s.supply+1)
+		}
 	}
 	return s
 }
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -136,10 +136,10 @@
 			continue
 		}
 		w := s.workers[m.Worker]
-		if s.counted(w, p.Spare, m, now) {
+		if !inWave[name] && s.counted(w, p.Spare, m, now) {
 			p.Machines = append(p.Machines, pools.Machine{
 				Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
-				Idle: !inWave[name] && (w == nil || len(w.Runs()) == 0),
+				Idle: w == nil || len(w.Runs()) == 0,
 			})
 		}
 	}
@@ -208,6 +208,7 @@
 	for i := range tasks {
 		if s.startable(&tasks[i], now) {
 			waiting = waiting.Plus(spec.Room())
+			p.Stuck = p.Stuck || spec.Lasting
 		}
 	}
 	if s.withinCap(o.Job.Terms.Team, spec.Need) {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -211,12 +211,8 @@
 // released prepares a task for its next run. A gang loses all its runs
 // together.
 func (s *Scheduler) released(r *job.Run, now time.Time) {
-	t := r.Task
-	if t.Spec().Lasting && t.AwaySince.IsZero() {
-		t.AwaySince = now
-	}
-	if t.Spec().Gang {
-		s.stopGang(t, now)
+	if r.Task.Spec().Gang {
+		s.stopGang(r.Task, now)
 	}
 }
 
@@ -374,9 +370,6 @@
 		r.Percent, r.ProgressAt = report.Percent, now
 	}
 	r.Measured = report.Measured
-	if r.Task.AtWork() {
-		r.Task.AwaySince = time.Time{}
-	}
 }
 
 // adopt takes over a run that a worker lists and this scheduler has not
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -22,6 +22,10 @@
 	// that can resume are stopped; waitPatience is when the rest is given up.
 	drainPatience = 700 * time.Millisecond
 	waitPatience  = 2200 * time.Millisecond
+	// drainLimit is how long a machine may be kept from new work without getting
+	// empty; drainPause is when it is tried again.
+	drainLimit = 5 * time.Second
+	drainPause = 2 * time.Second
 	// dutyRetry is the pause after an order that was refused or not answered.
 	dutyRetry = 300 * time.Millisecond
 	// publishGap gathers a wave's progress into one write.
@@ -166,9 +170,13 @@
 		m.Enter(upkeep.Finished, now)
 	case m.Phase == upkeep.Down && after && (!ok || known.State == upkeep.MachineUp):
 		m.Enter(upkeep.Finished, now)
-	case m.Phase == upkeep.Draining && known.State != upkeep.MachineUp:
+	case m.Phase == upkeep.Waiting && known.State == upkeep.MachineUpkeep:
+		// An earlier scheduler ordered it and could not store that.
+		m.Enter(upkeep.Down, now)
+	case m.Phase == upkeep.Draining && (known.State != upkeep.MachineUp || now.Sub(m.Since) > drainLimit):
 		s.release(known)
 		m.Enter(upkeep.Waiting, now)
+		m.RetryAt = now.Add(drainPause)
 	}
 }
 
@@ -242,13 +250,22 @@
 	for i := range tasks {
 		t := &tasks[i]
 		here := slices.ContainsFunc(t.Runs, func(o *job.Run) bool { return o.Worker == w.ID })
-		if here || !t.AtWork() {
+		if here || !s.atWork(t) {
 			away++
 		}
 	}
 	return away <= spec.MayMiss
 }
 
+// atWork reports whether a lasting task serves, as far as this scheduler knows.
+// A run on a worker that does not answer may have ended long ago.
+func (s *Scheduler) atWork(t *job.Task) bool {
+	return slices.ContainsFunc(t.Runs, func(r *job.Run) bool {
+		w := s.workers[r.Worker]
+		return r.AtWork() && w != nil && !w.Silent
+	})
+}
+
 // mayStop reports whether one lasting run may be ended now.
 func (s *Scheduler) mayStop(r *job.Run) bool {
 	spec := r.Task.Spec()
@@ -258,7 +275,7 @@
 	away := 1
 	tasks := r.Task.Occurrence.Tasks(r.Task.Step)
 	for i := range tasks {
-		if &tasks[i] != r.Task && !tasks[i].AtWork() {
+		if &tasks[i] != r.Task && !s.atWork(&tasks[i]) {
 			away++
 		}
 	}
