--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -30,6 +30,16 @@
 	Worker string
 }
 
+// Outlived reports whether a worker that was on the machine has ended for
+// certain: another one is on it, or it is being moved or maintained. A machine
+// that is only said to be down may be cut off and run on.
+func (m Machine) Outlived(workerID string) bool {
+	if workerID == "" || m.Worker == workerID {
+		return false
+	}
+	return m.Worker != "" || m.State == MachineMoving || m.State == MachineUpkeep
+}
+
 // Refusal of an order for a machine. Nothing was done.
 type Refusal string
 
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -57,7 +57,8 @@
 	// Reserved machines get nothing new because upkeep or a move is near.
 	Reserved bool
 
-	runs  map[RunKey]*job.Run
+	// runs are in the order in which they were added.
+	runs  []*job.Run
 	inUse machine.Resources
 	// expiresAt is when everything on the worker has ended for certain if no
 	// further order is given.
@@ -81,7 +82,7 @@
 
 // New returns a worker that has not been asked yet.
 func New(d Description) *Worker {
-	return &Worker{Description: d, Listed: true, runs: make(map[RunKey]*job.Run)}
+	return &Worker{Description: d, Listed: true}
 }
 
 // Rack returns the worker's rack label: the second of its labels.
@@ -98,23 +99,27 @@
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
-// Runs returns the runs that may be alive; the caller must not change the map.
-func (w *Worker) Runs() map[RunKey]*job.Run { return w.runs }
+// Runs returns the runs that may be alive. The list does not change when runs
+// are added or removed later.
+func (w *Worker) Runs() []*job.Run { return w.runs }
+
+// Key names a run.
+func Key(r *job.Run) RunKey { return RunKey{r.Task.Name(), r.Number} }
 
 // Add notes a run that is ordered or was found on the worker.
 func (w *Worker) Add(r *job.Run) {
 	r.Worker = w.ID
-	w.runs[RunKey{r.Task.Name(), r.Number}] = r
+	w.runs = append(slices.Clip(w.runs), r)
 	w.inUse = w.inUse.Plus(r.Task.Spec().Room())
 }
 
 // Remove notes that a run is over and frees its room.
 func (w *Worker) Remove(r *job.Run) {
-	key := RunKey{r.Task.Name(), r.Number}
-	if w.runs[key] != r {
+	at := slices.Index(w.runs, r)
+	if at < 0 {
 		return
 	}
-	delete(w.runs, key)
+	w.runs = slices.Concat(w.runs[:at], w.runs[at+1:])
 	w.inUse = w.inUse.Minus(r.Task.Spec().Room())
 }
 
@@ -198,7 +203,14 @@
 }
 
 // Find returns the run of a key, nil when there is none.
-func (w *Worker) Find(key RunKey) *job.Run { return w.runs[key] }
+func (w *Worker) Find(key RunKey) *job.Run {
+	for _, r := range w.runs {
+		if r.Number == key.Number && r.Task.Name() == key.Task {
+			return r
+		}
+	}
+	return nil
+}
 
 // ServingLoad returns the worst tail latency of the serving runs, in parts of
 // their objectives.
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -79,11 +79,11 @@
 type WaveOrdered struct{ Order upkeep.Order }
 
 func (c WaveOrdered) apply(s *Scheduler, now time.Time) {
-	if s.waves[c.Order.Wave] != nil {
+	if s.waves.get(c.Order.Wave) != nil {
 		return
 	}
 	w := upkeep.NewWave(c.Order, now)
-	s.waves[c.Order.Wave] = w
+	s.waves.set(c.Order.Wave, w)
 	if progress, ok := s.waveProgress[c.Order.Wave]; ok {
 		progress.applyTo(w, now)
 	}
@@ -93,7 +93,7 @@
 // WaveWithdrawn removes a wave.
 type WaveWithdrawn struct{ Wave int64 }
 
-func (c WaveWithdrawn) apply(s *Scheduler, _ time.Time) { delete(s.waves, c.Wave) }
+func (c WaveWithdrawn) apply(s *Scheduler, _ time.Time) { s.waves.delete(c.Wave) }
 
 // WaveProgressRead carries a wave's stored progress.
 type WaveProgressRead struct {
@@ -104,7 +104,7 @@
 
 func (c WaveProgressRead) apply(s *Scheduler, now time.Time) {
 	s.waveProgress[c.Wave] = c
-	if w := s.waves[c.Wave]; w != nil {
+	if w := s.waves.get(c.Wave); w != nil {
 		c.applyTo(w, now)
 	}
 }
@@ -122,10 +122,10 @@
 type JobAccepted struct{ Job *job.Job }
 
 func (c JobAccepted) apply(s *Scheduler, _ time.Time) {
-	if s.jobs[c.Job.ID] != nil {
+	if s.jobs.get(c.Job.ID) != nil {
 		return
 	}
-	s.jobs[c.Job.ID] = c.Job
+	s.jobs.set(c.Job.ID, c.Job)
 	if s.earlyCancels[c.Job.ID] {
 		delete(s.earlyCancels, c.Job.ID)
 		c.Job.CancelAsked = true
@@ -141,10 +141,10 @@
 type JobRemoved struct{ ID job.ID }
 
 func (c JobRemoved) apply(s *Scheduler, _ time.Time) {
-	if j := s.jobs[c.ID]; j != nil {
+	if j := s.jobs.get(c.ID); j != nil {
 		s.pending.add(j, -1)
-		delete(s.jobs, c.ID)
-		delete(s.unfinish, c.ID)
+		s.jobs.delete(c.ID)
+		s.unfinish.delete(c.ID)
 	}
 }
 
@@ -156,7 +156,7 @@
 }
 
 func (c ProgressRead) apply(s *Scheduler, _ time.Time) {
-	j := s.jobs[c.ID]
+	j := s.jobs.get(c.ID)
 	if j == nil || c.Revision <= j.StoredRevision {
 		return
 	}
@@ -169,7 +169,7 @@
 type CancelRead struct{ ID job.ID }
 
 func (c CancelRead) apply(s *Scheduler, now time.Time) {
-	j := s.jobs[c.ID]
+	j := s.jobs.get(c.ID)
 	if j == nil {
 		s.earlyCancels[c.ID] = true
 		return
@@ -221,7 +221,7 @@
 type WorkerListed struct{ Description worker.Description }
 
 func (c WorkerListed) apply(s *Scheduler, now time.Time) {
-	s.listed[c.Description.ID] = c.Description
+	s.listed.set(c.Description.ID, c.Description)
 	if s.leading {
 		s.meetWorker(c.Description, now)
 	}
@@ -231,8 +231,8 @@
 type WorkerDelisted struct{ ID string }
 
 func (c WorkerDelisted) apply(s *Scheduler, _ time.Time) {
-	delete(s.listed, c.ID)
-	if w := s.workers[c.ID]; w != nil && w.Listed {
+	s.listed.delete(c.ID)
+	if w := s.workers.get(c.ID); w != nil && w.Listed {
 		w.Listed = false
 		s.note("worker left the list", "worker", c.ID, "service", w.Service, "runs", len(w.Runs()))
 	}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -201,9 +201,9 @@
 func (s *Scheduler) lead(now time.Time) {
 	s.leading = true
 	s.counts.Takeovers++
-	s.workers = make(map[string]*worker.Worker)
+	s.workers = newOrdered[string, *worker.Worker]()
 	s.usage = make(map[string]machine.Resources)
-	s.unfinish = make(map[job.ID]*job.Job)
+	s.unfinish = newOrdered[job.ID, *job.Job]()
 	s.flush = flushState{busy: make(map[job.ID]bool)}
 	s.place = placeState{dirty: true}
 	s.duties = newDutyState(now.Add(s.terms.DutyTurn + dutyMargin))
@@ -217,15 +217,15 @@
 		w.Listed = false
 		w.Recorded = true
 		w.ExpectOrders(end)
-		s.workers[m.ID] = w
+		s.workers.set(m.ID, w)
 	}
-	for _, d := range s.listed {
+	for _, d := range s.listed.all() {
 		s.meetWorker(d, now)
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.jobs.all() {
 		s.leadJob(j)
 	}
-	s.note("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", len(s.unfinish), "workers", len(s.workers), "limbo", s.limbo)
+	s.note("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinish.len(), "workers", s.workers.len(), "limbo", s.limbo)
 }
 
 // stepDown leaves the role.
@@ -235,11 +235,13 @@
 	s.election.authority = lease.Authority{}
 	s.election.renewing = false
 	s.election.seekAt = now.Add(s.spread())
-	for _, j := range s.jobs {
+	for _, j := range s.jobs.all() {
 		j.Follow()
 	}
-	for _, w := range s.waves {
+	for _, w := range s.waves.all() {
 		w.Reset()
 	}
-	s.workers, s.usage, s.unfinish, s.limbo = nil, nil, nil, 0
+	s.workers = newOrdered[string, *worker.Worker]()
+	s.unfinish = newOrdered[job.ID, *job.Job]()
+	s.usage, s.limbo = nil, 0
 }
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -142,7 +142,7 @@
 
 func (s *Scheduler) progressDone(e ProgressStored) {
 	for _, w := range e.Writes {
-		j := s.jobs[w.Job]
+		j := s.jobs.get(w.Job)
 		if j == nil {
 			continue
 		}
@@ -154,7 +154,7 @@
 }
 
 func (s *Scheduler) progressRetry(id job.ID, found int64) {
-	j := s.jobs[id]
+	j := s.jobs.get(id)
 	if j == nil {
 		return
 	}
@@ -172,7 +172,7 @@
 	s.flush.removeAt = now.Add(removalEvery)
 	before := now.Add(-s.terms.StatusKept - removalSlack).UnixMilli()
 	var old []job.ID
-	for id, j := range s.jobs {
+	for id, j := range s.jobs.all() {
 		if j.Stored.State.Final() && j.Stored.EndedAt < before && len(old) < removalBatch {
 			old = append(old, id)
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -18,7 +18,7 @@
 		s.markDirty(j)
 		return
 	}
-	s.unfinish[j.ID] = j
+	s.unfinish.set(j.ID, j)
 	s.openDue(j, s.election.authority.Since, j.Revision < s.fence())
 }
 
@@ -68,13 +68,13 @@
 		return
 	}
 	waiting := make(map[string]bool)
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if w.Recorded && !w.Heard && !w.Expired(now) {
 			waiting[w.Service] = true
 			s.wake(w.ExpiresAt().Add(time.Millisecond))
 		}
 	}
-	for _, j := range s.unfinish {
+	for _, j := range s.unfinish.all() {
 		if waiting[j.Terms.Service] {
 			continue
 		}
@@ -91,7 +91,7 @@
 
 // stepJobs opens occurrences whose time has come.
 func (s *Scheduler) stepJobs(now time.Time) {
-	for _, j := range s.unfinish {
+	for _, j := range s.unfinish.all() {
 		if j.Spec.Times == 0 {
 			continue
 		}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -76,7 +76,7 @@
 
 func (s *Scheduler) beginMove(m pools.Move, now time.Time) {
 	known := s.duties.machines[m.Machine]
-	if w := s.workers[known.Worker]; w != nil {
+	if w := s.workers.get(known.Worker); w != nil {
 		w.Reserved = true
 	}
 	s.note("machine moves", "machine", m.Machine, "from", m.From, "to", m.To, "worker", known.Worker)
@@ -103,7 +103,7 @@
 	switch e.Outcome {
 	case DutyDone:
 		m.done, m.since = true, now
-		s.retire(known.Worker, "machine moved to another pool", now)
+		s.duties.listAt = now
 	case DutyNotDone:
 		s.note("move refused", "machine", e.Machine, "to", e.Pool, "reason", e.Refusal)
 		if e.Refusal == upkeep.RefusedUnknown {
@@ -135,7 +135,7 @@
 		if p == nil || m.State != upkeep.MachineUp || s.duties.moves[name] != nil {
 			continue
 		}
-		w := s.workers[m.Worker]
+		w := s.workers.get(m.Worker)
 		if !inWave[name] && s.counted(w, p.Spare, m, now) {
 			p.Machines = append(p.Machines, pools.Machine{
 				Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
@@ -165,7 +165,7 @@
 // waveMachines are machines that a wave is about to take down.
 func (s *Scheduler) waveMachines() map[string]bool {
 	in := make(map[string]bool)
-	for _, w := range s.waves {
+	for _, w := range s.waves.all() {
 		for _, m := range w.Members {
 			if m.Phase == upkeep.Draining || m.Phase == upkeep.Ordered {
 				in[m.Name] = true
@@ -178,12 +178,12 @@
 // addDemand adds up what runs and what could start now. Jobs that are late
 // already do not draw machines: what they still earn is less than the price.
 func (s *Scheduler) addDemand(byName map[string]*pools.Pool, now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if p := byName[w.Service]; p != nil {
 			p.Demand = p.Demand.Plus(w.InUse())
 		}
 	}
-	for _, j := range s.unfinish {
+	for _, j := range s.unfinish.all() {
 		p := byName[s.serviceOf(j)]
 		if p == nil || s.rankJob(j, now).rank == rankLate {
 			continue
--- a/internal/scheduler/pacing.go
+++ b/internal/scheduler/pacing.go
@@ -27,7 +27,7 @@
 	if !s.authorized(now) {
 		return
 	}
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if !w.Silent && w.PaceDue(now, paceChange) && w.Mixed() {
 			s.paceWorker(w, now)
 		}
@@ -36,7 +36,8 @@
 
 func (s *Scheduler) paceWorker(w *worker.Worker, now time.Time) {
 	load := w.ServingLoad()
-	for key, r := range w.Runs() {
+	for _, r := range w.Runs() {
+		key := worker.Key(r)
 		if !r.Task.Spec().Fills || r.Phase != job.RunActive {
 			continue
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
@@ -62,7 +64,7 @@
 // pools groups the workers on which tasks may start by service.
 func (s *Scheduler) pools(now time.Time) map[string]*placement.Pool {
 	byService := make(map[string][]*worker.Worker)
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if w.Usable(now) && w.ClockKnown() && !s.out[w.Zone] {
 			byService[w.Service] = append(byService[w.Service], w)
 		}
@@ -78,13 +80,14 @@
 func (s *Scheduler) placeRound(now time.Time) bool {
 	pools := s.pools(now)
 	left := false
-	for service, jobs := range s.ranked(now) {
+	ranked := s.ranked(now)
+	for _, service := range slices.Sorted(maps.Keys(ranked)) {
 		pool := pools[service]
 		if pool == nil {
 			left = true
 			continue
 		}
-		for _, candidate := range jobs {
+		for _, candidate := range ranked[service] {
 			if pool.Empty() {
 				left = true
 				break
--- a/internal/scheduler/poolnote.go
+++ b/internal/scheduler/poolnote.go
@@ -51,7 +51,7 @@
 		}
 		return pools[service]
 	}
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		p := pool(w.Service)
 		p.workers++
 		if w.Usable(now) && !s.out[w.Zone] {
@@ -61,7 +61,7 @@
 		p.inUse = p.inUse.Plus(w.InUse())
 		p.runs += len(w.Runs())
 	}
-	for _, j := range s.unfinish {
+	for _, j := range s.unfinish.all() {
 		p := pool(s.serviceOf(j))
 		p.jobs++
 		if s.rankJob(j, now).rank == rankLate {
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -27,7 +27,7 @@
 // Apply implements Event.
 func (q JobQuery) Apply(s *Scheduler, _ time.Time) {
 	view := JobView{ID: q.ID, AsOf: s.JobsAsOf()}
-	if j := s.jobs[q.ID]; j != nil {
+	if j := s.jobs.get(q.ID); j != nil {
 		view.Known, view.Queue, view.Team = true, j.Terms.Queue, j.Terms.Team
 		view.State, view.Revision = j.State(), j.Revision
 	}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -39,7 +39,7 @@
 // get room.
 func (s *Scheduler) ranked(now time.Time) map[string][]candidate {
 	byService := make(map[string][]candidate)
-	for _, j := range s.unfinish {
+	for _, j := range s.unfinish.all() {
 		service := s.serviceOf(j)
 		byService[service] = append(byService[service], s.rankJob(j, now))
 	}
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -47,7 +47,7 @@
 		return
 	}
 	for _, m := range e.Members {
-		if w := s.workers[m.ID]; w != nil {
+		if w := s.workers.get(m.ID); w != nil {
 			w.Recorded = true
 		}
 	}
@@ -57,7 +57,7 @@
 // stepRoster records workers that are not on the durable list yet.
 func (s *Scheduler) stepRoster(now time.Time) {
 	missing := false
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		missing = missing || !w.Recorded
 	}
 	if !missing || s.roster.writing || !s.authorized(now) {
@@ -67,8 +67,8 @@
 		s.wake(s.roster.retryAt)
 		return
 	}
-	members := make([]RosterMember, 0, len(s.workers))
-	for _, w := range s.workers {
+	members := make([]RosterMember, 0, s.workers.len())
+	for _, w := range s.workers.all() {
 		members = append(members, RosterMember{w.ID, w.Address, w.Service, w.Zone})
 	}
 	slices.SortFunc(members, func(a, b RosterMember) int { return cmp.Compare(a.ID, b.ID) })
@@ -81,15 +81,18 @@
 	if s.duties.retired[d.ID] {
 		return
 	}
-	w := s.workers[d.ID]
+	w := s.workers.get(d.ID)
 	if w == nil {
 		w = worker.New(d)
-		s.workers[d.ID] = w
+		s.workers.set(d.ID, w)
 		w.NextAsk = now
 		s.note("worker met", "worker", d.ID, "service", d.Service, "datacentre", d.Zone, "rack", w.Rack())
 	}
 	if d.Born != 0 && w.Born != 0 && d.Born > w.Born {
-		s.reborn(w, d.Born, now)
+		// Its own report decides what runs there; nothing starts until then.
+		w.Heard = false
+		w.NextAsk = now
+		d.Born = w.Born
 	}
 	born := max(w.Born, d.Born)
 	if d.Draining && !w.Draining {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -112,7 +112,7 @@
 
 // Apply implements Event.
 func (e StartAnswered) Apply(s *Scheduler, now time.Time) {
-	w := s.workers[e.Worker]
+	w := s.workers.get(e.Worker)
 	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
@@ -153,7 +153,7 @@
 	case e.Gone:
 		s.loseRuns(w, "another incarnation answers", now)
 		w.Listed = false
-		delete(s.listed, w.ID)
+		s.listed.delete(w.ID)
 	case e.Refusal == worker.RefusedFence:
 		s.fenced("worker "+w.ID, now)
 	case e.Refusal == worker.RefusedRoom || e.Refusal == worker.RefusedLate:
@@ -185,7 +185,7 @@
 
 // Apply implements Event.
 func (e StopAnswered) Apply(s *Scheduler, now time.Time) {
-	w := s.workers[e.Worker]
+	w := s.workers.get(e.Worker)
 	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
@@ -200,7 +200,8 @@
 
 // loseRuns takes all runs off a worker on which nothing runs any more.
 func (s *Scheduler) loseRuns(w *worker.Worker, reason string, now time.Time) {
-	for key, r := range w.Runs() {
+	for _, r := range w.Runs() {
+		key := worker.Key(r)
 		s.counts.Lost++
 		s.note("run lost", "job", key.Task.Job, "task", key.Task.String(), "run", key.Number, "worker", w.ID, "reason", reason)
 		s.removeRun(w, r)
@@ -227,7 +228,7 @@
 // stopTask orders the end of every run of a task.
 func (s *Scheduler) stopTask(t *job.Task, now time.Time) {
 	for _, r := range t.Runs {
-		if w := s.workers[r.Worker]; w != nil && r.StopSent.IsZero() {
+		if w := s.workers.get(r.Worker); w != nil && r.StopSent.IsZero() {
 			r.Planned = true
 			s.stopRun(w, r, now)
 		}
@@ -245,9 +246,10 @@
 		s.removeRun(w, r)
 		s.released(r, now)
 	}
-	j := s.jobs[end.Task.Job]
+	j := s.jobs.get(end.Task.Job)
 	if j == nil || j.Ended() {
-		w.AwaitDurable(end.Number, nil)
+		// A final state that is not stored yet still needs its ends.
+		w.AwaitDurable(end.Number, j)
 		return
 	}
 	s.note("task ended", "job", j.ID, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", end.Reason)
@@ -293,7 +295,7 @@
 	s.stopTask(t, now)
 	if j.Complete(now.UnixMilli()) {
 		s.note("job completed", "job", j.ID, "queue", j.Terms.Queue, "team", j.Terms.Team, "age_ms", now.UnixMilli()-j.AcceptedAt)
-		delete(s.unfinish, j.ID)
+		s.unfinish.delete(j.ID)
 	}
 }
 
@@ -312,7 +314,7 @@
 			}
 		}
 	})
-	delete(s.unfinish, j.ID)
+	s.unfinish.delete(j.ID)
 	s.markDirty(j)
 }
 
@@ -333,7 +335,8 @@
 	if !e.Report.Complete() {
 		return
 	}
-	for key, r := range w.Runs() {
+	for _, r := range w.Runs() {
+		key := worker.Key(r)
 		if !seen[key] && s.vanished(r, e) {
 			s.counts.Lost++
 			s.note("run not on its worker", "job", key.Task.Job, "task", key.Task.String(), "run", key.Number, "worker", w.ID, "phase", int(r.Phase))
@@ -375,7 +378,7 @@
 // adopt takes over a run that a worker lists and this scheduler has not
 // ordered. It returns nil when the run has to end.
 func (s *Scheduler) adopt(w *worker.Worker, report worker.RunReport, now time.Time) *job.Run {
-	j := s.jobs[report.Task.Job]
+	j := s.jobs.get(report.Task.Job)
 	var t *job.Task
 	if j != nil && !j.Ended() {
 		t = j.Task(report.Task)
@@ -395,7 +398,7 @@
 
 // stepRuns repeats stops, empties workers that drain and moves stalled runs.
 func (s *Scheduler) stepRuns(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		for _, r := range w.Runs() {
 			s.watchRun(w, r, now)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,7 +48,7 @@
 	terms   Terms
 	config  *policy.Configuration
 	out     map[string]bool
-	jobs    map[job.ID]*job.Job
+	jobs    *ordered[job.ID, *job.Job]
 	pending pendingCounts
 	// earlyCancels are cancellations whose job is not known yet.
 	earlyCancels map[job.ID]bool
@@ -57,15 +57,15 @@
 
 	// The rest is in use only while this node is the scheduler.
 	leading  bool
-	workers  map[string]*worker.Worker
-	listed   map[string]worker.Description
+	workers  *ordered[string, *worker.Worker]
+	listed   *ordered[string, worker.Description]
 	roster   roster
 	usage    map[string]machine.Resources
 	limbo    int
-	unfinish map[job.ID]*job.Job
+	unfinish *ordered[job.ID, *job.Job]
 	flush    flushState
 	place    placeState
-	waves    map[int64]*upkeep.Wave
+	waves    *ordered[int64, *upkeep.Wave]
 	// waveProgress is what the store holds of waves.
 	waveProgress map[int64]WaveProgressRead
 	duties       dutyState
@@ -86,11 +86,13 @@
 	return &Scheduler{
 		terms:        t,
 		out:          make(map[string]bool),
-		jobs:         make(map[job.ID]*job.Job),
+		jobs:         newOrdered[job.ID, *job.Job](),
 		earlyCancels: make(map[job.ID]bool),
 		pending:      make(pendingCounts),
-		listed:       make(map[string]worker.Description),
-		waves:        make(map[int64]*upkeep.Wave),
+		workers:      newOrdered[string, *worker.Worker](),
+		unfinish:     newOrdered[job.ID, *job.Job](),
+		listed:       newOrdered[string, worker.Description](),
+		waves:        newOrdered[int64, *upkeep.Wave](),
 		waveProgress: make(map[int64]WaveProgressRead),
 	}
 }
@@ -157,9 +159,9 @@
 // Counts returns totals for the metrics.
 func (s *Scheduler) Counts() Counts {
 	c := s.counts
-	c.Unfinished = int64(len(s.unfinish))
-	c.Workers = int64(len(s.workers))
-	for _, w := range s.workers {
+	c.Unfinished = int64(s.unfinish.len())
+	c.Workers = int64(s.workers.len())
+	for _, w := range s.workers.all() {
 		c.Running += int64(len(w.Runs()))
 	}
 	return c
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -68,16 +67,20 @@
 		return
 	}
 	s.duties.listedAt = e.SentAt
+	before := s.duties.machines
 	s.duties.machines = make(map[string]upkeep.Machine, len(e.Machines))
 	for _, m := range e.Machines {
 		s.duties.machines[m.Name] = m
+		if old := before[m.Name].Worker; m.Outlived(old) {
+			s.retire(old, "its machine has gone on without it", now)
+		}
 	}
 }
 
 // stepWaves carries waves on.
 func (s *Scheduler) stepWaves(now time.Time) {
-	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
-		w := s.waves[number]
+	for _, number := range s.waveNumbers() {
+		w := s.waves.get(number)
 		s.publishWave(w, now)
 		if w.Announced != upkeep.AnnouncedCompleted || w.Busy() > 0 {
 			s.stepWave(w, now)
@@ -85,6 +88,16 @@
 	}
 }
 
+// waveNumbers returns the numbers of all waves, lowest first.
+func (s *Scheduler) waveNumbers() []int64 {
+	var numbers []int64
+	for number := range s.waves.all() {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
 func (s *Scheduler) listMachines(now time.Time) {
 	d := &s.duties
 	if d.listing {
@@ -124,7 +137,7 @@
 
 // Apply implements Event.
 func (e WavePublished) Apply(s *Scheduler, now time.Time) {
-	w := s.waves[e.Wave]
+	w := s.waves.get(e.Wave)
 	if w == nil {
 		return
 	}
@@ -170,6 +183,7 @@
 		m.Enter(upkeep.Finished, now)
 	case m.Phase == upkeep.Down && after && (!ok || known.State == upkeep.MachineUp):
 		m.Enter(upkeep.Finished, now)
+		s.release(known)
 	case m.Phase == upkeep.Waiting && known.State == upkeep.MachineUpkeep:
 		// An earlier scheduler ordered it and could not store that.
 		m.Enter(upkeep.Down, now)
@@ -200,7 +214,7 @@
 			return
 		}
 		next.Enter(upkeep.Draining, now)
-		if wk := s.workers[s.duties.machines[next.Name].Worker]; wk != nil {
+		if wk := s.workers.get(s.duties.machines[next.Name].Worker); wk != nil {
 			wk.Reserved = true
 		}
 	}
@@ -225,7 +239,7 @@
 // removalCost orders machines by what taking them down interrupts: lasting
 // tasks that cannot go now weigh most.
 func (s *Scheduler) removalCost(m upkeep.Machine) int {
-	wk := s.workers[m.Worker]
+	wk := s.workers.get(m.Worker)
 	if wk == nil {
 		return 0
 	}
@@ -261,7 +275,7 @@
 // A run on a worker that does not answer may have ended long ago.
 func (s *Scheduler) atWork(t *job.Task) bool {
 	return slices.ContainsFunc(t.Runs, func(r *job.Run) bool {
-		w := s.workers[r.Worker]
+		w := s.workers.get(r.Worker)
 		return r.AtWork() && w != nil && !w.Silent
 	})
 }
@@ -284,7 +298,7 @@
 
 // drainMember orders upkeep once the machine is empty enough.
 func (s *Scheduler) drainMember(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
-	wk := s.workers[s.duties.machines[m.Name].Worker]
+	wk := s.workers.get(s.duties.machines[m.Name].Worker)
 	if wk != nil {
 		wk.Reserved = true
 	}
@@ -380,7 +394,7 @@
 
 // Apply implements Event.
 func (e UpkeepAnswered) Apply(s *Scheduler, now time.Time) {
-	w := s.waves[e.Wave]
+	w := s.waves.get(e.Wave)
 	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
@@ -398,9 +412,10 @@
 	s.duties.listAt = now
 	switch {
 	case e.Outcome == DutyDone:
+		// The answer may repeat that of an earlier order. The list of machines says
+		// which worker has ended.
 		m.Enter(upkeep.Down, now)
 		s.note("upkeep began", "wave", e.Wave, "machine", m.Name, "worker", known.Worker)
-		s.retire(known.Worker, "machine taken down for upkeep", now)
 	case e.Outcome == DutyNotDone && (e.Refusal == upkeep.RefusedWave || e.Refusal == upkeep.RefusedUnknown):
 		s.note("upkeep refused", "wave", e.Wave, "machine", m.Name, "reason", e.Refusal)
 		m.Enter(upkeep.Finished, now)
@@ -416,7 +431,7 @@
 
 // release lets a machine take new work again.
 func (s *Scheduler) release(m upkeep.Machine) {
-	if wk := s.workers[m.Worker]; wk != nil {
+	if wk := s.workers.get(m.Worker); wk != nil {
 		wk.Reserved = false
 		s.place.dirty = true
 	}
@@ -426,8 +441,8 @@
 // that ran on it has ended.
 func (s *Scheduler) retire(id, reason string, now time.Time) {
 	s.duties.retired[id] = true
-	delete(s.listed, id)
-	w := s.workers[id]
+	s.listed.delete(id)
+	w := s.workers.get(id)
 	if w == nil {
 		return
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
@@ -27,7 +28,7 @@
 // orders have all ended.
 func (s *Scheduler) stepWorkers(now time.Time) {
 	s.stepRoster(now)
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if w.Silent && w.Expired(now) && len(w.Runs()) > 0 {
 			s.loseRuns(w, "worker silent beyond its lease", now)
 		}
@@ -40,7 +41,7 @@
 }
 
 func (s *Scheduler) dropWorker(w *worker.Worker) {
-	delete(s.workers, w.ID)
+	s.workers.delete(w.ID)
 	s.act(ForgetWorker{w.Address})
 }
 
@@ -111,7 +112,7 @@
 
 // Apply implements Event.
 func (e WorkerAnswered) Apply(s *Scheduler, now time.Time) {
-	w := s.workers[e.Worker]
+	w := s.workers.get(e.Worker)
 	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
@@ -132,7 +133,7 @@
 	case AskGone:
 		s.loseRuns(w, "another incarnation answers", now)
 		w.Listed = false
-		delete(s.listed, w.ID)
+		s.listed.delete(w.ID)
 		s.dropWorker(w)
 	}
 }
@@ -147,7 +148,7 @@
 // hear applies a worker's report.
 func (s *Scheduler) hear(w *worker.Worker, e WorkerAnswered, now time.Time) {
 	if e.Report.Born != 0 && w.Born != 0 && e.Report.Born > w.Born {
-		s.reborn(w, e.Report.Born, now)
+		s.reborn(w, e.Report.Born, e.Report.ClockMillis, now)
 	} else if e.Report.Born != 0 {
 		w.Born = max(w.Born, e.Report.Born)
 	}
@@ -166,11 +167,15 @@
 	w.NextAsk = now.Add(askGap)
 }
 
-// reborn handles a new incarnation under the same id: nothing of the old one
-// runs any more.
-func (s *Scheduler) reborn(w *worker.Worker, born int64, now time.Time) {
+// reborn handles a new incarnation under the same id. The report that told of
+// it lists what runs there: starts that were on their way may have reached the
+// new incarnation, so that runs are not given up here.
+func (s *Scheduler) reborn(w *worker.Worker, born, clockMillis int64, now time.Time) {
 	s.note("worker restarted", "worker", w.ID, "born", born, "runs", len(w.Runs()))
-	s.loseRuns(w, "worker restarted", now)
 	w.Reborn(born)
-	w.Heard = false
+	for _, r := range w.Runs() {
+		if r.Phase != job.RunActive {
+			r.OrderEnds = clockMillis + startLife.Milliseconds()
+		}
+	}
 }
