--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -25,7 +25,7 @@
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
 			defer signal.Stop(reload)
-			return node.Run(ctx, s, reload)
+			return node.Run(ctx, s, reload, os.Stdout)
 		},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -32,6 +33,8 @@
 	drainTime = 2500 * time.Millisecond
 	// stopReserve is kept of the grace period for the end of the process.
 	stopReserve = 700 * time.Millisecond
+	// endTimeout bounds the end of the servers for checks and metrics.
+	endTimeout = 300 * time.Millisecond
 	// headerTimeout and idleTimeout bound a caller's connection.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
@@ -60,21 +63,21 @@
 }
 
 // Run serves until ctx ends, then stops gracefully. Reload carries a signal for
-// each change of the settings file.
-func Run(ctx context.Context, s platform.Settings, reload <-chan os.Signal) error {
-	n, err := newNode(s)
+// each change of the settings file. Log lines go to out.
+func Run(ctx context.Context, s platform.Settings, reload <-chan os.Signal, out io.Writer) error {
+	n, err := newNode(s, out)
 	if err != nil {
 		return err
 	}
 	return n.run(ctx, reload)
 }
 
-func newNode(s platform.Settings) (*node, error) {
+func newNode(s platform.Settings, out io.Writer) (*node, error) {
 	n := &node{
 		settings: s,
 		client:   platform.NewClient(s),
 		clock:    NewClock(),
-		log:      oplog.New(os.Stdout, logrus.Fields{"instance": s.Instance}),
+		log:      oplog.New(out, logrus.Fields{"instance": s.Instance}),
 	}
 	n.runner = &runner{
 		client: n.client, clock: n.clock, log: n.log, self: s.Instance,
@@ -117,8 +120,9 @@
 	if err := n.listen(group, checks, n.settings.ReadinessAddress); err != nil {
 		return err
 	}
+	metrics := n.server(n.metrics.handler())
 	if n.settings.MetricsAddress != "" {
-		if err := n.listen(group, n.server(n.metrics.handler()), n.settings.MetricsAddress); err != nil {
+		if err := n.listen(group, metrics, n.settings.MetricsAddress); err != nil {
 			return err
 		}
 	}
@@ -136,8 +140,7 @@
 		}
 		n.stop(callers)
 		stopParts()
-		_ = checks.Shutdown()
-		return nil
+		return n.endServers(checks, metrics)
 	})
 	err := group.Wait()
 	n.log.Write("node", "stopped", nil)
@@ -231,6 +234,18 @@
 	}
 }
 
+// endServers ends the servers whose requests nobody waits for.
+func (n *node) endServers(servers ...*fasthttp.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return errors.Wrap(err, "end of a server")
+		}
+	}
+	return nil
+}
+
 func (n *node) watchReload(ctx context.Context, reload <-chan os.Signal) error {
 	for {
 		select {
