Expect arrivals to go on and count only the rest of running work

Cause: a pool in its turn got machines two to three seconds late, when the backlog was already past its objective; begun jobs were taken for late because the whole estimate of a running step was counted. Change: the demand of a pool includes what arrived in the last second; plans are made every 100 ms; the remaining chain leaves out what has run.

--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -121,7 +121,7 @@
 // JobAccepted carries a stored job.
 type JobAccepted struct{ Job *job.Job }
 
-func (c JobAccepted) apply(s *Scheduler, _ time.Time) {
+func (c JobAccepted) apply(s *Scheduler, now time.Time) {
 	if s.jobs.get(c.Job.ID) != nil {
 		return
 	}
@@ -133,6 +133,7 @@
 	s.pending.add(c.Job, +1)
 	if s.leading {
 		s.leadJob(c.Job)
+		s.noteArrival(c.Job, now)
 		s.place.dirty = true
 	}
 }
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -15,7 +15,10 @@
 // Times of moves between pools.
 const (
 	// planEvery is the pace of plans.
-	planEvery = 200 * time.Millisecond
+	planEvery = 100 * time.Millisecond
+	// forecast is how far ahead arrivals are expected to go on as they did: a
+	// machine takes longer than this to join a pool.
+	forecast = time.Second
 	// moveForget is when a move that the list of machines does not confirm is no
 	// longer counted on.
 	moveForget = 8 * time.Second
@@ -175,6 +178,31 @@
 	return in
 }
 
+// arrival is the room that the first tasks of an accepted job need.
+type arrival struct {
+	at   time.Time
+	room machine.Resources
+}
+
+// noteArrival counts a job towards the demand that is to be expected.
+func (s *Scheduler) noteArrival(j *job.Job, now time.Time) {
+	if !j.Lasting() && !j.Ended() {
+		s.duties.arrivals[s.serviceOf(j)] = append(s.duties.arrivals[s.serviceOf(j)], arrival{now, j.FirstRoom()})
+	}
+}
+
+// expected returns what arrives in the time of forecast if arrivals go on.
+func (s *Scheduler) expected(service string, now time.Time) machine.Resources {
+	list := s.duties.arrivals[service]
+	list = slices.DeleteFunc(list, func(a arrival) bool { return now.Sub(a.at) > forecast })
+	s.duties.arrivals[service] = list
+	var sum machine.Resources
+	for _, a := range list {
+		sum = sum.Plus(a.room)
+	}
+	return sum
+}
+
 // addDemand adds up what runs and what could start now. Jobs that are late
 // already do not draw machines: what they still earn is less than the price.
 func (s *Scheduler) addDemand(byName map[string]*pools.Pool, now time.Time) {
@@ -183,6 +211,9 @@
 			p.Demand = p.Demand.Plus(w.InUse())
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		byName[name].Demand = byName[name].Demand.Plus(s.expected(name, now))
+	}
 	for _, j := range s.unfinish.all() {
 		p := byName[s.serviceOf(j)]
 		if p == nil || s.rankJob(j, now).rank == rankLate {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -70,7 +70,7 @@
 	}
 	age := now.UnixMilli() - j.AcceptedAt
 	objective := j.CompletionObjective().Milliseconds()
-	left := j.RemainingChain().Milliseconds()
+	left := j.RemainingChain(now).Milliseconds()
 	slack := objective - age - left
 	switch {
 	case slack < 0:
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -41,6 +41,8 @@
 	planner   *pools.Planner
 	planAt    time.Time
 	moves     map[string]*moveState
+	// arrivals are the jobs of each service that came of late.
+	arrivals map[string][]arrival
 	// retired are workers whose machine was taken away from under them.
 	retired map[string]bool
 }
@@ -48,7 +50,7 @@
 func newDutyState(notBefore time.Time) dutyState {
 	return dutyState{
 		notBefore: notBefore, retired: make(map[string]bool),
-		planner: pools.NewPlanner(), moves: make(map[string]*moveState),
+		planner: pools.NewPlanner(), moves: make(map[string]*moveState), arrivals: make(map[string][]arrival),
 	}
 }
 
