Pass over workers, runs and jobs at a bounded pace

Cause: at the larger size each of some 3,000 events a second walked all workers, runs, jobs and members of the wave; a scheduler with 0.192 cores fell seconds behind. Ruled out: the store (rates unused) and the network. Change: placement, questions and writes run at most every 8 ms, stops, waves and moves every 50 ms; nodes with more of a processor take the lease first; settings that nothing reads are dropped.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,8 +93,9 @@
 func terms(s platform.Settings) scheduler.Terms {
 	b := s.Bounds
 	return scheduler.Terms{
-		Self: s.Instance, Hold: b.LongestHold - holdReserve, LongestHold: b.LongestHold,
-		StopTime: b.StopTime, StatusKept: b.StatusKept, DutyTurn: b.DutyTurn, Impact: b.Impact,
+		Self: s.Instance, ProcessorShare: s.ProcessorShare,
+		Hold: b.LongestHold - holdReserve, LongestHold: b.LongestHold,
+		StatusKept: b.StatusKept, DutyTurn: b.DutyTurn,
 	}
 }
 
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -14,6 +14,8 @@
 const (
 	// seekSpread spreads the nodes' attempts, so that usually one of them writes.
 	seekSpread = 120 * time.Millisecond
+	// weakDelay lets nodes with more of a processor take the lease first.
+	weakDelay = 400 * time.Millisecond
 	// seekAgain is the pause after an attempt that failed.
 	seekAgain = 300 * time.Millisecond
 )
@@ -125,11 +127,13 @@
 	}
 }
 
-// spread is this node's own share of seekSpread.
+// spread is how long this node waits before it seeks the lease: its own share
+// of seekSpread, and more the less of a processor it has.
 func (s *Scheduler) spread() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.terms.Self))
-	return seekSpread * time.Duration(h.Sum32()%100) / 100
+	own := seekSpread * time.Duration(h.Sum32()%100) / 100
+	return own + time.Duration((1-min(1, s.terms.ProcessorShare))*float64(weakDelay))
 }
 
 func (s *Scheduler) leaderSeen(holder string, fence int64, now time.Time) {
@@ -138,7 +142,9 @@
 		return
 	}
 	e.holder, e.fence = holder, fence
-	e.seekAt = now.Add(s.spread())
+	if fence == 0 {
+		e.seekAt = now.Add(s.spread())
+	}
 	if e.authority.Held() && fence > e.authority.Fence {
 		s.stepDown("another scheduler holds the lease", now)
 	}
@@ -176,6 +182,9 @@
 	if e.leaving || e.seeking || e.fence != 0 || e.synced == 0 || s.config == nil {
 		return
 	}
+	if e.seekAt.IsZero() {
+		e.seekAt = now.Add(s.spread())
+	}
 	if now.Before(e.seekAt) {
 		s.wake(e.seekAt)
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,21 +26,16 @@
 type Terms struct {
 	// Self names this node.
 	Self string
+	// ProcessorShare is the part of a core that this node has.
+	ProcessorShare float64
 	// Hold is the lease of tasks that each question extends.
 	Hold time.Duration
 	// LongestHold bounds the lease that any order can have given.
 	LongestHold time.Duration
-	// StopTime is the longest time that a task takes to stop.
-	StopTime time.Duration
 	// StatusKept is how long the state of an ended job is shown.
 	StatusKept time.Duration
 	// DutyTurn is the least time between the duties of two holders for a machine.
 	DutyTurn time.Duration
-	// Impact is how long a serving task may be over its objective because of
-	// tasks that fill.
-	Impact time.Duration
-	// UpkeepTime is how long a machine is down for upkeep at least.
-	UpkeepTime time.Duration
 }
 
 // Scheduler is the control state of a node.
@@ -70,9 +65,11 @@
 	waveProgress map[int64]WaveProgressRead
 	duties       dutyState
 
-	wakeAt  time.Time
-	actions []Action
-	counts  Counts
+	// quickAt and slowAt are when the parts of a step are due.
+	quickAt, slowAt time.Time
+	wakeAt          time.Time
+	actions         []Action
+	counts          Counts
 }
 
 // Counts are totals for the metrics.
@@ -123,6 +120,15 @@
 
 func (s *Scheduler) act(a Action) { s.actions = append(s.actions, a) }
 
+// Pace of the parts of a step. Hundreds of events a second come from workers,
+// and each part walks all workers, runs or jobs.
+const (
+	// quickPace gathers what decides how soon a task starts.
+	quickPace = 8 * time.Millisecond
+	// slowPace gathers what acts within seconds: stops, waves, moves.
+	slowPace = 50 * time.Millisecond
+)
+
 // step makes the state follow from what is known now. Each part is
 // level-triggered: it looks at the state and not at the event.
 func (s *Scheduler) step(now time.Time) {
@@ -131,17 +137,36 @@
 	if !s.leading {
 		return
 	}
+	if !now.Before(s.slowAt) {
+		s.slowAt = now.Add(slowPace)
+		s.stepSlow(now)
+	}
+	s.wake(s.slowAt)
+	if now.Before(s.quickAt) {
+		s.wake(s.quickAt)
+		return
+	}
+	s.quickAt = now.Add(quickPace)
+	s.stepQuick(now)
+}
+
+func (s *Scheduler) stepQuick(now time.Time) {
 	s.stepWorkers(now)
 	s.stepLimbo(now)
 	s.stepJobs(now)
-	s.stepRuns(now)
 	s.stepPlace(now)
+	s.stepFlush(now)
+}
+
+func (s *Scheduler) stepSlow(now time.Time) {
+	s.stepRoster(now)
+	s.stepRuns(now)
 	s.stepPacing(now)
 	s.stepWaves(now)
 	s.stepMoves(now)
-	s.stepFlush(now)
 	s.stepRemoval(now)
 	s.stepPoolNote(now)
+	s.updateCounts()
 }
 
 // Config returns the configuration in force, nil when none is known.
@@ -156,13 +181,14 @@
 // Leading reports whether this node is the scheduler.
 func (s *Scheduler) Leading() bool { return s.leading }
 
-// Counts returns totals for the metrics.
-func (s *Scheduler) Counts() Counts {
-	c := s.counts
-	c.Unfinished = int64(s.unfinish.len())
-	c.Workers = int64(s.workers.len())
+// Counts returns totals for the metrics, at most slowPace old.
+func (s *Scheduler) Counts() Counts { return s.counts }
+
+func (s *Scheduler) updateCounts() {
+	s.counts.Unfinished = int64(s.unfinish.len())
+	s.counts.Workers = int64(s.workers.len())
+	s.counts.Running = 0
 	for _, w := range s.workers.all() {
-		c.Running += int64(len(w.Runs()))
+		s.counts.Running += int64(len(w.Runs()))
 	}
-	return c
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -27,7 +27,6 @@
 // stepWorkers sends the questions that are due and gives up on workers whose
 // orders have all ended.
 func (s *Scheduler) stepWorkers(now time.Time) {
-	s.stepRoster(now)
 	for _, w := range s.workers.all() {
 		if w.Silent && w.Expired(now) && len(w.Runs()) > 0 {
 			s.loseRuns(w, "worker silent beyond its lease", now)
