Order timely jobs by work, slack and the team's use of its share

Change: the order is the remaining work times the slack, times the part of its weighted share that the team uses.

--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -39,9 +39,14 @@
 // get room.
 func (s *Scheduler) ranked(now time.Time) map[string][]candidate {
 	byService := make(map[string][]candidate)
+	factors := s.shareFactors()
 	for _, j := range s.unfinish.all() {
 		service := s.serviceOf(j)
-		byService[service] = append(byService[service], s.rankJob(j, now))
+		c := s.rankJob(j, now)
+		if c.rank == rankTimely && j.Terms.Team != "" {
+			c.value *= factors[j.Terms.Team]
+		}
+		byService[service] = append(byService[service], c)
 	}
 	for _, list := range byService {
 		slices.SortFunc(list, func(a, b candidate) int {
@@ -61,6 +66,41 @@
 	return j.Terms.Service
 }
 
+// Bounds of a team's factor, so that no team is shut out or let in alone.
+const (
+	leastFactor = 0.25
+	mostFactor  = 8
+)
+
+// shareFactors returns, for each team with unfinished jobs, how much of its
+// weighted share of the fleet it uses. A team that sends far more than usual
+// comes after the others once it is above its share.
+func (s *Scheduler) shareFactors() map[string]float64 {
+	weights := make(map[string]float64)
+	sumWeight, sumUsage := 0.0, 0.0
+	for _, j := range s.unfinish.all() {
+		team, ok := s.config.Team(j.Terms.Team)
+		if !ok || weights[team.Name] > 0 {
+			continue
+		}
+		weights[team.Name] = max(team.Weight, minWeight)
+		sumWeight += weights[team.Name]
+		sumUsage += float64(s.usage[team.Name].MilliCores)
+	}
+	factors := make(map[string]float64, len(weights))
+	for team, weight := range weights {
+		fair := sumUsage * weight / sumWeight
+		factors[team] = mostFactor
+		if used := float64(s.usage[team].MilliCores); used < mostFactor*fair || sumUsage == 0 {
+			factors[team] = max(leastFactor, used/max(fair, 1))
+		}
+	}
+	return factors
+}
+
+// minWeight stands in for a weight that is missing.
+const minWeight = 1e-3
+
 func (s *Scheduler) rankJob(j *job.Job, now time.Time) candidate {
 	c := candidate{job: j, priority: j.Terms.Priority}
 	if j.Lasting() {
@@ -83,8 +123,10 @@
 		c.rank = rankBegun
 		c.value = float64(slack)
 	default:
+		// Small jobs earn most for their work, but a large one that would otherwise
+		// be late goes first.
 		c.rank = rankTimely
-		c.value = j.Work()
+		c.value = j.Work() * float64(slack)
 	}
 	return c
 }
