Shorten the scheduler's lease and the pause before its first machine order

Cause: a scheduler that was cut off early in a busy turn cost six seconds without moves: 2.5 s of lease and 3.2 s of distance between two holders. Ruled out: the pace of passes (the loss followed which node held the lease). Change: the lease lives 1.5 s; orders for machines are given only within 0.7 s of a renewal, so that a successor has kept most of the distance already; a scheduler that leaves in order says so in the store, and its successor keeps the whole distance. A worker that has not answered a new scheduler keeps its machine from upkeep and moves: the fault matrix ended a lasting task that the new scheduler did not know (workers silent, then scheduler frozen).

--- a/internal/link/lease/lease.go
+++ b/internal/link/lease/lease.go
@@ -11,12 +11,16 @@
 	// TTL is the life of the scheduler's lease in the store. It bounds how long
 	// nothing starts after the scheduler is lost; renewals must pass while the
 	// store answers 60 times slower than usual (240 ms).
-	TTL = 2500 * time.Millisecond
+	TTL = 1500 * time.Millisecond
 	// RenewEvery leaves two further tries within TTL.
-	RenewEvery = 700 * time.Millisecond
+	RenewEvery = 400 * time.Millisecond
 	// Margin covers the difference in rate between two clocks (2% of TTL) and the
 	// time from a check to the order on the wire.
 	Margin = 150 * time.Millisecond
+	// DutyAge is the greatest age of the last renewal at which orders for machines
+	// are given. It is well below TTL, so that a successor, which must keep a
+	// distance from the last such order, has waited for most of it already.
+	DutyAge = 700 * time.Millisecond
 )
 
 // Authority is this process's right to give orders as the scheduler.
@@ -30,6 +34,8 @@
 	// Since is when this process became the scheduler.
 	Since time.Time
 	until time.Time
+	// renewedAt is when the newest renewal was sent.
+	renewedAt time.Time
 }
 
 // Grant starts an authority. SentAt is when the lease was asked for.
@@ -45,10 +51,24 @@
 // Renew extends the authority by a renewal that was sent at sentAt.
 func (a *Authority) Renew(sentAt time.Time, ttl time.Duration) {
 	if until := sentAt.Add(ttl - Margin); until.After(a.until) {
-		a.until = until
+		a.until, a.renewedAt = until, sentAt
 	}
 }
 
+// DutyUntil returns the time from which no order for a machine may be given.
+func (a *Authority) DutyUntil() time.Time { return a.renewedAt.Add(DutyAge) }
+
+// DutyFrom returns when a new authority may give its first order for a machine.
+// Turn is the least time between the orders of two holders. After a lapse the
+// last holder gave none for TTL less DutyAge; one that left in order may have
+// given one just before.
+func (a *Authority) DutyFrom(turn time.Duration, left bool) time.Time {
+	if left {
+		return a.Since.Add(turn + Margin)
+	}
+	return a.Since.Add(turn + Margin - (TTL - DutyAge))
+}
+
 // Until returns the time from which no order may be given.
 func (a *Authority) Until() time.Time { return a.until }
 
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -22,6 +22,7 @@
 	waveKey        = jobsPrefix + "w/"
 	leaderKey      = jobsPrefix + "leader"
 	epochKey       = jobsPrefix + "epoch"
+	leftKey        = jobsPrefix + "left"
 	rosterKey      = jobsPrefix + "roster"
 	decimal        = 10
 	revisionAbsent = 0
@@ -128,6 +129,9 @@
 	case epochKey:
 		epoch, err := strconv.Atoi(string(item.Value))
 		return scheduler.EpochRead{Epoch: epoch, Revision: item.Revision}, wrap(err, item.Key)
+	case leftKey:
+		epoch, err := strconv.Atoi(string(item.Value))
+		return scheduler.LeftRead{Epoch: epoch}, wrap(err, item.Key)
 	case rosterKey:
 		var members []scheduler.RosterMember
 		err := json.Unmarshal(item.Value, &members)
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -75,7 +75,7 @@
 	case scheduler.RenewLease:
 		return r.renew(a)
 	case scheduler.EndLease:
-		r.report("lease not given up", r.client.EndLease(a.Lease, storeTimeout))
+		r.endLease(a)
 	case scheduler.AskWorker:
 		return r.ask(a)
 	case scheduler.StartTask:
@@ -149,6 +149,19 @@
 	return scheduler.LeaseRefused{Reason: "the store has not answered the claim"}
 }
 
+// endLease gives the lease up. Unless the record that says so is stored, the
+// lease is left to lapse: a successor then keeps the longer distance.
+func (r *runner) endLease(a scheduler.EndLease) {
+	_, err := r.client.Write(platform.Txn{
+		Conditions: []platform.Condition{leaderCondition(a.Fence)},
+		Puts:       []platform.Put{{Key: leftKey, Value: []byte(strconv.Itoa(a.Epoch))}},
+	}, storeTimeout)
+	if err == nil {
+		err = r.client.EndLease(a.Lease, storeTimeout)
+	}
+	r.report("lease not given up", err)
+}
+
 func ownClaim(c *platform.ConflictError, value []byte) (int64, bool) {
 	for _, item := range c.Items {
 		if item.Key == leaderKey && sameValue(item, value) {
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -23,8 +23,12 @@
 // RenewLease renews the scheduler's lease. The answer is LeaseRenewed.
 type RenewLease struct{ Lease int64 }
 
-// EndLease gives the scheduler's lease up.
-type EndLease struct{ Lease int64 }
+// EndLease gives the scheduler's lease up and records that the scheduler of
+// Epoch left in order.
+type EndLease struct {
+	Lease, Fence int64
+	Epoch        int
+}
 
 // AskWorker asks a worker for its runs and ends. The answer is WorkerAnswered.
 type AskWorker struct {
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// LeftRead reports the number of the last scheduler that gave its lease up.
+type LeftRead struct{ Epoch int }
+
+func (c LeftRead) apply(s *Scheduler, _ time.Time) {
+	s.election.leftEpoch = max(s.election.leftEpoch, c.Epoch)
+}
+
 // RosterRead reports the durable list of workers that may run tasks.
 type RosterRead struct {
 	Members  []RosterMember
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -33,6 +33,8 @@
 	// epoch is the number that the next scheduler gets.
 	epoch         int
 	epochRevision int64
+	// leftEpoch is the number of the last scheduler that gave its lease up.
+	leftEpoch int
 	// synced is the revision up to which the copy of the jobs is complete.
 	synced   int64
 	seeking  bool
@@ -56,7 +58,7 @@
 func (e LeaseGranted) Apply(s *Scheduler, now time.Time) {
 	s.election.seeking = false
 	if s.election.leaving {
-		s.act(EndLease{e.Lease})
+		s.act(EndLease{e.Lease, e.Fence, e.Epoch})
 		return
 	}
 	s.election.authority = lease.Grant(e.Fence, e.Lease, e.Epoch, e.SentAt, e.TTL, now)
@@ -123,7 +125,7 @@
 	s.election.leaving = true
 	if a := s.election.authority; a.Held() {
 		s.stepDown("planned stop", now)
-		s.act(EndLease{a.Lease})
+		s.act(EndLease{a.Lease, a.Fence, a.Epoch})
 	}
 }
 
@@ -200,6 +202,11 @@
 
 func (s *Scheduler) fence() int64 { return s.election.authority.Fence }
 
+// dutiesAllowed reports whether orders for machines may be given now.
+func (s *Scheduler) dutiesAllowed(now time.Time) bool {
+	return s.authorized(now) && now.Before(s.election.authority.DutyUntil())
+}
+
 // notAfter is when the right to send an order ends.
 func (s *Scheduler) notAfter() time.Time { return s.election.authority.Until() }
 
@@ -215,7 +222,7 @@
 	s.unfinish = newOrdered[job.ID, *job.Job]()
 	s.flush = flushState{busy: make(map[job.ID]bool)}
 	s.place = placeState{dirty: true}
-	s.duties = newDutyState(now.Add(s.terms.DutyTurn + dutyMargin))
+	s.duties = newDutyState(s.firstDuty(now))
 	s.limbo = 0
 	// The last scheduler gave no order after its lease ended, and none of its
 	// orders lasts longer than this.
@@ -237,6 +244,15 @@
 	s.note("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinish.len(), "workers", s.workers.len(), "limbo", s.limbo)
 }
 
+// firstDuty returns when the first order for a machine may be given.
+func (s *Scheduler) firstDuty(now time.Time) time.Time {
+	a := &s.election.authority
+	if a.Epoch == 0 {
+		return now
+	}
+	return a.DutyFrom(s.terms.DutyTurn, s.election.leftEpoch == a.Epoch-1)
+}
+
 // stepDown leaves the role.
 func (s *Scheduler) stepDown(reason string, now time.Time) {
 	s.note("scheduling ends", "reason", reason, "fence", s.fence())
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -89,6 +89,12 @@
 var faults = []fault{
 	{"none", func(*world) {}},
 	{"scheduler killed", func(w *world) { w.leader(func(n *simNode) { n.kill(time.Second) }) }},
+	{"scheduler leaves", func(w *world) {
+		w.leader(func(n *simNode) {
+			n.apply(Leave{})
+			n.later(2*time.Second, func() { n.kill(time.Second) })
+		})
+	}},
 	{"scheduler frozen past its lease", func(w *world) { w.leader(func(n *simNode) { n.freeze(4 * time.Second) }) }},
 	{"scheduler cut from the store", func(w *world) {
 		w.leader(func(n *simNode) {
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -40,7 +40,7 @@
 		return
 	}
 	s.listMachines(now)
-	if !s.authorized(now) || s.duties.machines == nil {
+	if !s.dutiesAllowed(now) || s.duties.machines == nil {
 		return
 	}
 	if now.Before(s.duties.notBefore) {
@@ -73,7 +73,7 @@
 		s.wake(m.retryAt)
 	default:
 		m.inFlight = true
-		s.act(OrderMove{Machine: m.Machine, Pool: m.To, Fence: s.fence(), NotAfter: s.notAfter()})
+		s.act(OrderMove{Machine: m.Machine, Pool: m.To, Fence: s.fence(), NotAfter: s.election.authority.DutyUntil()})
 	}
 }
 
@@ -142,7 +142,7 @@
 		if !inWave[name] && s.counted(w, p.Spare, m, now) {
 			p.Machines = append(p.Machines, pools.Machine{
 				Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
-				Idle: w == nil || len(w.Runs()) == 0,
+				Idle: w == nil || len(w.Runs()) == 0 && settled(w, now),
 			})
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,6 +86,7 @@
 		jobs:         newOrdered[job.ID, *job.Job](),
 		earlyCancels: make(map[job.ID]bool),
 		pending:      make(pendingCounts),
+		election:     election{leftEpoch: -1},
 		workers:      newOrdered[string, *worker.Worker](),
 		unfinish:     newOrdered[job.ID, *job.Job](),
 		listed:       newOrdered[string, worker.Description](),
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -12,8 +12,6 @@
 
 // Times of duties for machines.
 const (
-	// dutyMargin is added to the least time between the duties of two holders.
-	dutyMargin = 200 * time.Millisecond
 	// listEvery is the age of the list of machines at which it is read again while
 	// a wave is under way.
 	listEvery = 500 * time.Millisecond
@@ -311,7 +309,7 @@
 		s.wake(s.duties.notBefore)
 		return
 	}
-	if wk != nil && !s.emptyEnough(wk, now.Sub(m.Since), now) {
+	if wk != nil && (!settled(wk, now) || !s.emptyEnough(wk, now.Sub(m.Since), now)) {
 		return
 	}
 	m.Enter(upkeep.Ordered, now)
@@ -322,6 +320,10 @@
 	}
 }
 
+// settled reports whether it is known what runs on a worker: it has answered
+// this scheduler, or nothing can run on it any more.
+func settled(wk *worker.Worker, now time.Time) bool { return wk.Heard || wk.Expired(now) }
+
 // emptyEnough reports whether a machine may go down after draining for a time.
 func (s *Scheduler) emptyEnough(wk *worker.Worker, drained time.Duration, now time.Time) bool {
 	ready := true
@@ -361,7 +363,7 @@
 }
 
 func (s *Scheduler) orderUpkeep(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
-	if !s.authorized(now) {
+	if !s.dutiesAllowed(now) {
 		return
 	}
 	if now.Before(m.RetryAt) {
@@ -370,7 +372,7 @@
 	}
 	m.InFlight = true
 	s.note("upkeep ordered", "wave", w.Order.Wave, "machine", m.Name, "busy", w.Busy(), "at_once", w.AtOnce, "drained_ms", now.Sub(m.Since).Milliseconds())
-	s.act(OrderUpkeep{Machine: m.Name, Wave: w.Order.Wave, Fence: s.fence(), NotAfter: s.notAfter()})
+	s.act(OrderUpkeep{Machine: m.Name, Wave: w.Order.Wave, Fence: s.fence(), NotAfter: s.election.authority.DutyUntil()})
 }
 
 // DutyOutcome is the result of an order for a machine.
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -139,9 +139,9 @@
 
 // fenced handles a refusal by a worker that has heard a newer scheduler.
 func (s *Scheduler) fenced(by string, now time.Time) {
-	lease := s.election.authority.Lease
+	a := s.election.authority
 	s.stepDown("fenced by "+by, now)
-	s.act(EndLease{lease})
+	s.act(EndLease{a.Lease, a.Fence, a.Epoch})
 }
 
 // hear applies a worker's report.
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
@@ -258,7 +259,11 @@
 	case RenewLease:
 		n.renew(a)
 	case EndLease:
-		w.after(w.latency(), func() { w.store.endLease(a.Lease) })
+		w.after(w.latency(), func() {
+			if w.store.write(a.Fence, map[string]any{"left": LeftRead{a.Epoch}}, nil) {
+				w.store.endLease(a.Lease)
+			}
+		})
 	case AskWorker:
 		n.ask(a)
 	case StartTask:
@@ -320,7 +325,7 @@
 	outcome := RenewUnknown
 	n.storeCall(func() { outcome = n.w.store.keep(a.Lease) },
 		func() {
-			n.apply(LeaseRenewed{Lease: a.Lease, Outcome: outcome, SentAt: sentAt, TTL: 2500 * time.Millisecond})
+			n.apply(LeaseRenewed{Lease: a.Lease, Outcome: outcome, SentAt: sentAt, TTL: lease.TTL})
 		},
 		func() { n.apply(LeaseRenewed{Lease: a.Lease, Outcome: RenewUnknown, SentAt: sentAt}) })
 }
@@ -431,7 +436,7 @@
 		return LeaseRefused{"epoch"}
 	}
 	s.nextID++
-	ttl := 2500 * time.Millisecond
+	ttl := lease.TTL
 	s.leases[s.nextID] = s.w.now.Add(ttl)
 	s.put("epoch", EpochRead{Epoch: a.Epoch + 1}, 0)
 	fence := s.put("leader", LeaderRead{Holder: n.name}, s.nextID)
@@ -443,7 +448,7 @@
 	if _, ok := s.leases[id]; !ok {
 		return RenewEnded
 	}
-	s.leases[id] = s.w.now.Add(2500 * time.Millisecond)
+	s.leases[id] = s.w.now.Add(lease.TTL)
 	return Renewed
 }
 
@@ -526,6 +531,8 @@
 	case LeaderRead:
 		value.Fence = item.revision
 		return Jobs, value
+	case LeftRead:
+		return Jobs, value
 	case EpochRead:
 		value.Revision = item.revision
 		return Jobs, value
--- a/internal/scheduler/worldcheck_test.go
+++ b/internal/scheduler/worldcheck_test.go
@@ -70,6 +70,9 @@
 // as away, whatever the cause.
 const noticeBound = 4_500_000_000
 
+// turnBound is the users' least time between the orders of two holders.
+const turnBound = 3_000_000_000
+
 // calm reports whether every node reaches the store.
 func (w *world) calm() bool {
 	for _, n := range w.nodes {
@@ -135,11 +138,14 @@
 }
 
 // checkDuty checks the rules for an order for a machine.
-func (w *world) checkDuty(m *simMachine, wave, fence int64) {
+func (w *world) checkDuty(m *simMachine, holder string, wave, fence int64) {
 	if fence < m.lastFence {
 		w.fail("ONE: an order for %s under fence %d after %d", m.name, fence, m.lastFence)
 	}
-	m.lastFence = fence
+	if m.lastHolder != "" && m.lastHolder != holder && w.now.Sub(m.lastDuty) < turnBound {
+		w.fail("ONE: %s orders %s %v after %s", holder, m.name, w.now.Sub(m.lastDuty), m.lastHolder)
+	}
+	m.lastFence, m.lastHolder, m.lastDuty = fence, holder, w.now
 	if wave == 0 {
 		return
 	}
--- a/internal/scheduler/worldworker_test.go
+++ b/internal/scheduler/worldworker_test.go
@@ -227,6 +227,8 @@
 	wave                           int64
 	waves                          map[int64]bool
 	lastFence                      int64
+	lastHolder                     string
+	lastDuty                       time.Time
 }
 
 func (w *world) addMachine(number int, pool string) {
@@ -275,7 +277,7 @@
 			outcome, refusal = DutyNotDone, upkeep.RefusedBusy
 			return
 		}
-		w.checkDuty(m, wave, fence)
+		w.checkDuty(m, n.name, wave, fence)
 		w.takeDown(m, pool, wave)
 	}
 	// Orders for machines are not carried out late on this platform; their answers
