--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -30,6 +30,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			nodeCommand(),
+			traceCommand(),
 			standinCommand(),
 			settingsCommand(),
 			explainCommand(),
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -21,6 +21,18 @@
 	"contract": {},
 	"zone":     {"machine", "contract"},
 	"fleet":    {"machine", "zone", "link", "contract"},
+
+	"contract/job":    {"machine"},
+	"contract/policy": {"machine"},
+	"machine/worker":  {"machine", "contract/job"},
+	"machine/upkeep":  {"machine"},
+	"machine/pools":   {"machine"},
+	"link/lease":      {},
+	"zone/placement":  {"contract/job", "machine/worker"},
+	"scheduler": {
+		"machine", "contract/job", "contract/policy", "link/lease",
+		"machine/worker", "machine/upkeep", "machine/pools", "zone/placement",
+	},
 }
 
 // allowedStandard lists the standard packages that decisions may use: no codec,
@@ -94,3 +106,69 @@
 	}
 	return false
 }
+
+// wireNames are names of the users' platform that mean something else, or
+// nothing, in the product.
+var wireNames = []string{
+	"until-ms", "fencing-token", "last-seen", "kv-txn", "kv-watch", "kv-range", "expected-rev", "est-runtime-ms",
+	"long-running", "admission-check", "target-duration-ms", "Duty-Holder", "Target-Instance", "Request-Deadline", "api-keys",
+}
+
+// TestOnlyPlatformNamesTheWire guards against names of the users' platform that
+// spread beyond the adapter and the stand-ins.
+func TestOnlyPlatformNamesTheWire(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		name := filepath.ToSlash(strings.TrimPrefix(path, root+string(filepath.Separator)))
+		if strings.HasPrefix(name, "platform/") || strings.HasPrefix(name, "internal/standin/site/") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, wire := range wireNames {
+			if strings.Contains(string(data), `"`+wire) || strings.Contains(string(data), wire+`"`) {
+				t.Errorf("%s names %q of the platform", name, wire)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// platformUsers are the packages that may import the adapter.
+var platformUsers = []string{"internal/node/", "internal/command/", "platform/"}
+
+// TestFewPackagesImportThePlatform guards against decisions that depend on the
+// adapter.
+func TestFewPackagesImportThePlatform(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		name := filepath.ToSlash(strings.TrimPrefix(path, root+string(filepath.Separator)))
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		uses := strings.Contains(string(data), `"github.com/crocusjunction/crocusjunction/platform"`)
+		allowed := false
+		for _, prefix := range platformUsers {
+			allowed = allowed || strings.HasPrefix(name, prefix)
+		}
+		if uses && !allowed {
+			t.Errorf("%s imports the adapter", name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
