Ask the advice service for queues that need it; test gangs and tickets

Cause: a queue with advice would have started tasks without tickets, which workers refuse, again and again.

--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -27,6 +27,9 @@
 	storeTimeout = 800 * time.Millisecond
 	// leaseTimeout bounds a renewal, so that another try fits into the lease.
 	leaseTimeout = 600 * time.Millisecond
+	// adviceTimeout bounds a question to the advice service, which takes time for
+	// each worker and serves callers in turn.
+	adviceTimeout = 3 * time.Second
 	// dutyTimeout bounds an order for a machine.
 	dutyTimeout = time.Second
 	// claimTries is how often the claim of the lease is repeated without an
@@ -101,6 +104,8 @@
 		return r.move(a)
 	case scheduler.PublishWave:
 		return r.publishWave(a)
+	case scheduler.AskAdvice:
+		return r.advise(a)
 	case scheduler.ForgetWorker:
 		r.client.Forget(a.Address)
 	}
@@ -258,6 +263,14 @@
 	r.report("pace not set", err)
 }
 
+func (r *runner) advise(a scheduler.AskAdvice) scheduler.Event {
+	e := scheduler.Advised{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: r.clock.Now()}
+	advice, err := r.client.Advise(a.Step, a.Workers, adviceTimeout)
+	r.report("no advice", err)
+	e.OK, e.Tickets, e.Validity = err == nil, advice.Tickets, advice.Validity
+	return e
+}
+
 // leaderCondition makes a write fail once another scheduler holds the lease.
 func leaderCondition(fence int64) platform.Condition {
 	return platform.Condition{Key: leaderKey, Revision: fence}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -223,6 +223,7 @@
 	s.flush = flushState{busy: make(map[job.ID]bool)}
 	s.place = placeState{dirty: true}
 	s.duties = newDutyState(s.firstDuty(now))
+	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.limbo = 0
 	// The last scheduler gave no order after its lease ended, and none of its
 	// orders lasts longer than this.
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -208,3 +208,30 @@
 		}
 	}
 }
+
+// TestAdvisedQueue guards against tasks that start without a valid ticket, and
+// against jobs that stand still because tickets expire.
+func TestAdvisedQueue(t *testing.T) {
+	for seed := range uint64(5) {
+		w := fleetOf(t, seed, 2, 6, 2)
+		w.advised = true
+		w.store.put("config", w.config(2), 0)
+		w.runFor(time.Second)
+		ids := w.load(1, 30, 200*time.Millisecond)
+		w.runFor(3 * time.Second)
+		w.leader(func(n *simNode) { n.kill(time.Second) })
+		w.runFor(40 * time.Second)
+		w.expectEnded(ids)
+	}
+}
+
+// TestGangRunsTogether guards against gangs of which only a part is started.
+func TestGangRunsTogether(t *testing.T) {
+	w := fleetOf(t, 7, 2, 4, 0)
+	w.runFor(time.Second)
+	gang := step(6, 1500, 400)
+	gang.Gang, gang.SameRack = true, true
+	ids := []job.ID{w.submit(1, job.Spec{Steps: []job.Step{gang}}), w.submit(2, job.Spec{Steps: []job.Step{gang, step(2, 500, 100, 0)}})}
+	w.runFor(30 * time.Second)
+	w.expectEnded(ids)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -118,6 +118,7 @@
 		return s.placeGang(o, step, pool, now)
 	}
 	left := false
+	allowed := s.allowedBy(o, step, now)
 	tasks := o.Tasks(step)
 	for i := range tasks {
 		t := &tasks[i]
@@ -125,8 +126,12 @@
 			left = left || !t.Done() && len(t.Runs) == 0
 			continue
 		}
-		w := pool.Choose(t, anyWorker)
-		if w == nil || !s.withinCap(o.Job.Terms.Team, t.Spec().Need) {
+		if !s.withinCap(o.Job.Terms.Team, t.Spec().Need) {
+			return true
+		}
+		w := pool.Choose(t, allowed)
+		if w == nil {
+			s.seekAdvice(o, step, pool.Workers(), now)
 			return true
 		}
 		s.start(t, w, t.NextRun(s.epochBase()), now)
@@ -154,8 +159,9 @@
 	if !s.withinCap(o.Job.Terms.Team, need) {
 		return true
 	}
-	chosen, ok := pool.ChooseGang(tasks)
+	chosen, ok := pool.ChooseGang(tasks, s.allowedBy(o, step, now))
 	if !ok {
+		s.seekAdvice(o, step, pool.Workers(), now)
 		return true
 	}
 	number := o.GangRun(step, s.epochBase())
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -77,7 +77,7 @@
 		Target: w.Target(),
 		Order: worker.StartOrder{
 			Task: t.Name(), Run: number, Payload: j.Spec.Payload, EndsAt: r.OrderEnds,
-			Fence: s.fence(), Saved: t.Saved(),
+			Fence: s.fence(), Saved: t.Saved(), Ticket: s.ticket(t, w),
 		},
 		NotAfter: s.notAfter(),
 	})
@@ -160,6 +160,8 @@
 		// The view of the worker is wrong: ask it before anything else starts there.
 		w.Heard = false
 		w.NextAsk = now
+	case e.Refusal == worker.RefusedTicket:
+		delete(s.advice.steps, stepName(r.Task.Occurrence, r.Task.Step))
 	case e.Refusal == worker.RefusedUnhealthy:
 		w.FailedTask(e.Run.Task.Job, now)
 		w.Heard = false
@@ -296,6 +298,7 @@
 	if j.Complete(now.UnixMilli()) {
 		s.note("job completed", "job", j.ID, "queue", j.Terms.Queue, "team", j.Terms.Team, "age_ms", now.UnixMilli()-j.AcceptedAt)
 		s.unfinish.delete(j.ID)
+		s.forgetAdvice(j)
 	}
 }
 
@@ -315,6 +318,7 @@
 		}
 	})
 	s.unfinish.delete(j.ID)
+	s.forgetAdvice(j)
 	s.markDirty(j)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,6 +64,7 @@
 	// waveProgress is what the store holds of waves.
 	waveProgress map[int64]WaveProgressRead
 	duties       dutyState
+	advice       adviceState
 
 	// quickAt and slowAt are when the parts of a step are due.
 	quickAt, slowAt time.Time
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -42,6 +42,8 @@
 	acknowledged map[string]bool
 	trace        []string
 	away         map[string]absence
+	tickets      map[string]time.Time
+	advised      bool
 	// lossy is the share of calls whose answer is lost, late of those that are
 	// carried out after seconds.
 	lossy, late float64
@@ -74,7 +76,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
 		workers: make(map[string]*simWorker), machines: make(map[string]*simMachine),
 		jobs: make(map[job.ID]job.Spec), terms: make(map[job.ID]job.Terms), cancels: make(map[job.ID]time.Time),
-		finished: make(map[string]bool), failed: make(map[string]int), acknowledged: make(map[string]bool), away: make(map[string]absence),
+		finished: make(map[string]bool), failed: make(map[string]int), acknowledged: make(map[string]bool), away: make(map[string]absence), tickets: make(map[string]time.Time),
 		caps: machine.Resources{MilliCores: 24000},
 	}
 	w.store = newSimStore(w)
@@ -87,7 +89,7 @@
 
 func (w *world) config(version int64) *policy.Configuration {
 	return policy.New(version,
-		[]policy.Queue{{Name: "q", Service: "s", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}},
+		[]policy.Queue{{Name: "q", Service: "s", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond, Advised: w.advised}},
 		[]policy.Team{{Name: "team", Keys: []string{"k"}, Cap: w.caps}},
 		[]policy.Service{{Name: "s", Guarded: true}, {Name: "spare", Spare: true}}, policy.RequestLimits{})
 }
@@ -299,6 +301,8 @@
 			w.store.write(a.Fence, map[string]any{"wave/" + strconv.FormatInt(a.Wave, 10): WaveProgressRead{a.Wave, a.Begun, a.Completed}}, nil)
 		}, func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), true}) },
 			func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), false}) })
+	case AskAdvice:
+		n.advise(a)
 	case PaceRun, RemoveJobs, ForgetWorker:
 	default:
 		w.fail("action %T is not simulated", a)
@@ -373,6 +377,25 @@
 	n.storeCall(effect, func() { n.apply(e) }, lost)
 }
 
+// advise allows the workers whose machine has an even number.
+func (n *simNode) advise(a AskAdvice) {
+	w := n.w
+	e := Advised{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: w.now, OK: true, Tickets: make(map[string]string), Validity: 2 * time.Second}
+	for _, id := range a.Workers {
+		if w.advisable(id) {
+			e.Tickets[id] = a.Step + "@" + id
+			w.tickets[a.Step+"@"+id] = w.now.Add(2*time.Second + 50*time.Millisecond)
+		}
+	}
+	n.later(20*time.Millisecond, func() { n.apply(e) })
+}
+
+func (w *world) advisable(id string) bool {
+	var machineNumber, sequence int
+	_, err := fmt.Sscanf(id, "i-m-%d-%d", &machineNumber, &sequence)
+	return err == nil && machineNumber%2 == 0
+}
+
 // simStore is a store in virtual time.
 type simStore struct {
 	w        *world
--- a/internal/scheduler/worldcheck_test.go
+++ b/internal/scheduler/worldcheck_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"strings"
+
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
@@ -15,6 +17,9 @@
 		w.fail("UNASKED: %s starts, which nobody submitted", name)
 	}
 	step := spec.Steps[o.Task.Step]
+	if until, known := w.tickets[o.Ticket]; w.advised && (!known || w.now.After(until) || !strings.HasSuffix(o.Ticket, "@"+x.d.ID)) {
+		w.fail("ROUTE: %s starts on %s with ticket %q", name, x.d.ID, o.Ticket)
+	}
 	if w.acknowledged[name] {
 		w.fail("TWICE: %s starts again after its end was taken note of", name)
 	}
--- a/internal/scheduler/worldworker_test.go
+++ b/internal/scheduler/worldworker_test.go
@@ -144,15 +144,33 @@
 	x.next++
 	x.ends = append(x.ends, worker.EndReport{Number: x.next, Task: run.task, Run: run.run, Reason: how})
 	x.w.log("%s ends %s run %d %s", x.d.ID, name, run.run, how)
-	if how == worker.EndDone && !x.w.jobs[run.task.Job].Steps[run.task.Step].Lasting {
+	step := x.w.jobs[run.task.Job].Steps[run.task.Step]
+	if how == worker.EndDone && !step.Lasting {
 		x.w.finished[name] = true
 	}
+	if how == worker.EndDone && step.Gang {
+		x.w.endGang(run.task, step.Count)
+	}
 	if how == worker.EndFailed {
 		x.w.failed[name]++
 	}
 	x.w.away[name] = absence{x.w.now, how == worker.EndStopped}
 }
 
+// endGang ends the other members of a gang together with one of them.
+func (w *world) endGang(task job.TaskName, count int) {
+	for i := range count {
+		member := task
+		member.Index = i
+		w.finished[member.String()] = true
+		for _, other := range w.workers {
+			if other.live[member.String()] != nil && !other.dead {
+				other.end(member.String(), worker.EndDone)
+			}
+		}
+	}
+}
+
 func (x *simWorker) stop(a StopRun) (ok, fenced bool) {
 	if x == nil || x.dead || x.silent {
 		return false, false
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -21,6 +21,9 @@
 	return &Pool{workers: workers, now: now}
 }
 
+// Workers returns the workers of the pool; the caller must not change the list.
+func (p *Pool) Workers() []*worker.Worker { return p.workers }
+
 // Empty reports whether no worker has a free core.
 func (p *Pool) Empty() bool {
 	for _, w := range p.workers {
@@ -39,8 +42,8 @@
 	weightRemote  = 1 << 30
 )
 
-// Choose returns the worker for a task, nil when none fits. Taken is called for
-// the number of tasks of the same step that a worker already holds. It prefers
+// Choose returns the worker for a task, nil when none of the allowed ones fits.
+// It prefers
 // workers without recent failures, then the rack of the data, then the fullest
 // worker, so that wide tasks keep room.
 func (p *Pool) Choose(t *job.Task, allowed func(*worker.Worker) bool) *worker.Worker {
@@ -90,16 +93,16 @@
 
 // ChooseGang returns a worker for each task of a gang, or false when not all
 // fit. A gang that works best in one rack gets one if any rack has room.
-func (p *Pool) ChooseGang(tasks []job.Task) ([]*worker.Worker, bool) {
+func (p *Pool) ChooseGang(tasks []job.Task, allowed func(*worker.Worker) bool) ([]*worker.Worker, bool) {
 	if tasks[0].Spec().SameRack {
 		for _, rack := range p.racks() {
-			inRack := func(w *worker.Worker) bool { return w.Rack() == rack }
+			inRack := func(w *worker.Worker) bool { return w.Rack() == rack && allowed(w) }
 			if chosen, ok := p.chooseAll(tasks, inRack); ok {
 				return chosen, true
 			}
 		}
 	}
-	return p.chooseAll(tasks, func(*worker.Worker) bool { return true })
+	return p.chooseAll(tasks, allowed)
 }
 
 func (p *Pool) racks() []string {
