--- a/internal/node/jobstore.go
+++ b/internal/node/jobstore.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
+	"github.com/crocusjunction/crocusjunction/internal/oplog"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
@@ -29,17 +31,28 @@
 type jobStore struct {
 	client *platform.Client
 	clock  *Clock
+	log    *oplog.Log
+}
+
+// unsettled logs why a caller's write was given up.
+func (s jobStore) unsettled(text string, id job.ID, tries int, err error) {
+	fields := logrus.Fields{"job": string(id), "tries": tries}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	s.log.Write("store", text, fields)
 }
 
 // Accept implements ingress.Store.
 func (s jobStore) Accept(j *job.Job, until time.Time) ingress.Result {
-	key := jobKey + string(j.ID)
+	id := j.ID
+	key := jobKey + string(id)
 	value := encodeCBOR(jobRecord{j.Terms, j.Spec, j.AcceptedAt})
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Revision: revisionAbsent}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
 	}
-	return s.settle(txn, until, func(*platform.ConflictError) ingress.Result { return ingress.Stored })
+	return s.settle(id, txn, until, func(*platform.ConflictError) ingress.Result { return ingress.Stored })
 }
 
 // Cancel implements ingress.Store.
@@ -51,7 +64,7 @@
 		},
 		Puts: []platform.Put{{Key: cancelKey + string(id), Value: []byte("1")}},
 	}
-	return s.settle(txn, until, func(c *platform.ConflictError) ingress.Result {
+	return s.settle(id, txn, until, func(c *platform.ConflictError) ingress.Result {
 		for _, item := range c.Items {
 			if item.Key == cancelKey+string(id) && item.Revision != revisionAbsent {
 				return ingress.Stored
@@ -63,14 +76,17 @@
 
 // settle repeats a conditional write until its outcome is known. Repeating is
 // safe: the condition holds at most once.
-func (s jobStore) settle(txn platform.Txn, until time.Time, conflict func(*platform.ConflictError) ingress.Result) ingress.Result {
+func (s jobStore) settle(id job.ID, txn platform.Txn, until time.Time, conflict func(*platform.ConflictError) ingress.Result) ingress.Result {
 	unknown := false
+	var last error
 	for try := 1; ; try++ {
 		left := until.Sub(s.clock.Now())
 		if left <= 0 {
+			s.unsettled("write not confirmed in the caller's time", id, try-1, last)
 			return ingress.Unknown
 		}
 		_, err := s.client.Write(txn, min(writeTimeout, left))
+		last = err
 		var conflicted *platform.ConflictError
 		switch {
 		case err == nil:
@@ -83,6 +99,7 @@
 		default:
 			// An earlier attempt without an answer may still take effect.
 			if !unknown && try >= refusedTries {
+				s.unsettled("write refused", id, try, err)
 				return ingress.NotStored
 			}
 			time.Sleep(writeRetry)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 		<-logDone
 	}()
 
-	service := ingress.New(n.loop, jobStore{n.client, n.clock}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
+	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
 	callers := n.server(platform.CallersHandler(parts, service, n.observe))
 	checks := n.server(platform.ReadyHandler(n.ready))
 	if err := n.listen(group, callers, n.settings.CallersAddress); err != nil {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -121,7 +121,7 @@
 		s.hear(w, e, now)
 	case AskUnknown:
 		if !w.Silent {
-			s.note("worker silent", "worker", w.ID, "service", w.Service, "runs", len(w.Runs()), "lease_left_ms", w.ExpiresAt().Sub(now).Milliseconds())
+			s.note("worker silent", "worker", w.ID, "service", w.Service, "runs", len(w.Runs()), "lease_left_ms", max(0, w.ExpiresAt().Sub(now)).Milliseconds())
 		}
 		w.Silent = true
 		w.NextAsk = now.Add(silentGap)
