--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -265,3 +265,6 @@
 	}
 	return data
 }
+
+// StoreAddress returns the store's "ip:port".
+func (s *Site) StoreAddress() string { return s.storeAt }
