--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -20,9 +20,9 @@
 // Times of calls.
 const (
 	// orderTimeout bounds an order to a worker, which answers in milliseconds.
-	orderTimeout = 600 * time.Millisecond
+	orderTimeout = 450 * time.Millisecond
 	// askSlack is how much later than its wait a worker's answer may come.
-	askSlack = 700 * time.Millisecond
+	askSlack = 450 * time.Millisecond
 	// storeTimeout bounds the scheduler's calls to the store.
 	storeTimeout = 800 * time.Millisecond
 	// leaseTimeout bounds a renewal, so that another try fits into the lease.
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -133,6 +133,8 @@
 		if r.Phase == job.RunOrdered {
 			r.Phase = job.RunUncertain
 			r.Task.FailedOn = w.ID
+			// Nothing more starts there until a question is answered.
+			w.Heard = false
 			s.stopRun(w, r, now)
 		}
 	case StartNotDone:
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -11,7 +11,7 @@
 const (
 	// askWait is how long a question waits for an end. It is also the rate at
 	// which leases are extended.
-	askWait = 1000 * time.Millisecond
+	askWait = 600 * time.Millisecond
 	// watchWait is used where serving tasks share a worker with tasks that fill,
 	// whose latency has to be looked at.
 	watchWait = 450 * time.Millisecond
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -88,12 +88,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := site.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (w *world) startNode(name string) *runningNode {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -82,8 +82,9 @@
 	return n
 }
 
-// failedSeeds are seeds that have failed once, with their cause. None so far.
-var failedSeeds []uint64
+// failedSeeds are seeds that have failed once. 129: two addresses of the test
+// itself were the same; no fault of the nodes.
+var failedSeeds = []uint64{129}
 
 // TestSoak guards the promises to callers under faults that overlap.
 // CROCUS_SOAK_SEED, CROCUS_SOAK_RUNS and CROCUS_SOAK_SECONDS choose longer runs.
@@ -198,12 +199,11 @@
 }
 
 func (s *soak) freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := site.FreeAddress()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (p *process) start(s *soak) {
