Spread lasting tasks over data centres

Change: the tasks of a lasting step go to the data centre that holds fewest. Kept for the loss of a data centre.

--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -77,8 +77,10 @@
 		cost += weightRemote
 	}
 	if spec.Lasting {
-		// No worker holds more tasks of a step than need be, so that its loss takes
-		// few of them; apart from that they stay together and leave machines idle.
+		// The tasks of a step spread over data centres, and no worker holds more of
+		// them than need be, so that a loss takes few. Apart from that they stay
+		// together and leave machines idle.
+		cost += int64(p.inCentre(w.Zone, t)) * weightCentre
 		cost += int64(max(0, w.CountStep(t.Occurrence, t.Step)+1-lastingTogether)) * weightCrowded
 	}
 	return cost
@@ -88,6 +90,20 @@
 // another one is preferred.
 const lastingTogether = 2
 
+// weightCentre spreads them over data centres before that.
+const weightCentre = 1 << 24
+
+// inCentre returns how many tasks of the same step a data centre holds.
+func (p *Pool) inCentre(dataCentre string, t *job.Task) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.Zone == dataCentre {
+			n += w.CountStep(t.Occurrence, t.Step)
+		}
+	}
+	return n
+}
+
 // weightCrowded spreads the lasting tasks of a step before free room counts.
 const weightCrowded = 1 << 20
 
