--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/link/lease"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+)
+
+// sizes are today's, the grown and the target size of the users' fleets.
+var sizes = []struct {
+	name                 string
+	workers, pools, jobs int
+}{{"today", 48, 5, 300}, {"grown", 349, 5, 1500}, {"target", 1200, 22, 5000}}
+
+// busy returns a scheduler whose pools are full to a part and whose queues
+// hold waiting jobs.
+func busy(workers, pools, jobs int) (*Scheduler, time.Time) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := New(Terms{Self: "node", Hold: 5 * time.Second, LongestHold: 6 * time.Second, StatusKept: time.Minute})
+	var queues []policy.Queue
+	var services []policy.Service
+	for p := range pools {
+		name := fmt.Sprintf("s%d", p)
+		services = append(services, policy.Service{Name: name, Guarded: true})
+		queues = append(queues, policy.Queue{Name: name, Host: "h", Prefix: "/" + name + "/", Service: name, Attempts: 3, Stretch: 1.6})
+	}
+	s.config = policy.New(1, queues, nil, services, policy.RequestLimits{})
+	s.election.authority = lease.Grant(1, 1, 0, now, time.Hour, now)
+	s.lead(now)
+	s.duties.machines = make(map[string]upkeep.Machine)
+	for i := range workers {
+		id := fmt.Sprintf("i-%d", i)
+		capacity := machine.Resources{MilliCores: 32000, MemoryMB: 65536}
+		w := worker.New(worker.Description{ID: id, Service: fmt.Sprintf("s%d", i%pools), Zone: "z", Labels: []string{"a", "r"}, Capacity: capacity})
+		w.Heard, w.Recorded = true, true
+		w.ReadClock(1000, now)
+		s.workers.set(id, w)
+		s.duties.machines["m"+id] = upkeep.Machine{Name: "m" + id, Pool: w.Service, State: upkeep.MachineUp, Worker: id, Capacity: capacity}
+	}
+	for i := range jobs {
+		name := fmt.Sprintf("s%d", i%pools)
+		j := job.New(job.ID(fmt.Sprintf("%016x", i)), job.Terms{Queue: name, Service: name, Attempts: 3, Stretch: 1.6},
+			job.Spec{Steps: []job.Step{{Count: 6, Need: machine.Resources{MilliCores: 1600, MemoryMB: 3000}, Estimate: 640 * time.Millisecond}}}, now.UnixMilli(), 2)
+		s.jobs.set(j.ID, j)
+		s.leadJob(j)
+	}
+	for part := range s.fresh {
+		s.fresh[part].Read(now)
+	}
+	return s, now
+}
+
+// BenchmarkPlaceRound measures a round that finds every pool full.
+func BenchmarkPlaceRound(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := busy(size.workers, size.pools, size.jobs)
+			s.placeRound(now)
+			s.actions = nil
+			for b.Loop() {
+				s.placeRound(now)
+			}
+		})
+	}
+}
+
+// BenchmarkFirstRound measures a round that fills every pool, for each start.
+func BenchmarkFirstRound(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			starts := 0
+			for b.Loop() {
+				b.StopTimer()
+				s, now := busy(size.workers, size.pools, size.jobs)
+				b.StartTimer()
+				s.placeRound(now)
+				starts = int(s.counts.Starts)
+			}
+			b.ReportMetric(float64(starts), "starts")
+		})
+	}
+}
+
+// BenchmarkPlanMoves measures a plan of moves between pools.
+func BenchmarkPlanMoves(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := busy(size.workers, size.pools, size.jobs)
+			for b.Loop() {
+				s.duties.planner.Plan(s.poolStates(now), now)
+			}
+		})
+	}
+}
+
+// BenchmarkPlanWave measures one pass over a wave of half of the machines.
+func BenchmarkPlanWave(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := busy(size.workers, size.pools, 0)
+			var names []string
+			for name := range s.duties.machines {
+				if len(names) < size.workers/2 {
+					names = append(names, name)
+				}
+			}
+			w := upkeep.NewWave(upkeep.Order{Wave: 1, Machines: names, AtOnce: len(names) / 3, Deadline: 28 * time.Second}, now)
+			for b.Loop() {
+				s.stepWave(w, now)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeover measures the entry into the role with every job read.
+func BenchmarkTakeover(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := busy(size.workers, size.pools, size.jobs)
+			for b.Loop() {
+				s.lead(now)
+			}
+		})
+	}
+}
