Start copies of speculative tasks whose worker does not answer

Change: such a task gets a second run at once; a worker that falls silent starts a round of placement. Tried: copies for slow runs too, which took room from waiting jobs. Test: TestCopyOfSpeculativeTask failed before.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -166,7 +166,7 @@
 		if item.Removed {
 			return scheduler.WaveWithdrawn{Wave: number}, nil
 		}
-		order, _, err := platform.ParseWave(item.Key, item.Value)
+		order, err := platform.ParseWave(item.Key, item.Value)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -31,10 +31,11 @@
 // Status is what other goroutines see of the control state.
 type Status struct {
 	ingress.View
+	// JobsAsOf is the time up to which the copy of the jobs is complete.
 	JobsAsOf time.Time
-	Leading  bool
-	// Seeking is true while this node holds the scheduler's lease.
-	Counts scheduler.Counts
+	// Leading is true while this node is the scheduler.
+	Leading bool
+	Counts  scheduler.Counts
 }
 
 // NewLoop returns a loop that passes actions to run, which must not block.
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -43,6 +43,7 @@
 		ids = append(ids, id)
 		w.after(time.Duration(i)*gap, func() {
 			spec := job.Spec{Payload: "p", Steps: []job.Step{step(1+w.random.IntN(4), 500+int64(w.random.IntN(2000)), 100+w.random.IntN(600))}}
+			spec.Steps[0].Speculative = w.random.IntN(3) == 0
 			if w.random.IntN(2) == 0 {
 				spec.Steps = append(spec.Steps, step(1+w.random.IntN(3), 800, 100+w.random.IntN(300), 0))
 			}
@@ -235,3 +236,24 @@
 	w.runFor(30 * time.Second)
 	w.expectEnded(ids)
 }
+
+// TestCopyOfSpeculativeTask guards against a speculative task that waits for the
+// end of a silent worker's lease.
+func TestCopyOfSpeculativeTask(t *testing.T) {
+	w := fleetOf(t, 3, 1, 3, 0)
+	w.runFor(time.Second)
+	spec := step(3, 1500, 1500)
+	spec.Speculative = true
+	id := w.submit(1, job.Spec{Steps: []job.Step{spec}})
+	w.runFor(200 * time.Millisecond)
+	for _, x := range w.workers {
+		if len(x.live) > 0 {
+			x.silent = true
+			break
+		}
+	}
+	w.runFor(4500 * time.Millisecond)
+	if w.state(id) != job.Completed {
+		w.fail("the job is %s before the silent worker's lease has ended", w.state(id))
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -143,7 +143,25 @@
 
 // startable reports whether a new run of a task may be ordered.
 func (s *Scheduler) startable(t *job.Task, now time.Time) bool {
-	return !t.Done() && len(t.Runs) == 0 && t.LimboUntil.IsZero() && !now.Before(t.NotBefore)
+	if t.Done() || !t.LimboUntil.IsZero() || now.Before(t.NotBefore) {
+		return false
+	}
+	return len(t.Runs) == 0 || s.copyHelps(t)
+}
+
+// mostRuns is the number of runs of a speculative task at a time.
+const mostRuns = 2
+
+// copyHelps reports whether a copy of a speculative task is likely to end
+// before the run that it has, because the worker does not answer. Copies of
+// runs that are only slow take room from waiting jobs.
+func (s *Scheduler) copyHelps(t *job.Task) bool {
+	spec := t.Spec()
+	if !spec.Speculative || spec.Gang || spec.Lasting || len(t.Runs) >= mostRuns {
+		return false
+	}
+	w := s.workers.get(t.Runs[0].Worker)
+	return w == nil || w.Silent
 }
 
 // placeGang starts all members of a gang or none.
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -411,11 +411,10 @@
 	}
 }
 
-// Times of a worker that drains.
-const (
-	// drainLasting moves lasting tasks at once; others may finish until drainAll.
-	drainAll = 1200 * time.Millisecond
-)
+// drainAll is when everything on a worker that drains is stopped. Lasting tasks
+// move at once; others may finish until then. A worker stays for two seconds at
+// least.
+const drainAll = 1200 * time.Millisecond
 
 func (s *Scheduler) watchRun(w *worker.Worker, r *job.Run, now time.Time) {
 	if !r.StopSent.IsZero() {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -125,6 +125,7 @@
 		}
 		w.Silent = true
 		w.NextAsk = now.Add(silentGap)
+		s.place.dirty = true
 	case AskNotSent:
 		w.NextAsk = now.Add(silentGap)
 	case AskFenced:
