--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -68,13 +68,16 @@
 		}
 	}
 	var leader, other *runningNode
-	for _, n := range w.nodes {
-		if strings.Contains(n.log.String(), "scheduling begins") {
-			leader = n
-		} else {
-			other = n
+	w.await("a scheduler", func() bool {
+		for _, n := range w.nodes {
+			if strings.Contains(n.log.String(), "scheduling begins") {
+				leader = n
+			} else {
+				other = n
+			}
 		}
-	}
+		return leader != nil
+	})
 	leader.stop()
 	for i := range 12 {
 		w.await("job completed after the change", func() bool { return other.state(jobID(10+i)) == "completed" })
