--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/peer"
+	"github.com/crocusjunction/crocusjunction/internal/standin/site"
 )
 
 // Timeouts of the test processes.
@@ -77,17 +78,16 @@
 
 func tryAddress(t *testing.T) (string, bool) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := site.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	packets, err := net.ListenPacket("udp", l.Addr().String())
+	packets, err := net.ListenPacket("udp", address)
 	if err != nil {
 		return "", false
 	}
 	_ = packets.Close()
-	return l.Addr().String(), true
+	return address, true
 }
 
 // process is one running program.
