Count a machine's upkeep only for the wave that ordered it

Ruled out: refused orders and machines that left the list (not in the log). Change: such a member counts against the cap and not as begun. Test: TestUpkeepOfAnotherWave failed before.

--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -89,6 +89,9 @@
 	Phase Phase
 	// Since is when the phase began.
 	Since time.Time
+	// Away is true for a waiting member that is down for upkeep, perhaps of another
+	// wave: it counts against the cap and not as begun.
+	Away bool
 	// InFlight is true while an order is being sent.
 	InFlight bool
 	// RetryAt delays the next order after a refusal or a lost answer.
@@ -169,7 +172,7 @@
 func (w *Wave) Busy() int {
 	n := 0
 	for _, m := range w.Members {
-		if m.Phase == Ordered || m.Phase == Down {
+		if m.Phase == Ordered || m.Phase == Down || m.Away {
 			n++
 		}
 	}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -177,6 +177,8 @@
 func (s *Scheduler) observeMember(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
 	known, ok := s.duties.machines[m.Name]
 	after := s.duties.listedAt.After(m.Since)
+	// An earlier scheduler may have ordered it, or it is down for another wave.
+	m.Away = m.Phase == upkeep.Waiting && known.State == upkeep.MachineUpkeep
 	switch {
 	case !ok && (m.Phase == upkeep.Waiting || m.Phase == upkeep.Draining) && after:
 		s.note("machine of a wave is gone", "wave", w.Order.Wave, "machine", m.Name)
@@ -184,9 +186,6 @@
 	case m.Phase == upkeep.Down && after && (!ok || known.State == upkeep.MachineUp):
 		m.Enter(upkeep.Finished, now)
 		s.release(known)
-	case m.Phase == upkeep.Waiting && known.State == upkeep.MachineUpkeep:
-		// An earlier scheduler ordered it and could not store that.
-		m.Enter(upkeep.Down, now)
 	case m.Phase == upkeep.Draining && (known.State != upkeep.MachineUp || now.Sub(m.Since) > drainLimit):
 		s.release(known)
 		m.Enter(upkeep.Waiting, now)
