Walk the tasks of a job in one place

Cause: ending a job and ending the uncertainty after a takeover had the same loop over occurrences, steps and tasks. Change: Job.EachTask; behaviour is the same.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -200,6 +200,18 @@
 	}
 }
 
+// EachTask calls f for each task of the open occurrences.
+func (j *Job) EachTask(f func(*Task)) {
+	j.Open(func(o *Occurrence) {
+		for step := range o.steps {
+			tasks := o.steps[step].tasks
+			for i := range tasks {
+				f(&tasks[i])
+			}
+		}
+	})
+}
+
 // changed notes that progress differs from what the store holds.
 func (j *Job) changed() { j.version++ }
 
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -78,14 +78,7 @@
 		if waiting[j.Terms.Service] {
 			continue
 		}
-		j.Open(func(o *job.Occurrence) {
-			for step := range o.Steps() {
-				tasks := o.Tasks(step)
-				for i := range tasks {
-					s.endLimbo(&tasks[i])
-				}
-			}
-		})
+		j.EachTask(s.endLimbo)
 	}
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -310,14 +310,9 @@
 		return
 	}
 	s.note("job ended", "job", j.ID, "state", state, "age_ms", now.UnixMilli()-j.AcceptedAt)
-	j.Open(func(o *job.Occurrence) {
-		for step := range o.Steps() {
-			tasks := o.Tasks(step)
-			for i := range tasks {
-				s.stopTask(&tasks[i], now)
-				s.endLimbo(&tasks[i])
-			}
-		}
+	j.EachTask(func(t *job.Task) {
+		s.stopTask(t, now)
+		s.endLimbo(t)
 	})
 	s.unfinish.delete(j.ID)
 	s.forgetAdvice(j)
