Keep a wave open while machines of its pools have no record

Cause: TestDemoStepsHold failed when the order of a wave reached the planner before its first plan. That plan adopted the four machines and, as no member was recorded yet, finished the wave in the same plan: "every member of main is done" with nothing rebooted.

Ruled out: a lost order or a planner without lease (explain showed the lease taken 0.15 s earlier), a stale view of a data centre that is out (no hold, 0 charges).

Change: a wave has work left while a machine seen in one of its pools has no record. TestWaveWaitsForMachinesWithoutRecord fails without it ("budget budget adopt adopt adopt adopt finish").

Conclusion: a fault of the planner, not of the test.

--- a/internal/zone/disrupt.go
+++ b/internal/zone/disrupt.go
@@ -311,7 +311,8 @@
 	}
 }
 
-// open reports whether a wave has something left to do.
+// open reports whether a wave has something left to do. A machine of its pools
+// without a record is still to be adopted and rebooted.
 func (p *planning) open(w *machine.Wave) bool {
 	for _, pool := range w.Pools {
 		if len(p.owed(w, pool)) > 0 {
@@ -323,5 +324,5 @@
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(p.unrecorded(), func(id string) bool { return w.Covers(p.poolOf(p.Observed[id])) })
 }
--- a/internal/zone/plan_test.go
+++ b/internal/zone/plan_test.go
@@ -177,3 +177,29 @@
 		})
 	}
 }
+
+// TestWaveWaitsForMachinesWithoutRecord guards against a wave that is finished
+// in the plan that first adopts the machines of its pool: none was rebooted.
+func TestWaveWaitsForMachinesWithoutRecord(t *testing.T) {
+	m := servingView(4, 2)
+	clear(m.Instances)
+	p := m.Plan(planStart)
+	for _, s := range p.Steps {
+		if s.Kind == StepFinish {
+			t.Fatalf("the wave is finished before its machines are known: %s", kinds(p))
+		}
+	}
+	for range 3 {
+		carryOut(m, p, "")
+		p = m.Plan(planStart)
+	}
+	if n := charges(m); n == 0 {
+		t.Errorf("no machine is taken out for the wave: %s", kinds(p))
+	}
+
+	other := servingView(0, 0)
+	other.Observed["x"] = machine.Observed{ID: "x", Pool: "reserve", State: machine.MachineServing, Healthy: true}
+	if p := other.Plan(planStart); !strings.Contains(kinds(p), string(StepFinish)) {
+		t.Errorf("a new machine of another pool keeps the wave open: %s", kinds(p))
+	}
+}
--- a/internal/zone/planning.go
+++ b/internal/zone/planning.go
@@ -261,14 +261,7 @@
 
 // adopt creates records for machines that have none.
 func (p *planning) adopt() {
-	var fresh []string
-	for id, o := range p.Observed {
-		if _, ok := p.Instances[id]; !ok && !o.Missing {
-			fresh = append(fresh, id)
-		}
-	}
-	slices.Sort(fresh)
-	for _, id := range fresh {
+	for _, id := range p.unrecorded() {
 		o := p.Observed[id]
 		i := machine.Instance{
 			ID: id, DataCentre: o.DataCentre, Rack: o.Rack, Pool: p.poolOf(o), Phase: machine.PhaseFilling,
@@ -285,6 +278,18 @@
 	}
 }
 
+// unrecorded lists the machines that have no record yet, in order.
+func (p *planning) unrecorded() []string {
+	var list []string
+	for id, o := range p.Observed {
+		if _, ok := p.Instances[id]; !ok && !o.Missing {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // poolOf returns the pool of a new machine: its label, or a spare pool.
 func (p *planning) poolOf(o machine.Observed) string {
 	if o.Pool != "" {
