Split dispatch.go and schedule.go of the fleet by what they decide

Change: no change of behaviour. dispatch.go keeps the placement round; starts.go holds starts and their answers, runends.go renewals, losses and checkpoints, stops.go stops, taskslots.go the slots of tasks. schedule.go keeps state and ticks; term.go holds the scheduler's term, segments.go the stored queues. Each action now stands beside its type.

--- /dev/null
+++ b/internal/fleet/segments.go
@@ -0,0 +1,252 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// LoadQueue reads the roster and all segments of a data centre. The result is
+// QueueLoaded.
+type LoadQueue struct {
+	Term       uint64
+	DataCentre string
+	Delay      time.Duration
+}
+
+func (LoadQueue) isAction() {}
+
+// WatchRoster waits for a new version of the roster. The result is RosterSeen.
+type WatchRoster struct {
+	Term       uint64
+	DataCentre string
+	After      uint64
+	Delay      time.Duration
+}
+
+func (WatchRoster) isAction() {}
+
+// WatchSegment waits for the next segment of a queue. The result is
+// SegmentSeen.
+type WatchSegment struct {
+	Term  uint64
+	Ref   zone.SegmentRef
+	Delay time.Duration
+}
+
+func (WatchSegment) isAction() {}
+
+// SealQueue adopts a queue by creating its next segment. The result is
+// SegmentSeen.
+type SealQueue struct {
+	Term     uint64
+	Ref      zone.SegmentRef
+	SealedBy string
+}
+
+func (SealQueue) isAction() {}
+
+// DropQueue takes an adopted queue off the roster.
+type DropQueue struct{ DataCentre, Queue string }
+
+func (DropQueue) isAction() {}
+
+// WriteSegment stores a changed segment. The result is SegmentStored.
+type WriteSegment struct {
+	Term  uint64
+	Write zone.Write
+}
+
+func (WriteSegment) isAction() {}
+
+// RemoveSegments deletes old segments. There is no result: what stays is
+// deleted by a later term.
+type RemoveSegments struct{ Removals []zone.Removal }
+
+func (RemoveSegments) isAction() {}
+
+// StoredSegment is one segment as it was read.
+type StoredSegment struct {
+	Ref     zone.SegmentRef
+	Segment zone.Segment
+	Version uint64
+}
+
+// QueueLoaded is the end of LoadQueue.
+type QueueLoaded struct {
+	Term          uint64
+	OK            bool
+	Queues        []string
+	RosterVersion uint64
+	Segments      []StoredSegment
+}
+
+// Apply implements Event. The tasks of a vanished instance or scheduler are
+// taken over as they are stored.
+func (e QueueLoaded) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	if !e.OK {
+		return []Action{LoadQueue{Term: s.term, DataCentre: s.centre.Name, Delay: RetryDelay}}
+	}
+	for _, stored := range e.Segments {
+		f.addSegment(s, stored, now)
+	}
+	var actions []Action
+	for _, stored := range e.Segments {
+		actions = append(actions, f.cancelBatch(s, stored.Segment.Cancels, now)...)
+	}
+	s.queueLoaded, s.changed = true, true
+	actions = append(actions, f.followQueues(s, e.Queues, now)...)
+	actions = append(actions, f.resumeAll(s, now)...)
+	return append(actions, WatchRoster{Term: s.term, DataCentre: s.centre.Name, After: e.RosterVersion})
+}
+
+func (f *Fleet) addSegment(s *scheduler, stored StoredSegment, now time.Time) []*machine.Task {
+	open := s.ledger.Add(stored.Ref, stored.Segment, stored.Version, now)
+	for _, t := range open {
+		if t.Phase == machine.TaskQueued {
+			s.centre.Workers.Backlog().Add(t)
+		}
+	}
+	s.changed = s.changed || len(open) > 0
+	return open
+}
+
+// followQueues watches queues that are not watched yet.
+func (f *Fleet) followQueues(s *scheduler, queues []string, now time.Time) []Action {
+	var actions []Action
+	for _, queue := range queues {
+		if _, ok := s.roster[queue]; ok || s.ledger.Sealed(queue) {
+			continue
+		}
+		s.roster[queue] = now
+		actions = append(actions, s.watchNext(queue, 0))
+	}
+	return actions
+}
+
+func (s *scheduler) watchNext(queue string, delay time.Duration) Action {
+	ref := zone.SegmentRef{DataCentre: s.centre.Name, Queue: queue, Number: s.ledger.NextSegment(queue)}
+	return WatchSegment{Term: s.term, Ref: ref, Delay: delay}
+}
+
+// RosterSeen is the end of WatchRoster.
+type RosterSeen struct {
+	Term    uint64
+	OK      bool
+	Version uint64
+	Queues  []string
+}
+
+// Apply implements Event.
+func (e RosterSeen) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	if !e.OK {
+		return []Action{WatchRoster{Term: s.term, DataCentre: s.centre.Name, After: e.Version, Delay: RetryDelay}}
+	}
+	actions := f.followQueues(s, e.Queues, now)
+	return append(actions, WatchRoster{Term: s.term, DataCentre: s.centre.Name, After: e.Version})
+}
+
+// SegmentSeen is the end of WatchSegment and SealQueue.
+type SegmentSeen struct {
+	Term uint64
+	OK   bool
+	Ref  zone.SegmentRef
+	// Found is false when the segment does not exist yet.
+	Found   bool
+	Segment zone.Segment
+	Version uint64
+}
+
+// Apply implements Event.
+func (e SegmentSeen) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	if !e.OK {
+		return []Action{s.watchNext(e.Ref.Queue, RetryDelay)}
+	}
+	if !e.Found {
+		return f.queueIdle(s, e.Ref, now)
+	}
+	s.roster[e.Ref.Queue] = now
+	open := f.addSegment(s, StoredSegment{e.Ref, e.Segment, e.Version}, now)
+	actions := f.stopCancelled(s, s.ledger.CancelEarly(open, now), now)
+	actions = append(actions, f.cancelBatch(s, e.Segment.Cancels, now)...)
+	if e.Segment.SealedBy != "" {
+		return append(actions, DropQueue{DataCentre: s.centre.Name, Queue: e.Ref.Queue})
+	}
+	actions = append(actions, s.watchNext(e.Ref.Queue, 0))
+	return append(actions, f.tickSchedule(now)...)
+}
+
+// queueIdle adopts a queue whose writer is gone, and otherwise watches on.
+func (f *Fleet) queueIdle(s *scheduler, ref zone.SegmentRef, now time.Time) []Action {
+	if now.Sub(s.roster[ref.Queue]) < zone.SealAfter || !f.mayAct(s, now) {
+		return []Action{s.watchNext(ref.Queue, 0)}
+	}
+	f.Explain(Decision{
+		At: now, Subject: Subject{SubjectDataCentre, s.centre.Name}, Action: "adopt queue",
+		Reason: "nothing was added for " + zone.SealAfter.String(), Inputs: []Input{{"queue", ref.Queue}},
+	})
+	return []Action{SealQueue{Term: s.term, Ref: ref, SealedBy: f.schedulerName()}}
+}
+
+// SegmentStored is the end of WriteSegment.
+type SegmentStored struct {
+	Term       uint64
+	Key, Stamp string
+	Version    uint64
+	// OK is true when the write is known to have taken effect. Conflict means
+	// that another scheduler wrote the segment.
+	OK, Conflict bool
+}
+
+// Apply implements Event. After a conflict the stored state counts, so that the
+// term ends and everything is read anew.
+func (e SegmentStored) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	if e.Conflict {
+		return f.endTerm(now, "another scheduler wrote "+e.Key)
+	}
+	if !e.OK {
+		s.ledger.NotStored(e.Key, e.Stamp)
+		return nil
+	}
+	recorded, since := s.ledger.Stored(e.Key, e.Stamp, e.Version)
+	var actions []Action
+	for _, t := range recorded {
+		if s.storing[t] {
+			delete(s.storing, t)
+			actions = append(actions, f.sendStart(s, t, now)...)
+		}
+	}
+	return append(actions, s.record(since)...)
+}
+
+// record writes the segments of tasks whose start waits to be recorded.
+func (s *scheduler) record(tasks []*machine.Task) []Action {
+	var waiting []*machine.Task
+	for _, t := range tasks {
+		if s.storing[t] {
+			waiting = append(waiting, t)
+		}
+	}
+	var actions []Action
+	for _, w := range s.ledger.WriteOf(waiting) {
+		actions = append(actions, WriteSegment{Term: s.term, Write: w})
+	}
+	return actions
+}
--- /dev/null
+++ b/internal/fleet/starts.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// StartTask starts a task on a worker. The result is StartAnswered.
+type StartTask struct {
+	Term   uint64
+	Task   machine.Task
+	Worker string
+	// StartID is the id under which the worker knows the attempt.
+	StartID string
+	// NotAfter is when the scheduler's lease ends: a start that was delayed in
+	// this process beyond it is not sent.
+	NotAfter time.Time
+	Delay    time.Duration
+}
+
+func (StartTask) isAction() {}
+
+// assign starts a planned task in memory and reports whether it may be sent.
+func (f *Fleet) assign(s *scheduler, step zone.Start, now time.Time) bool {
+	t := step.Task
+	refusal := f.mayStart(s, t, now)
+	if refusal == nil {
+		refusal = f.takeSlot(t.Team, t.Service, now)
+	}
+	if refusal != nil {
+		f.explainWait(s, t, refusal, now)
+		return false
+	}
+	if !t.Assign(step.Worker) {
+		f.releaseSlot(t.Team, t.Service)
+		return false
+	}
+	s.slots[t] = true
+	s.centre.Workers.Occupy(t, step.Worker, now)
+	s.ledger.Changed(t.ID)
+	s.storing[t] = true
+	f.explainTask(t, now, "start", step.Reason,
+		Input{"worker", step.Worker},
+		Input{"estimate", sizeText(step.Estimate)},
+		Input{"use", fmt.Sprintf("%.4f", step.Use)},
+		Input{"fair", fmt.Sprintf("%.4f", step.Fair)},
+		Input{"waited", now.Sub(t.SubmittedAt).String()})
+	return true
+}
+
+// sendStart sends the start of an assigned task. A start that may not be sent
+// any more goes back to the queue: it is certain that it was not sent.
+func (f *Fleet) sendStart(s *scheduler, t *machine.Task, now time.Time) []Action {
+	if t.Phase != machine.TaskRunning || s.sending[t] {
+		return nil
+	}
+	if refusal := f.mayStart(s, t, now); refusal != nil {
+		if t.Unsure() {
+			s.retries[t] = now.Add(time.Second)
+			return nil
+		}
+		f.backToQueue(s, t, now, refusal.Code+": "+refusal.Reason)
+		return nil
+	}
+	s.sending[t] = true
+	return []Action{StartTask{Term: s.term, Task: *t, Worker: t.Worker, StartID: zone.StartID(t), NotAfter: earliest(s.until, f.limits.hold.ValidUntil())}}
+}
+
+func (f *Fleet) backToQueue(s *scheduler, t *machine.Task, now time.Time, reason string) bool {
+	worker := t.Worker
+	if !t.NotStarted() {
+		return false
+	}
+	f.explainTask(t, now, "requeue", reason, Input{"worker", worker})
+	f.vacate(s, t, worker)
+	s.centre.Workers.Backlog().Add(t)
+	return true
+}
+
+// vacate ends the charge and the slot of a task.
+func (f *Fleet) vacate(s *scheduler, t *machine.Task, worker string) {
+	s.centre.Workers.Free(t.ID, worker)
+	if s.slots[t] {
+		delete(s.slots, t)
+		f.releaseSlot(t.Team, t.Service)
+	}
+	delete(s.unslotted, t)
+	delete(s.storing, t)
+	delete(s.retries, t)
+	delete(s.lost, t)
+	s.ledger.Changed(t.ID)
+	s.changed = true
+}
+
+// StartResult is what is known about a start.
+type StartResult string
+
+// Results of a start.
+const (
+	// StartDone means that the worker runs or ran the start id.
+	StartDone StartResult = "started"
+	// StartRefused means that this call started nothing.
+	StartRefused StartResult = "refused"
+	// StartNoWorker means that the worker does not exist any more.
+	StartNoWorker StartResult = "no worker"
+	StartUnknown  StartResult = "unknown"
+)
+
+// StartAnswered is the end of StartTask.
+type StartAnswered struct {
+	Term     uint64
+	Task     string
+	Attempt  int
+	Result   StartResult
+	Sequence uint64
+	Reason   string
+}
+
+// Apply implements Event.
+func (e StartAnswered) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	t := s.ledger.Task(e.Task)
+	if t == nil {
+		return nil
+	}
+	delete(s.sending, t)
+	if t.Phase != machine.TaskRunning || t.Attempts != e.Attempt {
+		return nil
+	}
+	switch e.Result {
+	case StartDone:
+		t.Confirm()
+		if p := s.placement(t); p != nil && e.Sequence > 0 {
+			p.Since = e.Sequence
+		}
+	case StartUnknown:
+		t.AnswerLost()
+		s.retries[t] = now.Add(startRetry)
+	case StartNoWorker:
+		f.noWorker(s, t, e.Reason, now)
+	default:
+		actions := f.refusedStart(s, t, e.Reason, now)
+		return append(actions, f.tickSchedule(now)...)
+	}
+	return f.tickSchedule(now)
+}
+
+// noWorker takes the answer that the worker of a start does not exist. An
+// earlier start may have reached it: an idempotent task waits for the end of
+// its lease then, another one is unknown.
+func (f *Fleet) noWorker(s *scheduler, t *machine.Task, reason string, now time.Time) {
+	switch {
+	case f.backToQueue(s, t, now, reason):
+	case t.Idempotent:
+		s.lost[t] = now.Add(leaseEnd)
+	default:
+		f.lose(s, t, now, "the worker is gone and its answer to the start was lost")
+	}
+}
+
+// refusedStart takes the worker's refusal of a start. An earlier start of the
+// attempt may still arrive there: a stop bars the id of an idempotent task, so
+// that it can go elsewhere; another one stays with the worker.
+func (f *Fleet) refusedStart(s *scheduler, t *machine.Task, reason string, now time.Time) []Action {
+	switch {
+	case f.backToQueue(s, t, now, reason):
+	case t.Idempotent:
+		return f.stop(s, []*machine.Task{t})
+	default:
+		s.retries[t] = now.Add(refusedRetry)
+	}
+	return nil
+}
+
+// retryStarts sends starts again whose answer was lost. They go to the same
+// worker under the same id, which the worker starts once.
+func (f *Fleet) retryStarts(s *scheduler, now time.Time) []Action {
+	var due []*machine.Task
+	for t, at := range s.retries {
+		if !now.Before(at) {
+			due = append(due, t)
+		}
+	}
+	slices.SortFunc(due, func(a, b *machine.Task) int { return cmp.Compare(a.ID, b.ID) })
+	var actions []Action
+	for _, t := range due {
+		delete(s.retries, t)
+		if t.Phase == machine.TaskRunning && t.Unsure() {
+			actions = append(actions, f.sendStart(s, t, now)...)
+		}
+	}
+	return actions
+}
--- /dev/null
+++ b/internal/fleet/stops.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/zone"
+)
+
+// StopTasks ends tasks in one call. The result is StopAnswered.
+type StopTasks struct {
+	Term  uint64
+	Tasks []WorkerTask
+}
+
+func (StopTasks) isAction() {}
+
+// stop tells workers to end tasks, in one call.
+func (f *Fleet) stop(s *scheduler, tasks []*machine.Task) []Action {
+	var list []WorkerTask
+	for _, t := range tasks {
+		on := WorkerTask{t.Worker, zone.StartID(t)}
+		if s.stopping[on.StartID] {
+			continue
+		}
+		s.stopping[on.StartID] = true
+		if p := s.placement(t); p != nil {
+			p.Ending = true
+		}
+		list = append(list, on)
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return []Action{StopTasks{Term: s.term, Tasks: list}}
+}
+
+// StopAnswered is the end of StopTasks.
+type StopAnswered struct {
+	Term  uint64
+	Tasks []WorkerTask
+	OK    bool
+}
+
+// Apply implements Event.
+func (e StopAnswered) Apply(f *Fleet, now time.Time) []Action {
+	s := f.scheduler(e.Term)
+	if s == nil {
+		return nil
+	}
+	for _, on := range e.Tasks {
+		delete(s.stopping, on.StartID)
+		id, _ := zone.ParseStartID(on.StartID)
+		t := s.ledger.Task(id)
+		if t == nil || zone.StartID(t) != on.StartID {
+			continue
+		}
+		switch {
+		case !e.OK:
+			s.restops = append(s.restops, on)
+			s.restopAt = now.Add(RetryDelay)
+		case t.Final():
+			f.vacate(s, t, on.Worker)
+		default:
+			f.interrupt(s, t, "", now)
+		}
+	}
+	return f.tickSchedule(now)
+}
+
+// retryStops repeats stops that failed, in one call.
+func (f *Fleet) retryStops(s *scheduler, now time.Time) []Action {
+	if len(s.restops) == 0 || now.Before(s.restopAt) {
+		return nil
+	}
+	var tasks []*machine.Task
+	for _, on := range s.restops {
+		id, _ := zone.ParseStartID(on.StartID)
+		if t := s.ledger.Task(id); t != nil && t.Worker == on.Worker && zone.StartID(t) == on.StartID {
+			tasks = append(tasks, t)
+		}
+	}
+	s.restops = nil
+	return f.stop(s, tasks)
+}
+
+// cancelBatch applies a wave of cancellations as one event: one pass over the
+// ids, one call that stops what runs.
+func (f *Fleet) cancelBatch(s *scheduler, cancels []zone.Cancel, now time.Time) []Action {
+	var actions []Action
+	for _, c := range cancels {
+		list := s.ledger.Cancel(c, now)
+		if len(list) == 0 {
+			continue
+		}
+		f.Explain(Decision{
+			At: now, Subject: Subject{SubjectTeam, c.Team}, Action: "cancel", Reason: "asked by the team",
+			Inputs: []Input{{"asked", fmt.Sprint(len(c.IDs))}, {"cancelled", fmt.Sprint(len(list))}},
+		})
+		actions = append(actions, f.stopCancelled(s, list, now)...)
+	}
+	return actions
+}
+
+func (f *Fleet) stopCancelled(s *scheduler, list []zone.Cancelled, now time.Time) []Action {
+	var running []*machine.Task
+	for _, c := range list {
+		if c.Worker == "" {
+			s.centre.Workers.Backlog().Remove(c.Task)
+			continue
+		}
+		if s.storing[c.Task] {
+			f.vacate(s, c.Task, c.Worker)
+			continue
+		}
+		running = append(running, c.Task)
+	}
+	return f.stop(s, running)
+}
--- a/internal/front/tasks.go
+++ b/internal/front/tasks.go
@@ -19,7 +19,7 @@
 // taskTimeout bounds one call about tasks.
 const taskTimeout = 10 * time.Second
 
-// TaskSpec is one task of a submission.
+// TaskSpec is one task of a batch.
 type TaskSpec struct {
 	MilliCores   int64 `json:"millicores"`
 	MemoryMB     int64 `json:"memory_mb"`
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -43,9 +43,8 @@
 )
 
 // Choose returns the worker for a task, nil when none of the allowed ones fits.
-// It prefers
-// workers without recent failures, then the rack of the data, then the fullest
-// worker, so that wide tasks keep room.
+// It prefers workers without recent failures, then the rack of the data, then
+// the fullest worker, so that wide tasks keep room.
 func (p *Pool) Choose(t *job.Task, allowed func(*worker.Worker) bool) *worker.Worker {
 	spec := t.Spec()
 	var best *worker.Worker
