Keep lasting tasks on three machines of a pool; expect arrivals of 1.5 s

Lasting tasks were spread one or two to a machine while a pool was large and pinned those machines afterwards.

Change: beyond three workers of a pool a lasting task opens another one only when no other fits; arrivals of the last 1.5 s instead of 1 s are expected to go on. TestLastingTasksLeaveMachinesFree fails without it.

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -137,6 +137,12 @@
 	return w.Listed && w.Heard && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.trust.aside(now)
 }
 
+// HoldsLasting reports whether a run on the worker lasts until its job is
+// cancelled.
+func (w *Worker) HoldsLasting() bool {
+	return slices.ContainsFunc(w.runs, func(r *job.Run) bool { return r.Task.Spec().Lasting })
+}
+
 // CountStep returns how many runs of a step's occurrence the worker holds.
 func (w *Worker) CountStep(o *job.Occurrence, step int) int {
 	n := 0
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -18,7 +18,7 @@
 	planEvery = 100 * time.Millisecond
 	// forecast is how far ahead arrivals are expected to go on as they did: a
 	// machine takes longer than this to join a pool.
-	forecast = time.Second
+	forecast = 1500 * time.Millisecond
 	// moveForget is when a move that the list of machines does not confirm is no
 	// longer counted on.
 	moveForget = 8 * time.Second
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -80,6 +80,9 @@
 		// them than need be, so that a loss takes few. Apart from that they stay
 		// together and leave machines idle.
 		cost += int64(p.inCentre(w.Zone, t)) * weightCentre
+		if !w.HoldsLasting() && p.holdingLasting() >= lastingWorkers {
+			cost += weightOpen
+		}
 		cost += int64(max(0, w.CountStep(t.Occurrence, t.Step)+1-lastingTogether)) * weightCrowded
 	}
 	return cost
@@ -89,6 +92,25 @@
 // another one is preferred.
 const lastingTogether = 2
 
+// lastingWorkers is the number of workers of a pool that take lasting tasks
+// before another one does. A pool keeps that many machines anyway; further ones
+// cannot be switched off while they hold lasting tasks.
+const lastingWorkers = 3
+
+// weightOpen keeps the other workers free of lasting tasks.
+const weightOpen = 1 << 29
+
+// holdingLasting returns how many workers of the pool hold lasting tasks.
+func (p *Pool) holdingLasting() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.HoldsLasting() {
+			n++
+		}
+	}
+	return n
+}
+
 // weightCentre spreads them over data centres before that.
 const weightCentre = 1 << 24
 
--- a/internal/zone/placement/placement_test.go
+++ b/internal/zone/placement/placement_test.go
@@ -88,3 +88,21 @@
 		}
 	}
 }
+
+// TestLastingTasksLeaveMachinesFree guards against lasting tasks that keep every
+// machine of a grown pool from being switched off.
+func TestLastingTasksLeaveMachinesFree(t *testing.T) {
+	list := workers()
+	for i := range 4 {
+		place(t, list, job.ID(fmt.Sprintf("%016x", i+1)), job.Step{Count: 3, Need: machine.Resources{MilliCores: 500, MemoryMB: 100}, Lasting: true})
+	}
+	holding := 0
+	for _, w := range list {
+		if w.HoldsLasting() {
+			holding++
+		}
+	}
+	if holding > lastingWorkers {
+		t.Errorf("%d workers hold lasting tasks", holding)
+	}
+}
