Make the test of lasting tasks fail without their preference

Cause: with three tasks a job the workers were shared anyway, so that the test passed with weightOpen at 0.

Change: nine tasks a job. It fails at 0 (6 workers hold lasting tasks) and passes with the weight.

Conclusion: the mechanism is guarded.

--- a/internal/zone/placement/placement_test.go
+++ b/internal/zone/placement/placement_test.go
@@ -93,8 +93,8 @@
 // machine of a grown pool from being switched off.
 func TestLastingTasksLeaveMachinesFree(t *testing.T) {
 	list := workers()
-	for i := range 4 {
-		place(t, list, job.ID(fmt.Sprintf("%016x", i+1)), job.Step{Count: 3, Need: machine.Resources{MilliCores: 500, MemoryMB: 100}, Lasting: true})
+	for i := range 2 {
+		place(t, list, job.ID(fmt.Sprintf("%016x", i+1)), job.Step{Count: 9, Need: machine.Resources{MilliCores: 500, MemoryMB: 100}, Lasting: true})
 	}
 	holding := 0
 	for _, w := range list {
