Store where a task is placed before its start is sent

Cause: after a takeover every task of a service waited for every recorded worker of that service, up to 6.4 s when some were dark or cut off.

Ruled out: storing silent workers only with their tasks (a cut-off scheduler cannot store them, and a zone cut often takes the scheduler); a wait per job instead of per task (backlogs are of jobs that are half started).

Change: the progress of a job lists for each open task the workers on which a run may be alive. A run occupies its worker at once, its start is sent when the store holds the placement (RunHeld); stored placements are grouped as before, 8 ms apart while starts wait. A successor waits only for the workers of a task. This replaces the wait for all workers of a service.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -39,6 +40,8 @@
 	// version counts changes of progress; flushed is the version that the store
 	// holds.
 	version, flushed int64
+	// placedVersion is that of the last change of progress.Placed.
+	placedVersion int64
 
 	chains      []time.Duration
 	offsets     []int
@@ -94,14 +97,16 @@
 		FailedRuns: make(map[int][]int, len(j.Stored.FailedRuns)),
 		Saved:      make(map[int]string, len(j.Stored.Saved)),
 		EndedAt:    j.Stored.EndedAt,
+		Placed:     make(map[int][]string, len(j.Stored.Placed)),
 	}
+	maps.Copy(j.progress.Placed, j.Stored.Placed)
 	for ordinal, runs := range j.Stored.FailedRuns {
 		j.progress.FailedRuns[ordinal] = slices.Clone(runs)
 	}
 	for ordinal, saved := range j.Stored.Saved {
 		j.progress.Saved[ordinal] = saved
 	}
-	j.version, j.flushed = 0, 0
+	j.version, j.flushed, j.placedVersion = 0, 0, 0
 	j.occurrences = make(map[int]*Occurrence)
 	j.completedRuns, j.nextOccurrence = 0, 0
 }
@@ -239,6 +244,8 @@
 	for ordinal, saved := range j.progress.Saved {
 		p.Saved[ordinal] = saved
 	}
+	// The lists of workers are replaced, never changed.
+	p.Placed = maps.Clone(j.progress.Placed)
 	return p, j.version
 }
 
--- a/internal/contract/job/progress.go
+++ b/internal/contract/job/progress.go
@@ -28,6 +28,10 @@
 	Saved map[int]string `cbor:"4,keyasint,omitempty"`
 	// EndedAt is when the final state was reached, in Unix milliseconds.
 	EndedAt int64 `cbor:"5,keyasint,omitempty"`
+	// Placed lists, for a task that is not done, the workers on which runs may be
+	// alive. It is stored before a start is sent, so that the next scheduler
+	// knows of which workers to wait for an answer.
+	Placed map[int][]string `cbor:"6,keyasint,omitempty"`
 }
 
 func (p *Progress) done(ordinal int) bool {
--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// Place notes the workers of the task's runs in the progress.
+func (t *Task) Place() {
+	workers := make([]string, 0, len(t.Runs))
+	for _, r := range t.Runs {
+		workers = append(workers, r.Worker)
+	}
+	slices.Sort(workers)
+	j := t.Occurrence.Job
+	at := j.ordinal(t.Name())
+	if slices.Equal(j.progress.Placed[at], workers) {
+		return
+	}
+	j.progress.Placed[at] = workers
+	j.changed()
+	j.placedVersion = j.version
+}
+
+// Placed returns the workers on which a run of the task may be alive.
+func (t *Task) Placed() []string {
+	j := t.Occurrence.Job
+	return j.progress.Placed[j.ordinal(t.Name())]
+}
+
+// PlacedDurably reports whether the store holds the workers of all runs.
+func (j *Job) PlacedDurably() bool { return j.Durable(j.placedVersion) }
+
 // Finish notes that the task ended done. For a gang every member is done.
 func (t *Task) Finish() {
 	o := t.Occurrence
@@ -114,6 +140,7 @@
 	t.done = true
 	j.progress.setDone(j.ordinal(t.Name()))
 	delete(j.progress.Saved, j.ordinal(t.Name()))
+	delete(j.progress.Placed, j.ordinal(t.Name()))
 	j.changed()
 	o.steps[t.Step].open--
 	o.open--
@@ -151,8 +178,10 @@
 	// RunActive means that the worker confirmed the run.
 	RunActive
 	// RunUncertain means that the start got no answer: the worker may carry it
-	// out until Run.ExpiresAt.
+	// out until Run.OrderEnds.
 	RunUncertain
+	// RunHeld means that the start is not sent before the store holds its worker.
+	RunHeld
 )
 
 // Run is one start of a task on one worker.
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -253,7 +253,8 @@
 	s.place = placeState{dirty: true}
 	s.duties = newDutyState(s.firstDuty(now))
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
-	s.unsettled = 0
+	s.unsettled, s.awaited = 0, nil
+	s.held = make(map[job.ID][]*job.Run)
 	// The last scheduler gave no order after its lease ended, and none of its
 	// orders lasts longer than this.
 	end := now.Add(s.terms.LongestHold*(100+worker.ClockError+1)/100 + worker.HoldMargin)
@@ -298,5 +299,5 @@
 	}
 	s.workers = newOrdered[string, *worker.Worker]()
 	s.unfinish = newOrdered[job.ID, *job.Job]()
-	s.usage, s.unsettled = nil, 0
+	s.usage, s.unsettled, s.awaited, s.held = nil, 0, nil, nil
 }
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -10,6 +10,8 @@
 const (
 	// flushGap gathers changes; each call to the store is priced.
 	flushGap = 30 * time.Millisecond
+	// heldGap is the same while starts wait for the store.
+	heldGap = 8 * time.Millisecond
 	// flushBatch is the number of jobs in a write: each takes a condition and a
 	// value, of 32 entries in all.
 	flushBatch = 15
@@ -27,12 +29,14 @@
 
 type flushState struct {
 	// dirty are jobs whose progress the store lacks, in order of their change.
-	dirty    []*job.Job
-	busy     map[job.ID]bool
-	queued   map[job.ID]bool
-	writes   int
-	nextAt   time.Time
-	removeAt time.Time
+	dirty  []*job.Job
+	busy   map[job.ID]bool
+	queued map[job.ID]bool
+	writes int
+	// lastAt is when a write was sent last, retryAt when one may be sent after a
+	// failure.
+	lastAt, retryAt time.Time
+	removeAt        time.Time
 }
 
 // markDirty queues a job's progress for storing.
@@ -53,8 +57,16 @@
 	if len(f.dirty) == 0 || !s.leading || !s.authorized(now) {
 		return
 	}
-	if now.Before(f.nextAt) {
-		s.wake(f.nextAt)
+	gap := flushGap
+	if len(s.held) > 0 {
+		gap = heldGap
+	}
+	if at := f.lastAt.Add(gap); now.Before(at) {
+		s.wake(at)
+		return
+	}
+	if now.Before(f.retryAt) {
+		s.wake(f.retryAt)
 		return
 	}
 	for f.writes < flushParallel {
@@ -63,7 +75,7 @@
 			return
 		}
 		f.writes++
-		f.nextAt = now.Add(flushGap)
+		f.lastAt = now
 		s.act(StoreProgress{Fence: s.fence(), Writes: writes})
 	}
 }
@@ -129,9 +141,9 @@
 	}
 	switch e.Outcome {
 	case StoreDone:
-		s.progressDone(e)
+		s.progressDone(e, now)
 	case StoreFailed:
-		s.flush.nextAt = now.Add(flushRetry)
+		s.flush.retryAt = now.Add(flushRetry)
 		for _, w := range e.Writes {
 			s.progressRetry(w.Job, e.Found[w.Job])
 		}
@@ -140,7 +152,7 @@
 	}
 }
 
-func (s *Scheduler) progressDone(e ProgressStored) {
+func (s *Scheduler) progressDone(e ProgressStored, now time.Time) {
 	for _, w := range e.Writes {
 		j := s.jobs.get(w.Job)
 		if j == nil {
@@ -149,6 +161,7 @@
 		s.pending.add(j, -1)
 		j.Flushed(w.Progress, w.Version, e.Revision)
 		s.pending.add(j, +1)
+		s.releaseStarts(j, now)
 		s.markDirty(j)
 	}
 }
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -1,13 +1,14 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 )
 
-// leadJob begins to schedule a job. Tasks of jobs that were stored before this
-// scheduler took the role may run on a worker that has not answered yet.
+// leadJob begins to schedule a job.
 func (s *Scheduler) leadJob(j *job.Job) {
 	j.Lead()
 	if j.Ended() {
@@ -19,37 +20,28 @@
 		return
 	}
 	s.unfinish.set(j.ID, j)
-	s.openDue(j, s.election.authority.Since, j.Revision < s.fence())
+	s.openDue(j, s.election.authority.Since)
 }
 
-// openDue opens the occurrences that are due.
-func (s *Scheduler) openDue(j *job.Job, now time.Time, inherited bool) {
+// openDue opens the occurrences that are due. A task may run on a worker on which
+// an earlier scheduler has placed it, until that worker has answered.
+func (s *Scheduler) openDue(j *job.Job, now time.Time) {
 	for _, o := range j.OpenDue(now.UnixMilli()) {
 		s.place.dirty = true
-		if !inherited {
-			continue
-		}
-		// Later steps too: the last scheduler may have seen ends that it did not
-		// store and have started what waited for them.
 		for step := range o.Steps() {
-			s.markUnsettled(o, step)
+			tasks := o.Tasks(step)
+			for i := range tasks {
+				if t := &tasks[i]; !t.Done() && len(t.Placed()) > 0 {
+					t.Unsettled = true
+					s.use(t, +1)
+					s.unsettled++
+					s.awaited = nil
+				}
+			}
 		}
 	}
 }
 
-func (s *Scheduler) markUnsettled(o *job.Occurrence, step int) {
-	tasks := o.Tasks(step)
-	for i := range tasks {
-		t := &tasks[i]
-		if t.Done() {
-			continue
-		}
-		t.Unsettled = true
-		s.use(t, +1)
-		s.unsettled++
-	}
-}
-
 // settle notes that no unknown run of a task can be alive.
 func (s *Scheduler) settle(t *job.Task) {
 	if !t.Unsettled {
@@ -61,8 +53,8 @@
 	s.place.dirty = true
 }
 
-// stepUnsettled frees the tasks of a service once each of its recorded workers has
-// answered this scheduler or everything on it has ended.
+// stepUnsettled frees the tasks whose recorded workers have all answered this
+// scheduler or run nothing any more.
 func (s *Scheduler) stepUnsettled(now time.Time) {
 	if s.unsettled == 0 {
 		return
@@ -70,15 +62,20 @@
 	waiting := make(map[string]bool)
 	for _, w := range s.workers.all() {
 		if w.Recorded && !w.Heard && !w.Expired(now) {
-			waiting[w.Service] = true
+			waiting[w.ID] = true
 			s.wake(w.ExpiresAt().Add(time.Millisecond))
 		}
 	}
+	if maps.Equal(waiting, s.awaited) {
+		return
+	}
+	s.awaited = waiting
 	for _, j := range s.unfinish.all() {
-		if waiting[j.Terms.Service] {
-			continue
-		}
-		j.EachTask(s.settle)
+		j.EachTask(func(t *job.Task) {
+			if t.Unsettled && !slices.ContainsFunc(t.Placed(), func(id string) bool { return waiting[id] }) {
+				s.settle(t)
+			}
+		})
 	}
 }
 
@@ -97,6 +94,6 @@
 			s.wake(at)
 			continue
 		}
-		s.openDue(j, now, false)
+		s.openDue(j, now)
 	}
 }
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
@@ -65,12 +66,58 @@
 		within(sum.Accelerators, t.Cap.Accelerators)
 }
 
-// start orders a run of a task on a worker.
+// start begins a run of a task on a worker. Its order is sent once the store
+// holds where the task runs.
 func (s *Scheduler) start(t *job.Task, w *worker.Worker, number int, now time.Time) {
 	j := t.Occurrence.Job
-	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, Pace: 100,
-		OrderEnds: w.ClockAt(now) + startLife.Milliseconds()}
+	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, Pace: 100}
 	s.addRun(w, r)
+	t.Place()
+	if j.PlacedDurably() {
+		s.sendStart(r, w, now)
+		return
+	}
+	r.Phase = job.RunHeld
+	s.held[j.ID] = append(s.held[j.ID], r)
+	j.Begin()
+	s.markDirty(j)
+}
+
+// releaseStarts sends the starts of a job that waited for the store. Those whose
+// worker may get nothing new any more are given up.
+func (s *Scheduler) releaseStarts(j *job.Job, now time.Time) {
+	held := s.held[j.ID]
+	if len(held) == 0 || !j.PlacedDurably() {
+		return
+	}
+	delete(s.held, j.ID)
+	for _, r := range held {
+		w := s.workers.get(r.Worker)
+		if w == nil || w.Find(worker.Key(r)) != r {
+			continue
+		}
+		if !s.mayStart(r.Task, w, now) {
+			s.note("start given up", "job", j.ID, "task", r.Task.Name().String(), "run", r.Number, "worker", w.ID)
+			s.removeRun(w, r)
+			s.released(r, now)
+			continue
+		}
+		s.sendStart(r, w, now)
+	}
+}
+
+// mayStart reports whether what placement requires of a worker still holds.
+func (s *Scheduler) mayStart(t *job.Task, w *worker.Worker, now time.Time) bool {
+	j := t.Occurrence.Job
+	return !j.Ended() && s.authorized(now) && s.copiesFresh(now) && w.Usable(now) && !s.out[w.Zone] &&
+		w.Service == s.serviceOf(j) && s.allowedBy(t.Occurrence, t.Step, now)(w)
+}
+
+// sendStart orders a run on its worker.
+func (s *Scheduler) sendStart(r *job.Run, w *worker.Worker, now time.Time) {
+	t, j, number := r.Task, r.Task.Occurrence.Job, r.Number
+	r.Phase, r.OrderedAt, r.ProgressAt = job.RunOrdered, now, now
+	r.OrderEnds = w.ClockAt(now) + startLife.Milliseconds()
 	w.Ordered(now, startLife)
 	s.counts.Starts++
 	s.act(StartTask{
@@ -231,8 +278,13 @@
 
 // stopTask orders the end of every run of a task.
 func (s *Scheduler) stopTask(t *job.Task, now time.Time) {
-	for _, r := range t.Runs {
-		if w := s.workers.get(r.Worker); w != nil && r.StopSent.IsZero() {
+	for _, r := range slices.Clone(t.Runs) {
+		w := s.workers.get(r.Worker)
+		switch {
+		case w == nil:
+		case r.Phase == job.RunHeld:
+			s.removeRun(w, r)
+		case r.StopSent.IsZero():
 			r.Planned = true
 			s.stopRun(w, r, now)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,16 +51,21 @@
 	election     election
 
 	// The rest is in use only while this node is the scheduler.
-	leading   bool
-	workers   *ordered[string, *worker.Worker]
-	listed    *ordered[string, worker.Description]
-	roster    roster
-	usage     map[string]machine.Resources
+	leading bool
+	workers *ordered[string, *worker.Worker]
+	listed  *ordered[string, worker.Description]
+	roster  roster
+	usage   map[string]machine.Resources
+	// unsettled counts the tasks of which a run of an earlier scheduler may be
+	// alive; awaited are the workers that have to answer for them.
 	unsettled int
-	unfinish  *ordered[job.ID, *job.Job]
-	flush     flushState
-	place     placeState
-	waves     *ordered[int64, *upkeep.Wave]
+	awaited   map[string]bool
+	// held are starts by job that wait until the store holds their workers.
+	held     map[job.ID][]*job.Run
+	unfinish *ordered[job.ID, *job.Job]
+	flush    flushState
+	place    placeState
+	waves    *ordered[int64, *upkeep.Wave]
 	// waveProgress is what the store holds of waves.
 	waveProgress map[int64]WaveProgressRead
 	duties       dutyState
