--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -291,3 +291,18 @@
 		}
 	}
 }
+
+// TestRoomIsUsedAtOnce guards against free room that waits for the next look at
+// a queue while tasks wait.
+func TestRoomIsUsedAtOnce(t *testing.T) {
+	const tasks, work = 40, 300 * time.Millisecond
+	w := fleetOf(t, 5, 1, 1, 0)
+	w.runFor(time.Second)
+	var ids []job.ID
+	for i := range tasks {
+		ids = append(ids, w.submit(i+1, job.Spec{Steps: []job.Step{step(1, 4000, int(work.Milliseconds()))}}))
+	}
+	// Two tasks have room at a time.
+	w.runFor(tasks / 2 * work * 3 / 2)
+	w.expectEnded(ids)
+}
