Prefer warm workers for new tasks

Cause: a worker's entry says how long it stays slow after its start; the field was decoded and not used.

Change: placement ranks a cold worker like one away from the data. TestColdWorkerComesLast fails without it.

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -40,6 +40,8 @@
 	Description
 	// Listed is false once the store's list lacks the worker.
 	Listed bool
+	// ColdUntil is when the worker has its full speed.
+	ColdUntil time.Time
 	// DrainSeenAt is when the worker was first seen draining.
 	DrainSeenAt time.Time
 	// Recorded means that the scheduler's durable list names the worker, so that a
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -100,6 +100,7 @@
 		s.note("worker drains", "worker", d.ID, "remaining_ms", d.Remaining.Milliseconds(), "runs", len(w.Runs()))
 	}
 	w.Description = d
+	w.ColdUntil = now.Add(d.Cold)
 	w.Born = born
 	w.Listed = true
 	s.place.dirty = true
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -39,12 +39,13 @@
 const (
 	weightFailed  = 1 << 34
 	weightSuspect = 1 << 32
-	weightRemote  = 1 << 30
+	// weightSlow is for a worker that is cold or away from the data.
+	weightSlow = 1 << 30
 )
 
 // Choose returns the worker for a task, nil when none of the allowed ones fits.
-// It prefers workers without recent failures, then the rack of the data, then
-// the fullest worker, so that wide tasks keep room.
+// It prefers workers without recent failures, then warm ones in the rack of the
+// data, then the fullest worker, so that wide tasks keep room.
 func (p *Pool) Choose(t *job.Task, allowed func(*worker.Worker) bool) *worker.Worker {
 	spec := t.Spec()
 	var best *worker.Worker
@@ -73,7 +74,10 @@
 		cost += weightSuspect
 	}
 	if spec.Rack != "" && w.Rack() != spec.Rack {
-		cost += weightRemote
+		cost += weightSlow
+	}
+	if p.now.Before(w.ColdUntil) {
+		cost += weightSlow
 	}
 	if spec.Lasting {
 		// The tasks of a step spread over data centres, and no worker holds more of
--- a/internal/zone/placement/placement_test.go
+++ b/internal/zone/placement/placement_test.go
@@ -106,3 +106,16 @@
 		t.Errorf("%d workers hold lasting tasks", holding)
 	}
 }
+
+// TestColdWorkerComesLast guards against tasks on a worker that is slow after its
+// start while a warm one has room.
+func TestColdWorkerComesLast(t *testing.T) {
+	list := workers()[:2]
+	list[0].ColdUntil = now.Add(time.Second)
+	chosen := place(t, list, "5c0e7a21d94b36f8", job.Step{Count: 8, Need: machine.Resources{MilliCores: 1000, MemoryMB: 500}})
+	for i, w := range chosen {
+		if w != list[1] {
+			t.Errorf("task %d is on the cold worker", i)
+		}
+	}
+}
