Let nodes with a weak processor wait long enough for the strong ones

Cause: on the grown sites 36 of 44 nodes have 0.192 of a core and a link of 10 Mbit/s, 8 have 0.8 and 200 Mbit/s.

Change: a node waits 400 ms times what it lacks to 0.4 of a core; those with 0.4 or more do not wait, so that fleets of equal nodes lose no time.

--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -14,8 +14,13 @@
 const (
 	// seekSpread spreads the nodes' attempts, so that usually one of them writes.
 	seekSpread = 120 * time.Millisecond
-	// weakDelay lets nodes with more of a processor take the lease first.
-	weakDelay = 100 * time.Millisecond
+	// weakDelay lets nodes with more of a processor take the lease first: it is
+	// the wait of a node without any, and one with ordinaryShare waits no longer.
+	// A node with half of it must wait longer than seekSpread.
+	weakDelay = 400 * time.Millisecond
+	// ordinaryShare is the part of a core that schedules the users' fleets of
+	// about 50 machines with ease.
+	ordinaryShare = 0.4
 	// seekAgain is the pause after an attempt that failed.
 	seekAgain = 300 * time.Millisecond
 )
@@ -137,7 +142,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.terms.Self))
 	own := seekSpread * time.Duration(h.Sum32()%100) / 100
-	return own + time.Duration((1-min(1, s.terms.ProcessorShare))*float64(weakDelay))
+	return own + time.Duration((1-min(1, s.terms.ProcessorShare/ordinaryShare))*float64(weakDelay))
 }
 
 func (s *Scheduler) leaderSeen(l LeaderRead, now time.Time) {
--- a/internal/scheduler/worldnode_test.go
+++ b/internal/scheduler/worldnode_test.go
@@ -36,7 +36,7 @@
 	n.life++
 	n.down, n.seen, n.syncing, n.watched = false, 0, false, WatchHolder{}
 	n.state = New(Terms{
-		Self: n.name, Process: n.process(), Hold: 5600 * time.Millisecond, LongestHold: 6 * time.Second,
+		Self: n.name, Process: n.process(), ProcessorShare: ordinaryShare, Hold: 5600 * time.Millisecond, LongestHold: 6 * time.Second,
 		StatusKept: time.Minute, DutyTurn: 3 * time.Second,
 	})
 	n.later(n.w.latency(), n.poll)
