Use workers whose entries lapsed while the store was away

Cause: entries lapse during an outage and are back within two seconds of its return; until then no worker was listed and nothing started, although the workers answered.

Ruled out: marking workers only: a scheduler whose lease lapses with the store starts anew from the list, so the description has to be kept.

Change: an entry that goes while the copy of the jobs is older than 1.5 s, or within two seconds after, counts as listed for two seconds unless it comes back. Entries that cannot be read still name no worker at once. TestLapsedEntriesAfterAnOutage fails before: the job is queued while both workers answer.

--- a/internal/link/lease/lease.go
+++ b/internal/link/lease/lease.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// Known reports whether there was a reading.
+func (f *Freshness) Known() bool { return !f.asOf.IsZero() }
+
 // AsOf returns the time up to which the copy is complete.
 func (f *Freshness) AsOf() time.Time { return f.asOf }
 
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -186,7 +186,7 @@
 func decodeWorkers(item platform.Item) (scheduler.Change, error) {
 	id, _ := platform.WorkerID(item.Key)
 	if item.Removed {
-		return scheduler.WorkerDelisted{ID: id}, nil
+		return scheduler.WorkerDelisted{ID: id, Removed: true}, nil
 	}
 	d, err := platform.ParseWorker(item.Key, item.Value)
 	if err != nil {
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -39,6 +39,9 @@
 
 // Apply implements Event.
 func (e Synced) Apply(s *Scheduler, now time.Time) {
+	if e.Part == Jobs && s.fresh[Jobs].Known() && s.fresh[Jobs].Age(now) > storeAway {
+		s.storeBackAt = now
+	}
 	for _, c := range e.Changes {
 		c.apply(s, now)
 	}
@@ -227,25 +230,72 @@
 	}
 }
 
+const (
+	// storeAway is the age of a copy of the jobs at which the store is away: a
+	// watch is answered every second.
+	storeAway = 1500 * time.Millisecond
+	// relistTime is how long after the store's return the entry of a worker that
+	// lives is back.
+	relistTime = 2 * time.Second
+)
+
+// storeReturn returns until when entries that lapsed while the store was away
+// may come back, and whether that time has not passed.
+func (s *Scheduler) storeReturn(now time.Time) (time.Time, bool) {
+	back := s.storeBackAt
+	if s.fresh[Jobs].Known() && s.fresh[Jobs].Age(now) > storeAway {
+		back = now
+	}
+	until := back.Add(relistTime)
+	return until, now.Before(until)
+}
+
+// stepLapsed gives up the workers whose entries have not come back.
+func (s *Scheduler) stepLapsed(now time.Time) {
+	for id, until := range s.lapsed {
+		if now.Before(until) {
+			s.wake(until)
+			continue
+		}
+		s.delist(id)
+	}
+}
+
+// delist notes that a worker has gone from the list for good.
+func (s *Scheduler) delist(id string) {
+	delete(s.lapsed, id)
+	s.listed.delete(id)
+	if w := s.workers.get(id); w != nil && w.Listed {
+		w.Listed = false
+		s.note("worker left the list", "worker", id, "service", w.Service, "runs", len(w.Runs()))
+	}
+}
+
 // WorkerListed carries a worker's entry.
 type WorkerListed struct{ Description worker.Description }
 
 func (c WorkerListed) apply(s *Scheduler, now time.Time) {
 	s.listed.set(c.Description.ID, c.Description)
+	delete(s.lapsed, c.Description.ID)
 	if s.leading {
 		s.meetWorker(c.Description, now)
 	}
 }
 
-// WorkerDelisted reports that a worker's entry is gone or names no worker.
-type WorkerDelisted struct{ ID string }
+// WorkerDelisted reports that a worker's entry is gone, or names no worker
+// unless Removed is set.
+type WorkerDelisted struct {
+	ID      string
+	Removed bool
+}
 
-func (c WorkerDelisted) apply(s *Scheduler, _ time.Time) {
-	s.listed.delete(c.ID)
-	if w := s.workers.get(c.ID); w != nil && w.Listed {
-		w.Listed = false
-		s.note("worker left the list", "worker", c.ID, "service", w.Service, "runs", len(w.Runs()))
+func (c WorkerDelisted) apply(s *Scheduler, now time.Time) {
+	if until, ok := s.storeReturn(now); ok && c.Removed && s.listed.get(c.ID).ID != "" {
+		s.lapsed[c.ID] = until
+		s.note("worker's entry has lapsed", "worker", c.ID)
+		return
 	}
+	s.delist(c.ID)
 }
 
 // pendingCounts counts the jobs of each queue that have not begun.
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -306,3 +306,24 @@
 	w.runFor(tasks / 2 * work * 3 / 2)
 	w.expectEnded(ids)
 }
+
+// TestLapsedEntriesAfterAnOutage guards against workers that answer and get no
+// work after an outage of the store until their entries are back.
+func TestLapsedEntriesAfterAnOutage(t *testing.T) {
+	w := fleetOf(t, 9, 1, 2, 0)
+	w.runFor(time.Second)
+	w.store.down = true
+	w.after(2*time.Second, func() {
+		for id, x := range w.workers {
+			w.store.remove("worker/" + id)
+			w.after(1800*time.Millisecond, func() { w.store.put("worker/"+id, x.d, 0) })
+		}
+		w.store.down = false
+	})
+	w.runFor(2 * time.Second)
+	id := w.submit(1, job.Spec{Steps: []job.Step{step(2, 1000, 200)}})
+	w.runFor(1200 * time.Millisecond)
+	if w.state(id) != job.Completed {
+		w.fail("the job is %s while both workers answer", w.state(id))
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,8 +54,12 @@
 	leading bool
 	workers *ordered[string, *worker.Worker]
 	listed  *ordered[string, worker.Description]
-	roster  roster
-	usage   map[string]machine.Resources
+	// lapsed are listed workers whose entry went with an outage of the store, and
+	// until when it may come back. storeBackAt is the end of the last outage.
+	lapsed      map[string]time.Time
+	storeBackAt time.Time
+	roster      roster
+	usage       map[string]machine.Resources
 	// unsettled counts the tasks of which a run of an earlier scheduler may be
 	// alive; awaited are the workers that have to answer for them.
 	unsettled int
@@ -96,6 +100,7 @@
 		workers:      newOrdered[string, *worker.Worker](),
 		unfinish:     newOrdered[job.ID, *job.Job](),
 		listed:       newOrdered[string, worker.Description](),
+		lapsed:       make(map[string]time.Time),
 		waves:        newOrdered[int64, *upkeep.Wave](),
 		waveProgress: make(map[int64]WaveProgressRead),
 	}
@@ -166,6 +171,7 @@
 }
 
 func (s *Scheduler) stepSlow(now time.Time) {
+	s.stepLapsed(now)
 	s.stepRoster(now)
 	s.stepRuns(now)
 	s.stepPacing(now)
--- a/internal/scheduler/worldstore_test.go
+++ b/internal/scheduler/worldstore_test.go
@@ -200,7 +200,7 @@
 		return Jobs, LeaderRead{}
 	}
 	if id, ok := strings.CutPrefix(key, "worker/"); ok {
-		return Workers, WorkerDelisted{id}
+		return Workers, WorkerDelisted{id, true}
 	}
 	return Jobs, nil
 }
