Renew the lease every 0.3 s without waiting for answers; lease of 1.1 s

Cause: a scheduler that is frozen or cut off is replaced when its lease of 1.5 s lapses. A renewal waited for the one before, up to 0.6 s, so that a shorter lease would not have survived lost answers.

Ruled out: suspicion by silent connections between nodes: a node that is itself cut off would replace a healthy scheduler again and again.

Change: renewals are sent every 0.3 s whether or not the last one has been answered; two in a row may be lost. The lease lasts 1.1 s, a little above the least that the store grants. Machine orders need a renewal younger than 0.6 s.

--- a/internal/link/lease/lease.go
+++ b/internal/link/lease/lease.go
@@ -8,19 +8,21 @@
 
 // Margins of the scheduler's lease.
 const (
-	// TTL is the life of the scheduler's lease in the store. It bounds how long
-	// nothing starts after the scheduler is lost; renewals must pass while the
-	// store answers 60 times slower than usual (240 ms).
-	TTL = 1500 * time.Millisecond
-	// RenewEvery leaves two further tries within TTL.
-	RenewEvery = 400 * time.Millisecond
+	// TTL is the life of the scheduler's lease in the store, a little above the
+	// least that the users' store grants. It bounds how long nothing starts after
+	// the scheduler is lost without a trace.
+	TTL = 1100 * time.Millisecond
+	// RenewEvery is the time between renewals, whether or not the last one has
+	// been answered. Two in a row may be lost within TTL, and each may take 240
+	// ms, 60 times as long as usual.
+	RenewEvery = 300 * time.Millisecond
 	// Margin covers the difference in rate between two clocks (2% of TTL) and the
 	// time from a check to the order on the wire.
 	Margin = 150 * time.Millisecond
 	// DutyAge is the greatest age of the last renewal at which orders for machines
 	// are given. It is well below TTL, so that a successor, which must keep a
 	// distance from the last such order, has waited for most of it already.
-	DutyAge = 700 * time.Millisecond
+	DutyAge = 600 * time.Millisecond
 )
 
 // Authority is this process's right to give orders as the scheduler.
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -19,7 +19,7 @@
 	askSlack = 450 * time.Millisecond
 	// storeTimeout bounds the scheduler's calls to the store.
 	storeTimeout = 800 * time.Millisecond
-	// leaseTimeout bounds a renewal, so that another try fits into the lease.
+	// leaseTimeout bounds calls about the lease: a later answer is of no use.
 	leaseTimeout = 600 * time.Millisecond
 	// adviceTimeout bounds a question to the advice service, which takes time for
 	// each worker and serves callers in turn.
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -43,11 +43,10 @@
 	// leftEpoch is the number of the last scheduler that gave its lease up.
 	leftEpoch int
 	// synced is the revision up to which the copy of the jobs is complete.
-	synced   int64
-	seeking  bool
-	seekAt   time.Time
-	renewing bool
-	renewAt  time.Time
+	synced  int64
+	seeking bool
+	seekAt  time.Time
+	renewAt time.Time
 	// leaving is set at a planned stop: the node takes the lease no more.
 	leaving bool
 }
@@ -103,12 +102,8 @@
 	TTL     time.Duration
 }
 
-// renewRetry is the pause after a renewal without an answer.
-const renewRetry = 150 * time.Millisecond
-
 // Apply implements Event.
 func (e LeaseRenewed) Apply(s *Scheduler, now time.Time) {
-	s.election.renewing = false
 	a := &s.election.authority
 	if a.Lease != e.Lease {
 		return
@@ -116,9 +111,7 @@
 	switch e.Outcome {
 	case Renewed:
 		a.Renew(e.SentAt, e.TTL)
-		s.election.renewAt = now.Add(lease.RenewEvery)
 	case RenewUnknown:
-		s.election.renewAt = now.Add(renewRetry)
 	case RenewEnded:
 		s.stepDown("the lease ended", now)
 	}
@@ -197,13 +190,11 @@
 		s.seek(now)
 		return
 	}
-	if !e.renewing && !now.Before(e.renewAt) {
-		e.renewing = true
+	if !now.Before(e.renewAt) {
+		e.renewAt = now.Add(lease.RenewEvery)
 		s.act(RenewLease{e.authority.Lease})
 	}
-	if !e.renewing {
-		s.wake(e.renewAt)
-	}
+	s.wake(e.renewAt)
 	// All that the last scheduler stored has been read when the copy reaches this
 	// node's own lease: its later writes fail on their condition.
 	if !s.leading && e.synced >= e.authority.Fence && s.config != nil {
@@ -294,7 +285,6 @@
 	s.note("scheduling ends", "reason", reason, "fence", s.fence())
 	s.leading = false
 	s.election.authority = lease.Authority{}
-	s.election.renewing = false
 	s.election.seekAt = now.Add(s.spread())
 	for _, j := range s.jobs.all() {
 		j.Follow()
