Weigh recent arrivals more in the demand of a pool

Change: an arrival counts twice when new and falls to nothing after 1.5 s; a steady stream counts as before.

--- a/internal/machine/resources.go
+++ b/internal/machine/resources.go
@@ -24,6 +24,11 @@
 	return Resources{max(r.MilliCores, o.MilliCores), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
 }
 
+// Times returns the multiple by a factor.
+func (r Resources) Times(factor float64) Resources {
+	return Resources{int64(float64(r.MilliCores) * factor), int64(float64(r.MemoryMB) * factor), int64(float64(r.Accelerators) * factor)}
+}
+
 // FitsIn reports whether no field is larger than in o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.MilliCores <= o.MilliCores && r.MemoryMB <= o.MemoryMB && r.Accelerators <= o.Accelerators
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -191,14 +191,16 @@
 	}
 }
 
-// expected returns what arrives in the time of forecast if arrivals go on.
+// expected returns what arrives in the time of forecast if arrivals go on. Recent
+// ones weigh more, so that a pool shrinks soon after the end of its turn.
 func (s *Scheduler) expected(service string, now time.Time) machine.Resources {
 	list := s.duties.arrivals[service]
 	list = slices.DeleteFunc(list, func(a arrival) bool { return now.Sub(a.at) > forecast })
 	s.duties.arrivals[service] = list
 	var sum machine.Resources
 	for _, a := range list {
-		sum = sum.Plus(a.room)
+		weight := 2 * (1 - float64(now.Sub(a.at))/float64(forecast))
+		sum = sum.Plus(a.room.Times(weight))
 	}
 	return sum
 }
