--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/urfave/cli/v3"
 
@@ -13,6 +14,13 @@
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a small fleet on loopback and show the main tasks",
+		Commands: []*cli.Command{{
+			Name:  "node",
+			Usage: "the same for nodes of the users' platform, against stand-ins",
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return demo.RunNodes(ctx, c.Root().Writer, io.Discard)
+			},
+		}},
 		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` of the logs: debug, info, warn or error", Value: "error"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return demo.Run(ctx, c.Root().Writer, telemetry.NewLog(c.String("log-level")))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -96,26 +95,11 @@
 }
 
 func runSteps(ctx context.Context, f *fleet, out io.Writer) error {
-	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "STEP\tSEEN\tTIME\tRESULT")
-	failed := false
+	table := newTable(out)
 	for _, s := range steps() {
-		started := time.Now()
-		seen, err := s.run(ctx, f)
-		result := "ok"
-		if err != nil {
-			failed = true
-			result = "FAILED: " + err.Error()
-		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", s.name, seen, time.Since(started).Round(time.Millisecond), result)
-	}
-	if err := table.Flush(); err != nil {
-		return errors.Wrap(err, "write table")
+		table.step(s.name, func() (string, error) { return s.run(ctx, f) })
 	}
-	if failed {
-		return ErrStepFailed
-	}
-	return nil
+	return table.end()
 }
 
 // start brings the fleet up on free loopback ports.
--- /dev/null
+++ b/internal/demo/table.go
@@ -0,0 +1,45 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// table writes one row for each step.
+type table struct {
+	out    *tabwriter.Writer
+	failed bool
+}
+
+func newTable(out io.Writer) *table {
+	t := &table{out: tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)}
+	fmt.Fprintln(t.out, "STEP\tSEEN\tTIME\tRESULT")
+	return t
+}
+
+// step runs a step and writes what was seen.
+func (t *table) step(name string, run func() (string, error)) {
+	started := time.Now()
+	seen, err := run()
+	result := "ok"
+	if err != nil {
+		t.failed = true
+		result = "FAILED: " + err.Error()
+	}
+	fmt.Fprintf(t.out, "%s\t%s\t%s\t%s\n", name, seen, time.Since(started).Round(time.Millisecond), result)
+}
+
+// end writes the table. It returns ErrStepFailed when a step failed.
+func (t *table) end() error {
+	if err := t.out.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	if t.failed {
+		return ErrStepFailed
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,15 @@
 	return n.run(ctx, reload)
 }
 
+// RunSettings is Run with the content of a settings file.
+func RunSettings(ctx context.Context, file []byte, reload <-chan os.Signal, out io.Writer) error {
+	s, err := platform.ParseSettings(file)
+	if err != nil {
+		return err
+	}
+	return Run(ctx, s, reload, out)
+}
+
 func newNode(s platform.Settings, out io.Writer) (*node, error) {
 	n := &node{
 		settings: s,
--- /dev/null
+++ b/internal/standin/site/caller.go
@@ -0,0 +1,91 @@
+package site
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// callerDeadline is how long a caller waits for an answer.
+const callerDeadline = 3 * time.Second
+
+// Step is one step of a job that a caller hands in.
+type Step struct {
+	Count                int
+	MilliCores, MemoryMB int64
+	// Estimate is what the caller expects a task to take.
+	Estimate time.Duration
+	After    []int
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool
+}
+
+// Caller hands jobs of one team in to a queue.
+type Caller struct {
+	Queue Queue
+	Key   string
+}
+
+// Submit hands a job in at a node's address and returns the status.
+func (c Caller) Submit(front, id, payload string, steps ...Step) (int, error) {
+	list := make([]map[string]any, len(steps))
+	for i, s := range steps {
+		list[i] = map[string]any{
+			"count": s.Count, "cpu": s.MilliCores, "mem-mb": s.MemoryMB, "est-runtime-ms": s.Estimate.Milliseconds(),
+			"after": s.After, "long-running": s.Lasting,
+		}
+	}
+	body, err := json.Marshal(map[string]any{"spec": payload, "steps": list})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode job")
+	}
+	status, _, err := c.call(fasthttp.MethodPost, front, id, body)
+	return status, err
+}
+
+// State returns a job's state as a node shows it, empty when it shows none.
+func (c Caller) State(front, id string) (string, error) {
+	status, body, err := c.call(fasthttp.MethodGet, front, id, nil)
+	if err != nil || status != fasthttp.StatusOK {
+		return "", err
+	}
+	var answer struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return "", errors.Wrap(err, "decode state")
+	}
+	return answer.State, nil
+}
+
+// Cancel cancels a job and returns the status.
+func (c Caller) Cancel(front, id string) (int, error) {
+	status, _, err := c.call(fasthttp.MethodDelete, front, id, nil)
+	return status, err
+}
+
+func (c Caller) call(method, front, id string, body []byte) (int, []byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + front + c.Queue.Prefix + id)
+	request.Header.SetHost(c.Queue.Host)
+	request.UseHostHeader = true
+	request.Header.Set("Key", c.Key)
+	request.Header.Set("Request-Deadline", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	request.SetBody(body)
+	if err := fasthttp.DoTimeout(request, response, callerDeadline); err != nil {
+		return 0, nil, errors.Wrap(err, "call node")
+	}
+	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
+}
+
+// Ready reports whether a node takes callers, by its readiness address.
+func Ready(address string) bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/ready", callerDeadline)
+	return err == nil && status == fasthttp.StatusOK
+}
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -101,13 +101,10 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	s, err := platform.ParseSettings(w.site.Settings(name, "north", n.front, n.ready, port))
-	if err != nil {
-		w.t.Fatal(err)
-	}
+	file := w.site.Settings(name, "north", n.front, n.ready, port)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	go func() { n.done <- node.Run(ctx, s, nil, n.log) }()
+	go func() { n.done <- node.RunSettings(ctx, file, nil, n.log) }()
 	w.nodes = append(w.nodes, n)
 	w.t.Cleanup(func() {
 		stop()
