Use the stand-in's caller in the tests of the site

Cause: test/site encoded jobs itself, beside the caller of the stand-ins.

Change: one caller; waves by the stand-in's operator. No change of checks.

--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -37,15 +37,15 @@
 	w.checkRuns()
 }
 
-// TestRepeatedSubmissionIsOneJob guards against a job that runs again because
+// TestRepeatedJobIsOneJob guards against a job that runs again because
 // its caller repeats it, at any node.
-func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+func TestRepeatedJobIsOneJob(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 2, fixedWork(30*time.Millisecond))
 	id := jobID(2)
 	for i := range 4 {
 		if a := w.nodes[i%2].submit(id, tasks(2)); a.status != http.StatusOK {
-			t.Fatalf("submission %d: %+v", i, a)
+			t.Fatalf("submit %d: %+v", i, a)
 		}
 	}
 	w.await("completed", func() bool { return w.nodes[0].state(id) == "completed" })
@@ -137,7 +137,7 @@
 	t.Parallel()
 	w := newWorld(t, 2, func(string, string, int) (time.Duration, site.Outcome) { return 0, site.Done })
 	id := jobID(40)
-	if a := w.nodes[0].submit(id, map[string]any{"count": 3, "cpu": 500, "mem-mb": 10, "long-running": true}); a.status != http.StatusOK {
+	if a := w.nodes[0].submit(id, site.Step{Count: 3, MilliCores: 500, MemoryMB: 10, Lasting: true}); a.status != http.StatusOK {
 		t.Fatalf("submit: %+v", a)
 	}
 	live := func() int {
@@ -188,11 +188,8 @@
 	w := newWorld(t, 2, fixedWork(50*time.Millisecond))
 	w.site.Machines.LoseAnswers(2)
 	names := []string{"m-0", "m-1", "m-2", "m-3"}
-	w.site.Store.Put("op/wave/7", map[string]any{"wave": 7, "machines": names, "deadline-s": 15, "cap": 1})
-	w.await("wave completed", func() bool {
-		item, ok := w.site.Store.Get("status/wave/7")
-		return ok && strings.Contains(string(item.Value), "completed")
-	})
+	w.site.OrderWave(7, names, 15*time.Second, 1)
+	w.await("wave completed", func() bool { return w.site.WaveCompleted(7) })
 	seen := make(map[string]bool)
 	for _, d := range w.site.Machines.Duties() {
 		if d.Wave != 7 {
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -60,6 +59,9 @@
 	return site.Queue{Name: "quick", Host: quickHost, Prefix: quickPath, Service: "quick", Attempts: 3}
 }
 
+// caller belongs to the team of newWorld.
+var caller = site.Caller{Queue: quickQueue(), Key: teamKey}
+
 func team(keys ...string) site.Team { return site.Team{Name: "depots", Keys: keys, CPU: 20000} }
 
 // newWorld starts a site with four workers and the given number of nodes.
@@ -156,26 +158,19 @@
 func get(address, path string) answer { return call("GET", address, "", path, "", nil) }
 
 // submit hands a job in at a node.
-func (n *runningNode) submit(id string, steps ...map[string]any) answer {
-	body, _ := json.Marshal(map[string]any{"spec": "payload of " + id, "steps": steps})
-	return call("POST", n.front, quickHost, quickPath+id, teamKey, body)
+func (n *runningNode) submit(id string, steps ...site.Step) answer {
+	status, err := caller.Submit(n.front, id, "payload of "+id, steps...)
+	return answer{status: status, err: err}
 }
 
+// state returns the state that the node shows, empty for none.
 func (n *runningNode) state(id string) string {
-	a := call("GET", n.front, quickHost, quickPath+id, teamKey, nil)
-	var body struct {
-		State string `json:"state"`
-	}
-	_ = json.Unmarshal([]byte(a.body), &body)
-	return body.State
+	state, _ := caller.State(n.front, id)
+	return state
 }
 
-func tasks(count int, after ...int) map[string]any {
-	s := map[string]any{"count": count, "cpu": 1000, "mem-mb": 100, "est-runtime-ms": 50}
-	if len(after) > 0 {
-		s["after"] = after
-	}
-	return s
+func tasks(count int, after ...int) site.Step {
+	return site.Step{Count: count, MilliCores: 1000, MemoryMB: 100, Estimate: 50 * time.Millisecond, After: after}
 }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
