Settle placed tasks of occurrences that open after all workers have answered

Cause: the set of awaited workers was reset to nil when a placed occurrence opened, and an empty set compares equal to nil: with every worker heard already its tasks were never settled and the job stood still. An occurrence opens late when the clock of the scheduler that placed it was ahead.

Ruled out: jobs without times open at the takeover, when workers are still awaited.

Tests: TestPlacedOccurrenceThatOpensLater fails before ("still running at the end").

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -347,3 +347,16 @@
 		}
 	}
 }
+
+// TestPlacedOccurrenceThatOpensLater guards against an occurrence that an earlier
+// scheduler, whose clock was ahead, had placed, and that opens when every worker
+// has answered already: its tasks would never be settled.
+func TestPlacedOccurrenceThatOpensLater(t *testing.T) {
+	w := fleetOf(t, 11, 1, 2, 0)
+	spec := job.Spec{Steps: []job.Step{step(1, 1000, 100)}, Times: 2, First: w.now.UnixMilli(), Interval: 3 * time.Second}
+	id := w.submit(1, spec)
+	progress := job.Progress{State: job.Running, Placed: map[int][]string{1: {w.listMachines()[0].Worker}}}
+	w.store.put("s/"+string(id), progress, 0)
+	w.runFor(6 * time.Second)
+	w.expectEnded([]job.ID{id})
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -66,7 +66,7 @@
 			s.wake(w.ExpiresAt().Add(time.Millisecond))
 		}
 	}
-	if maps.Equal(waiting, s.awaited) {
+	if s.awaited != nil && maps.Equal(waiting, s.awaited) {
 		return
 	}
 	s.awaited = waiting
--- /dev/null
+++ b/internal/scheduler/reports.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+)
+
+// matchRuns compares a report with the runs that are expected on the worker.
+func (s *Scheduler) matchRuns(w *worker.Worker, e WorkerAnswered, now time.Time) {
+	seen := make(map[worker.RunKey]bool, len(e.Report.Running))
+	leftovers := make(map[worker.RunKey]worker.Leftover)
+	for _, report := range e.Report.Running {
+		key := worker.RunKey{Task: report.Task, Number: report.Run}
+		seen[key] = true
+		r := w.Find(key)
+		if r == nil {
+			r = s.adopt(w, report, now)
+		}
+		if r != nil {
+			s.confirm(r, report, now)
+		} else {
+			leftovers[key] = s.leftover(w, report.Task)
+		}
+	}
+	s.setLeftovers(w, leftovers)
+	if !e.Report.Complete() {
+		return
+	}
+	for _, r := range w.Runs() {
+		key := worker.Key(r)
+		if !seen[key] && s.vanished(r, e) {
+			s.counts.Lost++
+			s.note("run not on its worker", "job", key.Task.Job, "task", key.Task.String(), "run", key.Number, "worker", w.ID, "phase", int(r.Phase))
+			s.removeRun(w, r)
+			s.released(r, now)
+		}
+	}
+}
+
+// leftover returns what a run that has to end occupies: all of the worker when
+// its job is not known.
+func (s *Scheduler) leftover(w *worker.Worker, name job.TaskName) worker.Leftover {
+	j := s.jobs.get(name.Job)
+	if j == nil || name.Step >= len(j.Spec.Steps) {
+		return worker.Leftover{Room: w.Capacity}
+	}
+	spec := &j.Spec.Steps[name.Step]
+	return worker.Leftover{Team: j.Terms.Team, Need: spec.Need, Room: spec.Room()}
+}
+
+// setLeftovers replaces the runs on a worker that have to end, which count for
+// their teams until they are gone.
+func (s *Scheduler) setLeftovers(w *worker.Worker, list map[worker.RunKey]worker.Leftover) {
+	if len(w.Leftovers()) == 0 && len(list) == 0 {
+		return
+	}
+	for _, l := range w.Leftovers() {
+		s.charge(l.Team, l.Need, -1)
+	}
+	for _, l := range list {
+		s.charge(l.Team, l.Need, +1)
+	}
+	w.SetLeftovers(list)
+	s.place.dirty = true
+}
+
+// vanished reports whether a run that a report lacks has ended or can never
+// start.
+func (s *Scheduler) vanished(r *job.Run, e WorkerAnswered) bool {
+	switch r.Phase {
+	case job.RunActive:
+		return e.SentAt.After(r.ConfirmedAt)
+	case job.RunUncertain:
+		barred := !r.StopConfirmed.IsZero() && e.SentAt.After(r.StopConfirmed)
+		return barred || e.Report.ClockMillis > r.OrderEnds
+	}
+	return false
+}
+
+// confirm takes over what a worker reports of a run.
+func (s *Scheduler) confirm(r *job.Run, report worker.RunReport, now time.Time) {
+	if r.Phase != job.RunActive {
+		r.Phase, r.ConfirmedAt = job.RunActive, now
+		j := r.Task.Occurrence.Job
+		if !j.Ended() {
+			j.Begin()
+			s.markDirty(j)
+		}
+	}
+	if report.Percent != r.Percent {
+		r.Percent, r.ProgressAt = report.Percent, now
+	}
+	r.Measured = report.Measured
+}
+
+// adopt takes over a run that a worker lists and this scheduler has not
+// ordered. It returns nil when the run has to end.
+func (s *Scheduler) adopt(w *worker.Worker, report worker.RunReport, now time.Time) *job.Run {
+	j := s.jobs.get(report.Task.Job)
+	var t *job.Task
+	if j != nil && !j.Ended() {
+		t = j.Task(report.Task)
+	}
+	if t == nil || t.Done() || (len(t.Runs) > 0 && !t.Spec().Speculative) {
+		s.note("unexpected run stopped", "task", report.Task.String(), "run", report.Run, "worker", w.ID)
+		s.act(StopRun{Target: w.Target(), Run: worker.RunKey{Task: report.Task, Number: report.Run}, Fence: s.fence(), NotAfter: s.notAfter()})
+		return nil
+	}
+	r := &job.Run{Task: t, Number: report.Run, OrderedAt: now, ProgressAt: now, Pace: 100}
+	t.LastRun = max(t.LastRun, report.Run)
+	s.settle(t)
+	s.addRun(w, r)
+	s.note("run adopted", "job", j.ID, "task", report.Task.String(), "run", report.Run, "worker", w.ID)
+	return r
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,7 +61,8 @@
 	roster      roster
 	usage       map[string]machine.Resources
 	// unsettled counts the tasks of which a run of an earlier scheduler may be
-	// alive; awaited are the workers that have to answer for them.
+	// alive; awaited are the workers that have to answer for them, nil after new
+	// ones were added.
 	unsettled int
 	awaited   map[string]bool
 	// held are starts by job that wait until the store holds their workers.
