Test that a held start is given up when its data centre is out

Cause: a trial that sent held starts without the checks of placement was seen by no test.

Change: TestHeldStartIsGivenUp; it fails in that trial (6 starts sent).

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -360,3 +360,29 @@
 	w.runFor(6 * time.Second)
 	w.expectEnded([]job.ID{id})
 }
+
+// TestHeldStartIsGivenUp guards against a start that is sent after the store has
+// confirmed its placement although its data centre was taken out meanwhile.
+func TestHeldStartIsGivenUp(t *testing.T) {
+	for _, out := range []bool{false, true} {
+		s, now := busy(1, 1, 1)
+		s.placeRound(now)
+		s.stepFlush(now)
+		var stored ProgressStored
+		for _, a := range s.actions {
+			if p, ok := a.(StoreProgress); ok {
+				stored = ProgressStored{Fence: p.Fence, Writes: p.Writes, Revision: 10}
+			}
+		}
+		s.out["z"] = out
+		sent := 0
+		for _, a := range s.Apply(stored, now) {
+			if _, ok := a.(StartTask); ok {
+				sent++
+			}
+		}
+		if out && sent > 0 || !out && sent != 6 {
+			t.Errorf("out %v: %d starts sent", out, sent)
+		}
+	}
+}
