Serve the time to first start and to the end of jobs, and refusals by reason

Change: the scheduler reports the first start and the end of each job that is neither timed nor lasting; a histogram by queue and point, a counter of refused starts by reason.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -52,6 +52,8 @@
 	// nextOccurrence is the number of the first occurrence that is not due yet.
 	nextOccurrence int
 	live           bool
+	// started is set once a start has been sent.
+	started bool
 }
 
 // New returns an accepted job without progress.
@@ -109,6 +111,7 @@
 	j.version, j.flushed, j.placedVersion = 0, 0, 0
 	j.occurrences = make(map[int]*Occurrence)
 	j.completedRuns, j.nextOccurrence = 0, 0
+	j.started = j.Began()
 }
 
 // Follow drops what only the scheduler needs.
@@ -263,6 +266,14 @@
 	}
 }
 
+// FirstStart reports whether this start is the first of the job, as far as this
+// process knows.
+func (j *Job) FirstStart() bool {
+	first := !j.started
+	j.started = true
+	return first
+}
+
 // End sets the final state unless there is one.
 func (j *Job) End(state State, wall int64) bool {
 	if j.progress.State.Final() {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,11 +8,16 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
+	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 )
 
 // metrics are the instruments of a node.
-type metrics struct{ *telemetry.Metrics }
+type metrics struct {
+	*telemetry.Metrics
+	jobs          *telemetry.Durations
+	refusedStarts *telemetry.Events
+}
 
 func newMetrics(n *node) (*metrics, error) {
 	m, err := telemetry.NewMetrics()
@@ -64,9 +69,22 @@
 		return nil, err
 	}
 	err = m.LabelledCounter("crocusjunction.platform.calls", "Calls to the platform by kind.", "kind", n.client.Counters().Each)
-	return &metrics{m}, err
+	if err != nil {
+		return nil, err
+	}
+	jobs, err := m.Durations("crocusjunction.job.duration", "Time from the acceptance of a job to its first start or its end, by queue.", "queue", "point")
+	if err != nil {
+		return nil, err
+	}
+	refused, err := m.Events("crocusjunction.task.refusals", "Starts that workers refused, by reason.", "reason")
+	return &metrics{m, jobs, refused}, err
 }
 
+// job records that a job has reached a point.
+func (m *metrics) job(j scheduler.JobMeasured) { m.jobs.Record(j.Took, j.Queue, string(j.Point)) }
+
+func (m *metrics) refusedStart(r scheduler.RefusalCounted) { m.refusedStarts.Add(string(r.Reason)) }
+
 // request records a finished request.
 func (m *metrics) request(kind string, a ingress.Answer, took time.Duration) {
 	code := ""
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	n.runner.holder = newHolderWatch(n.loop.Send)
 	var err error
 	n.metrics, err = newMetrics(n)
+	n.runner.metrics = n.metrics
 	return n, err
 }
 
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -43,6 +43,7 @@
 	// is where others watch it.
 	process, address string
 	holder           *holderWatch
+	metrics          *metrics
 	flight           sync.WaitGroup
 }
 
@@ -52,8 +53,15 @@
 		r.note(n)
 		return
 	}
-	if w, ok := a.(scheduler.WatchHolder); ok {
-		r.holder.follow(w)
+	switch a := a.(type) {
+	case scheduler.WatchHolder:
+		r.holder.follow(a)
+		return
+	case scheduler.JobMeasured:
+		r.metrics.job(a)
+		return
+	case scheduler.RefusalCounted:
+		r.metrics.refusedStart(a)
 		return
 	}
 	r.flight.Go(func() {
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -147,23 +147,42 @@
 	Fields []Field
 }
 
-func (SeekLease) isAction()     {}
-func (WatchHolder) isAction()   {}
-func (RenewLease) isAction()    {}
-func (EndLease) isAction()      {}
-func (AskWorker) isAction()     {}
-func (StartTask) isAction()     {}
-func (StopRun) isAction()       {}
-func (PaceRun) isAction()       {}
-func (StoreProgress) isAction() {}
-func (StoreRoster) isAction()   {}
-func (RemoveJobs) isAction()    {}
-func (ListMachines) isAction()  {}
-func (OrderUpkeep) isAction()   {}
-func (OrderMove) isAction()     {}
-func (PublishWave) isAction()   {}
-func (ForgetWorker) isAction()  {}
-func (Note) isAction()          {}
+// JobPoint is a point in the life of a job.
+type JobPoint string
+
+// Points of a job's life. One that has ended is at the point of its final state.
+const JobStarted JobPoint = "started"
+
+// JobMeasured reports to the metrics how long after its acceptance a job reached
+// a point.
+type JobMeasured struct {
+	Queue string
+	Point JobPoint
+	Took  time.Duration
+}
+
+// RefusalCounted reports a refused start to the metrics.
+type RefusalCounted struct{ Reason worker.Refusal }
+
+func (SeekLease) isAction()      {}
+func (JobMeasured) isAction()    {}
+func (RefusalCounted) isAction() {}
+func (WatchHolder) isAction()    {}
+func (RenewLease) isAction()     {}
+func (EndLease) isAction()       {}
+func (AskWorker) isAction()      {}
+func (StartTask) isAction()      {}
+func (StopRun) isAction()        {}
+func (PaceRun) isAction()        {}
+func (StoreProgress) isAction()  {}
+func (StoreRoster) isAction()    {}
+func (RemoveJobs) isAction()     {}
+func (ListMachines) isAction()   {}
+func (OrderUpkeep) isAction()    {}
+func (OrderMove) isAction()      {}
+func (PublishWave) isAction()    {}
+func (ForgetWorker) isAction()   {}
+func (Note) isAction()           {}
 
 // note queues a log line; keys and values alternate.
 func (s *Scheduler) note(text string, pairs ...any) {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -144,17 +144,27 @@
 	s.settle(t)
 	s.stopTask(t, now)
 	if j.Complete(now.UnixMilli()) {
+		s.measure(j, JobPoint(job.Completed), now)
 		s.note("job completed", "job", j.ID, "queue", j.Terms.Queue, "team", j.Terms.Team, "age_ms", now.UnixMilli()-j.AcceptedAt)
 		s.unfinish.delete(j.ID)
 		s.forgetAdvice(j)
 	}
 }
 
+// measure reports when a job reached a point. Timed and lasting jobs have no
+// time of their own.
+func (s *Scheduler) measure(j *job.Job, point JobPoint, now time.Time) {
+	if j.Spec.Times == 0 && !j.Lasting() {
+		s.act(JobMeasured{Queue: j.Terms.Queue, Point: point, Took: now.Sub(time.UnixMilli(j.AcceptedAt))})
+	}
+}
+
 // endJob gives a job its final state and stops what runs of it.
 func (s *Scheduler) endJob(j *job.Job, state job.State, now time.Time) {
 	if !j.End(state, now.UnixMilli()) {
 		return
 	}
+	s.measure(j, JobPoint(state), now)
 	s.note("job ended", "job", j.ID, "state", state, "age_ms", now.UnixMilli()-j.AcceptedAt)
 	j.EachTask(func(t *job.Task) {
 		s.stopTask(t, now)
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -61,6 +61,9 @@
 	r.OrderEnds = w.ClockAt(now) + startLife.Milliseconds()
 	w.Ordered(now, startLife)
 	s.counts.Starts++
+	if j.FirstStart() {
+		s.measure(j, JobStarted, now)
+	}
 	s.act(StartTask{
 		Target: w.Target(),
 		Order: worker.StartOrder{
@@ -132,6 +135,7 @@
 
 func (s *Scheduler) startRefused(w *worker.Worker, r *job.Run, e StartAnswered, now time.Time) {
 	s.counts.Refused++
+	s.act(RefusalCounted{e.Refusal})
 	s.note("start refused", "job", e.Run.Task.Job, "task", e.Run.Task.String(), "run", e.Run.Number, "worker", w.ID, "reason", e.Refusal)
 	if r.Phase != job.RunOrdered {
 		return
--- a/internal/scheduler/worldnode_test.go
+++ b/internal/scheduler/worldnode_test.go
@@ -229,7 +229,7 @@
 			func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), false}) })
 	case AskAdvice:
 		n.advise(a)
-	case PaceRun, RemoveJobs, ForgetWorker:
+	case PaceRun, RemoveJobs, ForgetWorker, JobMeasured, RefusalCounted:
 	default:
 		w.fail("action %T is not simulated", a)
 	}
--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -23,6 +23,12 @@
 	if n := len(w.site.Runs()); n != 5 {
 		t.Errorf("%d runs, want 5", n)
 	}
+	all := get(w.nodes[0].metrics, "/metrics").body + get(w.nodes[1].metrics, "/metrics").body
+	for _, point := range []string{"started", "completed"} {
+		if want := `crocusjunction_job_duration_seconds_count{point="` + point + `",queue="quick"} 1`; !strings.Contains(all, want) {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
 	var ends time.Time
 	for _, r := range w.site.Runs() {
 		if strings.Contains(r.Task, ".0.0.") && r.End.After(ends) {
--- a/test/site/world_test.go
+++ b/test/site/world_test.go
@@ -32,10 +32,10 @@
 }
 
 type runningNode struct {
-	name, front, ready string
-	stop               context.CancelFunc
-	done               chan error
-	log                *lockedBuffer
+	name, front, ready, metrics string
+	stop                        context.CancelFunc
+	done                        chan error
+	log                         *lockedBuffer
 }
 
 type lockedBuffer struct {
@@ -103,6 +103,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	n.metrics = fmt.Sprintf("127.0.0.1:%d", port)
 	file := w.site.Settings(name, "north", n.front, n.ready, port)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
