Let tasks that fill go on after a takeover and after the serving ones left

Cause: a new scheduler took inherited runs for running at full pace, so that those at 25% were never told to speed up; and pace was looked at only while serving tasks shared the worker, so that it stayed low when they left.

Ruled out: the steps of pace themselves (one scheduler brings them back).

Change: the pace of an inherited run that fills is taken for unknown, and every worker with such runs is looked at.

--- a/internal/scheduler/pacing.go
+++ b/internal/scheduler/pacing.go
@@ -20,15 +20,19 @@
 	paceStep   = 25
 	paceFull   = 100
 	paceChange = 400 * time.Millisecond
+	// paceUnknown is assumed of a run that an earlier scheduler has started: a
+	// report does not tell its pace, and any change from here sends an order.
+	paceUnknown = paceFull - paceStep
 )
 
-// stepPacing slows tasks that fill where serving tasks near their objective.
+// stepPacing slows tasks that fill where serving tasks near their objective, and
+// lets them go on where these are well or gone.
 func (s *Scheduler) stepPacing(now time.Time) {
 	if !s.authorized(now) {
 		return
 	}
 	for _, w := range s.workers.all() {
-		if !w.Silent && w.PaceDue(now, paceChange) && w.Mixed() {
+		if !w.Silent && w.PaceDue(now, paceChange) {
 			s.paceWorker(w, now)
 		}
 	}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -108,7 +108,10 @@
 		s.act(StopRun{Target: w.Target(), Run: worker.RunKey{Task: report.Task, Number: report.Run}, Fence: s.fence(), NotAfter: s.notAfter()})
 		return nil
 	}
-	r := &job.Run{Task: t, Number: report.Run, OrderedAt: now, ProgressAt: now, Pace: 100}
+	r := &job.Run{Task: t, Number: report.Run, OrderedAt: now, ProgressAt: now, Pace: paceFull}
+	if t.Spec().Fills {
+		r.Pace = paceUnknown
+	}
 	t.LastRun = max(t.LastRun, report.Run)
 	s.settle(t)
 	s.addRun(w, r)
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -11,7 +11,7 @@
 // holds where the task runs.
 func (s *Scheduler) start(t *job.Task, w *worker.Worker, number int, now time.Time) {
 	j := t.Occurrence.Job
-	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, Pace: 100}
+	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, Pace: paceFull}
 	s.addRun(w, r)
 	t.Place()
 	if j.PlacedDurably() {
--- a/internal/scheduler/worldnode_test.go
+++ b/internal/scheduler/worldnode_test.go
@@ -229,7 +229,9 @@
 			func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), false}) })
 	case AskAdvice:
 		n.advise(a)
-	case PaceRun, RemoveJobs, ForgetWorker, JobMeasured, RefusalCounted:
+	case PaceRun:
+		n.call(func() { w.workerOf(a.Target.ID).setPace(a) }, func() {}, func() {})
+	case RemoveJobs, ForgetWorker, JobMeasured, RefusalCounted:
 	default:
 		w.fail("action %T is not simulated", a)
 	}
--- a/internal/scheduler/worldworker_test.go
+++ b/internal/scheduler/worldworker_test.go
@@ -40,6 +40,51 @@
 	task  job.TaskName
 	run   int
 	began time.Time
+	// pace is the share of full speed in percent.
+	pace int
+	// overSince is when a serving run's tail went over its objective beside runs
+	// that fill, zero while it is below.
+	overSince time.Time
+}
+
+// disturb sets how much tasks that fill add to the tail of serving ones at full
+// pace, in parts of the objective.
+func (w *world) disturb(share float64) { w.disturbance = share }
+
+// tail returns the tail latency of a serving run: half of its objective alone,
+// more beside tasks that fill. It checks that these do not harm it for long.
+func (x *simWorker) tail(run *simRun) int {
+	spec := x.w.jobs[run.task.Job].Steps[run.task.Step]
+	if spec.LatencyObjective == 0 {
+		return 0
+	}
+	pace := 0
+	for _, other := range x.live {
+		if x.w.jobs[other.task.Job].Steps[other.task.Step].Fills {
+			pace = max(pace, other.pace)
+		}
+	}
+	load := 0.5 + x.w.disturbance*float64(pace)/100
+	if load < 1 || pace == 0 {
+		run.overSince = time.Time{}
+	} else if run.overSince.IsZero() {
+		run.overSince = x.w.now
+	} else if x.w.now.Sub(run.overSince) > impact {
+		x.w.fail("HARM: %s is over its objective for %v beside tasks at %d%%", run.task, impact, pace)
+	}
+	return int(load * float64(spec.LatencyObjective.Milliseconds()))
+}
+
+// impact is how long a serving task may be harmed.
+const impact = 4 * time.Second
+
+func (x *simWorker) setPace(a PaceRun) {
+	if x == nil || x.dead || x.silent || a.Fence < x.fence {
+		return
+	}
+	if run := x.live[a.Run.Task.String()]; run != nil && run.run == a.Run.Number {
+		run.pace = a.Percent
+	}
 }
 
 func (w *world) addWorker(id, service, zone, rack string) *simWorker {
@@ -117,7 +162,7 @@
 	x.fence = o.Fence
 	x.extend(o.EndsAt)
 	x.w.checkStart(x, o)
-	run := &simRun{o.Task, o.Run, x.w.now}
+	run := &simRun{task: o.Task, run: o.Run, began: x.w.now, pace: 100}
 	x.live[name] = run
 	e.ClockMillis = x.clock()
 	x.w.log("%s starts %s run %d", x.d.ID, name, o.Run)
@@ -221,7 +266,7 @@
 		if x.w.now.Sub(run.began) > 200*time.Millisecond {
 			percent = 100
 		}
-		e.Report.Running = append(e.Report.Running, worker.RunReport{Task: run.task, Run: run.run, Percent: percent})
+		e.Report.Running = append(e.Report.Running, worker.RunReport{Task: run.task, Run: run.run, Percent: percent, Measured: x.tail(run)})
 	}
 }
 
