--- /dev/null
+++ b/internal/machine/worker/worker_test.go
@@ -0,0 +1,70 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+var now = time.UnixMilli(1_700_000_000_000)
+
+func newWorker() *Worker {
+	w := New(Description{ID: "i-1", Service: "s", Zone: "z", Labels: []string{"a", "r"}, Capacity: machine.Resources{MilliCores: 8000, MemoryMB: 8000}})
+	w.Heard, w.Recorded = true, true
+	return w
+}
+
+// TestLeftoversTakeRoom guards against starts in the room of runs that are being
+// stopped, and against room that is not given back.
+func TestLeftoversTakeRoom(t *testing.T) {
+	w := newWorker()
+	key := RunKey{Task: job.TaskName{Job: "5c0e7a21d94b36f8"}, Number: 1}
+	w.SetLeftovers(map[RunKey]Leftover{key: {Room: machine.Resources{MilliCores: 5000}}})
+	w.SetLeftovers(map[RunKey]Leftover{key: {Room: machine.Resources{MilliCores: 3000}}})
+	if free := w.Free().MilliCores; free != 5000 {
+		t.Errorf("%d free beside a leftover of 3000 of 8000", free)
+	}
+	w.SetLeftovers(nil)
+	if free := w.Free(); free != w.Capacity {
+		t.Errorf("%v free without leftovers", free)
+	}
+}
+
+// TestOrdersEndForCertain guards against tasks that are started anew while an
+// order may still keep them alive on a worker whose clock is slow.
+func TestOrdersEndForCertain(t *testing.T) {
+	const hold = 5600 * time.Millisecond
+	w := newWorker()
+	w.ReadClock(1000, now)
+	w.Ordered(now, hold)
+	slow := hold * 100 / (100 - ClockError)
+	if w.Expired(now.Add(slow)) {
+		t.Errorf("taken for ended after %v, a slow worker holds for %v", slow, slow)
+	}
+	w.Ordered(now.Add(-time.Second), hold)
+	if w.Expired(now.Add(slow)) {
+		t.Error("an earlier order has shortened a later one")
+	}
+	if !w.Expired(now.Add(2 * hold)) {
+		t.Error("never taken for ended")
+	}
+}
+
+// TestUsable guards against starts on workers that must not get any.
+func TestUsable(t *testing.T) {
+	for name, change := range map[string]func(w *Worker){
+		"not listed": func(w *Worker) { w.Listed = false }, "not heard": func(w *Worker) { w.Heard = false },
+		"not recorded": func(w *Worker) { w.Recorded = false }, "draining": func(w *Worker) { w.Draining = true },
+		"reserved": func(w *Worker) { w.Reserved = true }, "silent": func(w *Worker) { w.Silent = true },
+	} {
+		w := newWorker()
+		if !w.Usable(now) {
+			t.Fatal("a worker that is well is not usable")
+		}
+		if change(w); w.Usable(now) {
+			t.Errorf("a worker that is %s is usable", name)
+		}
+	}
+}
