--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -234,20 +235,35 @@
 // poolsBetween names the pool that had most tasks waiting in a span.
 func (c *Collector) poolsBetween(from, to time.Time) string {
 	var worst Line
-	most := ""
+	most := 0
 	for _, line := range c.pools {
 		if line.Time.Before(from) || line.Time.After(to) {
 			continue
 		}
-		waiting := line.Fields["waiting_for_room"]
-		if len(waiting) > len(most) || len(waiting) == len(most) && waiting > most {
+		waiting := 0
+		for _, field := range []string{waitingForRoom, waitingForCap, waitingForTakeover} {
+			// A field that is missing or no number counts as nothing.
+			n, _ := strconv.Atoi(line.Fields[field])
+			waiting += n
+		}
+		if waiting > most {
 			worst, most = line, waiting
 		}
 	}
-	if most == "" || most == "0" {
+	if most == 0 {
 		return ""
 	}
 	f := worst.Fields
-	return "; meanwhile pool " + f["service"] + " had " + most + " tasks waiting for room, " +
-		f["waiting_for_cap"] + " for their team's limit, " + f["usable"] + " of " + f["workers"] + " workers usable"
+	text := "; meanwhile pool " + f["service"] + " had " + f[waitingForRoom] + " tasks waiting for room, " + f[waitingForCap] + " for their team's limit"
+	if n := f[waitingForTakeover]; n != "" && n != "0" {
+		text += ", " + n + " for workers after a takeover"
+	}
+	return text + ", " + f["usable"] + " of " + f["workers"] + " workers usable"
 }
+
+// Fields of a pool's line that say what its tasks wait for.
+const (
+	waitingForRoom     = "waiting_for_room"
+	waitingForCap      = "waiting_for_cap"
+	waitingForTakeover = "waiting_for_takeover"
+)
