--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,6 +1,6 @@
-// Package demo runs a small fleet inside one process on loopback: a platform
-// stand-in, two data centres with endpoint stand-ins, and two entry instances.
-// It performs the operators' main tasks and checks what each one claims.
+// Package demo runs small fleets inside one process on loopback, performs the
+// operators' main tasks and checks what each one claims. Run takes the entry
+// program with two data centres, RunNodes the nodes of the users' platform.
 package demo
 
 import (
