Make the demo's data centre that comes back needed for its job

Nodes promise that nothing starts in a data centre that is out, not that a small job starts in one that is back: the fullest worker takes it. The stand-in gave workers their data centres in the random order of a map, so that the first worker was in south in some runs.

Ruled out: slowness (every job completed; the other steps took their usual time).

Change: the step hands in 20 tasks of one core at a time, more than the 16 cores of one data centre; the stand-in goes through services in order.

Conclusion: the check was wrong in part; it now needs what it claims.

--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -149,6 +149,20 @@
 	return nil
 }
 
+// wideTasks of one core each need more than the 16 cores of one data centre.
+const wideTasks = 20
+
+// submitWide hands a job in that both data centres are needed for at a time.
+func (f *siteFleet) submitWide(centre string) (string, error) {
+	f.jobs++
+	id := fmt.Sprintf("%016x", f.jobs)
+	status, err := f.caller.Submit(f.nodes[centre].front, id, "settle "+id, site.Step{Count: wideTasks, MilliCores: 1000, MemoryMB: 100, Estimate: taskTime})
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Errorf("status %d at the node in %s", status, centre)
+	}
+	return id, err
+}
+
 // awaitCompleted waits until a node shows a job as completed.
 func (f *siteFleet) awaitCompleted(ctx context.Context, centre, id string) error {
 	return eventually(ctx, func() error {
@@ -227,7 +241,7 @@
 func emptyCentre(ctx context.Context, f *siteFleet) (string, error) {
 	f.site.TakeOut(centreNorth)
 	err := eventually(ctx, func() error {
-		id, err := f.submit(centreNorth)
+		id, err := f.submitWide(centreNorth)
 		if err != nil {
 			return err
 		}
@@ -241,7 +255,7 @@
 	}
 	f.site.BringBack(centreNorth)
 	err = eventually(ctx, func() error {
-		id, err := f.submit(centreSouth)
+		id, err := f.submitWide(centreSouth)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,8 +80,8 @@
 		return nil, err
 	}
 	number := 0
-	for service, count := range o.Workers {
-		for range count {
+	for _, service := range slices.Sorted(maps.Keys(o.Workers)) {
+		for range o.Workers[service] {
 			zone := o.Zones[number%len(o.Zones)]
 			m := &machine{name: fmt.Sprintf("m-%d", number), pool: service, state: "up", zone: zone, rack: "r-" + zone, waves: make(map[int64]bool)}
 			s.Machines.machines = append(s.Machines.machines, m)
