--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -93,21 +92,7 @@
 // process becomes the scheduler or learns of the job as the scheduler.
 func (j *Job) Lead() {
 	j.live = true
-	j.progress = Progress{
-		State:      j.Stored.State,
-		Done:       slices.Clone(j.Stored.Done),
-		FailedRuns: make(map[int][]int, len(j.Stored.FailedRuns)),
-		Saved:      make(map[int]string, len(j.Stored.Saved)),
-		EndedAt:    j.Stored.EndedAt,
-		Placed:     make(map[int][]string, len(j.Stored.Placed)),
-	}
-	maps.Copy(j.progress.Placed, j.Stored.Placed)
-	for ordinal, runs := range j.Stored.FailedRuns {
-		j.progress.FailedRuns[ordinal] = slices.Clone(runs)
-	}
-	for ordinal, saved := range j.Stored.Saved {
-		j.progress.Saved[ordinal] = saved
-	}
+	j.progress = j.Stored.clone()
 	j.version, j.flushed, j.placedVersion = 0, 0, 0
 	j.occurrences = make(map[int]*Occurrence)
 	j.completedRuns, j.nextOccurrence = 0, 0
@@ -234,22 +219,10 @@
 
 // Unflushed returns a copy of the progress to store and its version.
 func (j *Job) Unflushed() (Progress, int64) {
-	p := j.progress
-	if p.State.Final() {
-		return Progress{State: p.State, EndedAt: p.EndedAt}, j.version
-	}
-	p.Done = slices.Clone(p.Done)
-	p.FailedRuns = make(map[int][]int, len(j.progress.FailedRuns))
-	for ordinal, runs := range j.progress.FailedRuns {
-		p.FailedRuns[ordinal] = slices.Clone(runs)
-	}
-	p.Saved = make(map[int]string, len(j.progress.Saved))
-	for ordinal, saved := range j.progress.Saved {
-		p.Saved[ordinal] = saved
+	if j.Ended() {
+		return Progress{State: j.progress.State, EndedAt: j.progress.EndedAt}, j.version
 	}
-	// The lists of workers are replaced, never changed.
-	p.Placed = maps.Clone(j.progress.Placed)
-	return p, j.version
+	return j.progress.clone(), j.version
 }
 
 // Flushed notes that the store holds the progress of a version.
--- a/internal/contract/job/progress.go
+++ b/internal/contract/job/progress.go
@@ -1,5 +1,10 @@
 package job
 
+import (
+	"maps"
+	"slices"
+)
+
 // State is what a caller sees of a job.
 type State string
 
@@ -34,6 +39,25 @@
 	Placed map[int][]string `cbor:"6,keyasint,omitempty"`
 }
 
+// clone returns a copy whose maps are never nil.
+func (p *Progress) clone() Progress {
+	c := Progress{
+		State:      p.State,
+		Done:       slices.Clone(p.Done),
+		FailedRuns: make(map[int][]int, len(p.FailedRuns)),
+		Saved:      make(map[int]string, len(p.Saved)),
+		EndedAt:    p.EndedAt,
+		Placed:     make(map[int][]string, len(p.Placed)),
+	}
+	for ordinal, runs := range p.FailedRuns {
+		c.FailedRuns[ordinal] = slices.Clone(runs)
+	}
+	maps.Copy(c.Saved, p.Saved)
+	// The lists of workers are replaced, never changed.
+	maps.Copy(c.Placed, p.Placed)
+	return c
+}
+
 func (p *Progress) done(ordinal int) bool {
 	return ordinal/8 < len(p.Done) && p.Done[ordinal/8]&(1<<(ordinal%8)) != 0
 }
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -49,11 +49,10 @@
 
 // start performs an action without blocking the control thread.
 func (r *runner) start(a scheduler.Action) {
-	if n, ok := a.(scheduler.Note); ok {
-		r.note(n)
-		return
-	}
 	switch a := a.(type) {
+	case scheduler.Note:
+		r.note(a)
+		return
 	case scheduler.WatchHolder:
 		r.holder.follow(a)
 		return
--- a/internal/scheduler/pacing_world_test.go
+++ b/internal/scheduler/pacing_world_test.go
@@ -19,11 +19,11 @@
 		w.submit(1, job.Spec{Steps: []job.Step{serving}})
 		fill := w.submit(2, job.Spec{Steps: []job.Step{filling}})
 		w.runFor(3 * time.Second)
-		w.disturb(0.9)
+		w.interfere(0.9)
 		w.runFor(8 * time.Second)
 		w.leader(func(n *simNode) { n.kill(time.Second) })
 		w.runFor(8 * time.Second)
-		w.disturb(0.05)
+		w.interfere(0.05)
 		w.runFor(8 * time.Second)
 		for _, x := range w.workers {
 			for _, run := range x.live {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -41,9 +41,9 @@
 	// lossy is the share of calls whose answer is lost, late of those that are
 	// carried out after seconds.
 	lossy, late float64
-	// disturbance is what tasks that fill add to the tail of serving ones at full
+	// interference is what tasks that fill add to the tail of serving ones at full
 	// pace, in parts of the objective.
-	disturbance float64
+	interference float64
 	// skipping makes each list of machines lack one, as pages of a list do while
 	// it changes.
 	skipping bool
--- a/internal/scheduler/worldworker_test.go
+++ b/internal/scheduler/worldworker_test.go
@@ -47,9 +47,9 @@
 	overSince time.Time
 }
 
-// disturb sets how much tasks that fill add to the tail of serving ones at full
+// interfere sets how much tasks that fill add to the tail of serving ones at full
 // pace, in parts of the objective.
-func (w *world) disturb(share float64) { w.disturbance = share }
+func (w *world) interfere(share float64) { w.interference = share }
 
 // tail returns the tail latency of a serving run: half of its objective alone,
 // more beside tasks that fill. It checks that these do not harm it for long.
@@ -64,7 +64,7 @@
 			pace = max(pace, other.pace)
 		}
 	}
-	load := 0.5 + x.w.disturbance*float64(pace)/100
+	load := 0.5 + x.w.interference*float64(pace)/100
 	if load < 1 || pace == 0 {
 		run.overSince = time.Time{}
 	} else if run.overSince.IsZero() {
