Finish forwarded requests when their reply was read

Cause: the issuer of a ticket counted a forwarded request as finished when its handler returned. A planned stop that waited for it could then close the QUIC connection before the reply had left, or while a lost packet of it was not yet repeated, and the caller learned no outcome.

Ruled out: a fixed delay before the close, which only makes the window smaller; the context of the send stream, which quic-go ends at Close and not at the acknowledgement of the data.

Change: for ticket runs the requester closes its side of the stream only after it has read the reply. The handler of such a kind returns a function that the node calls once that end, or the loss of the stream, is seen; the counter of forwarded requests is decremented there. Other kinds keep their two packets.

Conclusion: a reply counts as sent on evidence from its reader only.

--- a/internal/entry/request_counter.go
+++ b/internal/entry/request_counter.go
@@ -31,7 +31,8 @@
 	return true
 }
 
-// end removes a request that begin has added.
+// end removes a request that begin has added. It is called when the instance that
+// forwarded the request has confirmed the reply or can no longer receive it.
 func (r *requestCounter) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -28,7 +28,7 @@
 // peerTransport is the part of peer.Node that sends messages and registers
 // handlers.
 type peerTransport interface {
-	Handle(kind peer.Kind, h peer.Handler)
+	HandleConfirmed(kind peer.Kind, h peer.ConfirmedHandler)
 	Exchange(ctx context.Context, address string, kind peer.Kind, body []byte) ([]byte, error)
 }
 
@@ -126,15 +126,14 @@
 // accepts messages of members only, by their certificates; the handler checks
 // the caller's API key again, as for any request.
 func (t ticketForwarder) registerHandler(h *traffic.Handler, clock func() time.Time) {
-	t.peers.Handle(peer.KindTicketRun, func(_ context.Context, _ link.Member, _ peer.Kind, body []byte) ([]byte, error) {
+	t.peers.HandleConfirmed(peer.KindTicketRun, func(_ context.Context, _ link.Member, _ peer.Kind, body []byte) ([]byte, func(), error) {
 		var run ticketRun
 		if err := peer.DecodeBody(body, &run); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if !t.forwarded.begin() {
-			return nil, errStopping
+			return nil, nil, errStopping
 		}
-		defer t.forwarded.end()
 		// The request does not use the context of the exchange: it continues when
 		// the forwarding instance fails, so that a repeated request gets its
 		// outcome.
@@ -143,7 +142,8 @@
 			NonIdempotent: run.NonIdempotent, Forwarded: true,
 			Deadline: clock().Add(time.Duration(run.RemainingMS) * time.Millisecond),
 		})
-		return peer.EncodeBody(newTicketOutcome(outcome))
+		reply, err := peer.EncodeBody(newTicketOutcome(outcome))
+		return reply, t.forwarded.end, err
 	})
 }
 
--- a/internal/entry/ticket_test.go
+++ b/internal/entry/ticket_test.go
@@ -23,7 +23,7 @@
 	err     error
 }
 
-func (p *fakePeers) Handle(peer.Kind, peer.Handler) {}
+func (p *fakePeers) HandleConfirmed(peer.Kind, peer.ConfirmedHandler) {}
 
 func (p *fakePeers) Exchange(_ context.Context, address string, _ peer.Kind, _ []byte) ([]byte, error) {
 	p.address = address
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -43,6 +43,12 @@
 	KindLeaving      Kind = 8
 )
 
+// confirmsReply reports whether the requester confirms that it has read the reply
+// to a message of this kind, by closing the stream only then. Of other kinds a
+// lost reply costs a repetition only, which is cheaper than the two additional
+// packets of a confirmation.
+func (k Kind) confirmsReply() bool { return k == KindTicketRun }
+
 // String returns the name of the kind for logs.
 func (k Kind) String() string {
 	names := map[Kind]string{
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return link.Member{}, nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	reply, err := roundTrip(ctx, stream, frame)
+	reply, err := roundTrip(ctx, stream, frame, kind.confirmsReply())
 	n.pool.release(key, c, err != nil)
 	if err != nil {
 		return link.Member{}, nil, errors.Wrap(ErrNoReply, err.Error())
@@ -77,13 +77,14 @@
 }
 
 // roundTrip writes the request and reads the reply. It ends at the deadline of
-// ctx or when ctx is cancelled.
-func roundTrip(ctx context.Context, stream *quic.Stream, frame []byte) (Envelope, error) {
+// ctx or when ctx is cancelled. If confirm is set, the end of the stream tells the
+// peer that the reply has been read.
+func roundTrip(ctx context.Context, stream *quic.Stream, frame []byte, confirm bool) (Envelope, error) {
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	reply, err := writeAndRead(stream, frame)
+	reply, err := writeAndRead(stream, frame, confirm)
 	if err != nil {
 		stream.CancelWrite(0)
 		stream.CancelRead(0)
@@ -94,12 +95,15 @@
 // writeAndRead writes the request and reads the reply. It reads the reply even
 // when the write fails, because a peer that refuses a message may stop reading
 // before the whole message is written.
-func writeAndRead(stream *quic.Stream, frame []byte) (Envelope, error) {
+func writeAndRead(stream *quic.Stream, frame []byte, confirm bool) (Envelope, error) {
 	_, writeErr := stream.Write(frame)
-	if writeErr == nil {
+	if writeErr == nil && !confirm {
 		writeErr = stream.Close()
 	}
 	reply, err := Read(stream)
+	if err == nil && confirm {
+		_ = stream.Close()
+	}
 	if err != nil && writeErr != nil {
 		return Envelope{}, writeErr
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,7 +33,8 @@
 	// idleTimeout is the time without exchanges after which a connection is
 	// closed.
 	idleTimeout = 30 * time.Second
-	// receiveTimeout bounds how long a peer may take to send one message.
+	// receiveTimeout bounds how long a peer may take to send one message, and to
+	// confirm one reply.
 	receiveTimeout = 10 * time.Second
 	// maxStreams bounds the open exchanges on one incoming connection.
 	maxStreams = 256
@@ -63,6 +65,11 @@
 // text of a returned error is sent to the peer as the reason for a refusal.
 type Handler func(ctx context.Context, from link.Member, kind Kind, body []byte) ([]byte, error)
 
+// ConfirmedHandler is a Handler whose replies the requester confirms. If finished is
+// not nil, it is called once the requester has confirmed the reply or can no
+// longer receive it. Until then, closing the node would lose the reply.
+type ConfirmedHandler func(ctx context.Context, from link.Member, kind Kind, body []byte) (reply []byte, finished func(), err error)
+
 // Options are the parameters of a node.
 type Options struct {
 	// Self is this process. Its address is the one that the node binds.
@@ -80,7 +87,7 @@
 	socket     *countingSocket
 	transport  *quic.Transport
 	listener   *quic.Listener
-	handlers   map[Kind]Handler
+	handlers   map[Kind]ConfirmedHandler
 	pool       *pool
 	goroutines sync.WaitGroup
 }
@@ -96,7 +103,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	n := &Node{self: o.Self, log: o.Log, keys: keys, handlers: make(map[Kind]Handler), socket: socket}
+	n := &Node{self: o.Self, log: o.Log, keys: keys, handlers: make(map[Kind]ConfirmedHandler), socket: socket}
 	n.transport = &quic.Transport{Conn: n.socket}
 	if n.listener, err = n.transport.Listen(keys.serverTLS(), transportConfig()); err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -134,7 +141,22 @@
 
 // Handle registers the handler for one kind of message. It must be called before
 // Serve.
-func (n *Node) Handle(kind Kind, h Handler) { n.handlers[kind] = h }
+func (n *Node) Handle(kind Kind, h Handler) {
+	n.handlers[kind] = func(ctx context.Context, from link.Member, kind Kind, body []byte) ([]byte, func(), error) {
+		reply, err := h(ctx, from, kind, body)
+		return reply, nil, err
+	}
+}
+
+// HandleConfirmed registers the handler for one kind of message, whose replies are
+// confirmed. It must be called before Serve. It panics if requesters do not
+// confirm replies of that kind.
+func (n *Node) HandleConfirmed(kind Kind, h ConfirmedHandler) {
+	if !kind.confirmsReply() {
+		panic("peer: replies to " + kind.String() + " messages are not confirmed")
+	}
+	n.handlers[kind] = h
+}
 
 // Serve accepts connections until ctx is cancelled or the node is closed. In both
 // cases it returns nil.
@@ -216,20 +238,34 @@
 	defer cancel()
 	stop := context.AfterFunc(stream.Context(), cancel)
 	defer stop()
-	n.sendReply(stream, n.handle(ctx, message))
+	reply, finished := n.handle(ctx, message)
+	n.sendReply(stream, reply)
+	if finished != nil {
+		awaitConfirmation(stream)
+		finished()
+	}
+}
+
+// awaitConfirmation waits until the requester has closed its side of the stream,
+// which it does after it has read the reply, or can no longer do so.
+func awaitConfirmation(stream *quic.Stream) {
+	_ = stream.SetReadDeadline(time.Now().Add(receiveTimeout))
+	_, _ = io.Copy(io.Discard, stream)
 }
 
-func (n *Node) handle(ctx context.Context, message Envelope) Envelope {
+// handle returns the reply to a message and the function to call once the reply is
+// confirmed, nil if there is none.
+func (n *Node) handle(ctx context.Context, message Envelope) (Envelope, func()) {
 	h, ok := n.handlers[message.Kind]
 	if !ok {
-		return Envelope{Kind: message.Kind, Error: "no handler for " + message.Kind.String()}
+		return Envelope{Kind: message.Kind, Error: "no handler for " + message.Kind.String()}, nil
 	}
-	body, err := h(ctx, message.Sender(), message.Kind, message.Body)
+	body, finished, err := h(ctx, message.Sender(), message.Kind, message.Body)
 	reply := newEnvelope(message.Kind, n.self, body)
 	if err != nil {
 		reply.Body, reply.Error = nil, err.Error()
 	}
-	return reply
+	return reply, finished
 }
 
 // sendReply sends a reply and closes the stream for writing. When the reply
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -310,7 +310,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if reply, err := roundTrip(ctx, stream, []byte{0, 0, 0, 2, 0xff, 0xff}); err != nil || reply.Error == "" {
+	if reply, err := roundTrip(ctx, stream, []byte{0, 0, 0, 2, 0xff, 0xff}, false); err != nil || reply.Error == "" {
 		t.Errorf("garbage frame: reply %+v, error %v", reply, err)
 	}
 	a.pool.release(connKey{address: b.Address()}, c, false)
@@ -375,3 +375,55 @@
 		t.Errorf("slow handler: %v", err)
 	}
 }
+
+// TestReplyIsFinishedWhenItWasRead guards against a handler that counts as finished
+// when it returns: the node may then be closed before its reply has left, and the
+// requester learns no outcome.
+func TestReplyIsFinishedWhenItWasRead(t *testing.T) {
+	dir := writeTestKeys(t, "a", "b")
+	a, b := newTestNode(t, dir, "a"), newTestNode(t, dir, "b")
+	proxy := newDroppingProxy(t, b.Address())
+	finished := make(chan struct{})
+	b.HandleConfirmed(KindTicketRun, func(_ context.Context, _ link.Member, _ Kind, body []byte) ([]byte, func(), error) {
+		proxy.dropAll.Store(true)
+		return body, func() { close(finished) }, nil
+	})
+	serveNode(t, b)
+	time.AfterFunc(200*time.Millisecond, func() { proxy.dropAll.Store(false) })
+	go func() {
+		<-finished
+		_ = b.Close()
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), longExchangeThreshold+time.Second)
+	defer cancel()
+	if reply, err := a.Exchange(ctx, proxy.address(), KindTicketRun, []byte("held")); err != nil || string(reply) != "held" {
+		t.Errorf("reply %q, error %v", reply, err)
+	}
+}
+
+// TestReplyIsFinishedWhenRequesterHasGone guards against a planned stop that waits
+// for the confirmation of a requester that has given up.
+func TestReplyIsFinishedWhenRequesterHasGone(t *testing.T) {
+	dir := writeTestKeys(t, "a", "b")
+	a, b := newTestNode(t, dir, "a"), newTestNode(t, dir, "b")
+	started, finished := make(chan struct{}), make(chan struct{})
+	b.HandleConfirmed(KindTicketRun, func(ctx context.Context, _ link.Member, _ Kind, _ []byte) ([]byte, func(), error) {
+		close(started)
+		<-ctx.Done()
+		return nil, func() { close(finished) }, nil
+	})
+	serveNode(t, b)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	if _, err := a.Exchange(ctx, b.Address(), KindTicketRun, nil); !errors.Is(err, ErrNoReply) {
+		t.Errorf("abandoned exchange: %v", err)
+	}
+	select {
+	case <-finished:
+	case <-time.After(receiveTimeout / 2):
+		t.Error("the abandoned exchange is not finished")
+	}
+}
