Visit a re-entered key of an ordered map once

Cause: a key that was deleted and set again stood twice in the map's order until the next compaction, so that a worker that returned under the same id was visited twice: its load counted twice in the demand of its pool and in the metrics, and every pass over workers did its work twice.

Ruled out: compaction alone, which runs only when most keys are deleted.

Change: the map remembers deleted keys and compacts before it adds one of them again.

Before: TestOrderedMapVisitsEachEntryOnce fails (visited [0 0], want [0]). After: it passes.

--- a/internal/scheduler/ordered_map.go
+++ b/internal/scheduler/ordered_map.go
@@ -7,11 +7,14 @@
 // iteration.
 type orderedMap[K comparable, V any] struct {
 	values map[K]V
-	keys   []K
+	// keys may contain deleted keys, but no key twice.
+	keys []K
+	// deleted are the keys in keys that have no value.
+	deleted map[K]bool
 }
 
 func newOrderedMap[K comparable, V any]() *orderedMap[K, V] {
-	return &orderedMap[K, V]{values: make(map[K]V)}
+	return &orderedMap[K, V]{values: make(map[K]V), deleted: make(map[K]bool)}
 }
 
 func (o *orderedMap[K, V]) get(key K) V { return o.values[key] }
@@ -20,29 +23,36 @@
 
 func (o *orderedMap[K, V]) set(key K, value V) {
 	if _, known := o.values[key]; !known {
-		o.compact()
+		if o.deleted[key] || len(o.deleted) > len(o.values)+maxDeletedKeys {
+			o.compact()
+		}
 		o.keys = append(o.keys, key)
 	}
 	o.values[key] = value
 }
 
-func (o *orderedMap[K, V]) delete(key K) { delete(o.values, key) }
+func (o *orderedMap[K, V]) delete(key K) {
+	if _, known := o.values[key]; known {
+		delete(o.values, key)
+		o.deleted[key] = true
+	}
+}
 
-// compact drops the keys of deleted entries once they are in the majority. It
-// allocates a new list, because an iteration over the old one may be under way.
+// maxDeletedKeys is the number of deleted keys, beyond that of the entries, from
+// which the list of keys is compacted.
+const maxDeletedKeys = 16
+
+// compact drops the deleted keys. It allocates a new list, because an iteration
+// over the old one may be under way.
 func (o *orderedMap[K, V]) compact() {
-	if len(o.keys) < 2*len(o.values)+16 {
-		return
-	}
 	keys := make([]K, 0, len(o.values)+1)
-	seen := make(map[K]bool, len(o.values))
 	for _, key := range o.keys {
-		if _, ok := o.values[key]; ok && !seen[key] {
-			seen[key] = true
+		if !o.deleted[key] {
 			keys = append(keys, key)
 		}
 	}
 	o.keys = keys
+	clear(o.deleted)
 }
 
 // all iterates over the entries. A nil map is empty.
