Keep the scheduler's copies fresh while nothing changes

Cause: a watch confirms the store's state as of its sending. Watches waited 1 s, so that the copy of a part without changes was up to 2 s old before the next answer, and starts stop at 1.8 s.

Ruled out: memory (0.8 of 32 GB a task), team limits (waiting_for_cap 0), the pace of rounds (100 jobs add 1.2 ms).

Change: watches of the scheduler wait 500 ms; followers keep 1 s. The mirror reads the store through an interface, so that the test needs no network.

--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -14,11 +14,16 @@
 
 // Timing of reads from the store.
 const (
-	// watchWait is how long the store waits for a change before it answers a
-	// watch. An answer without changes confirms that the mirror is up to date.
-	watchWait = time.Second
-	// watchTimeout bounds the answer of a watch after watchWait has passed. The
-	// store can be 60 times slower than its usual 4 ms.
+	// followerWatchWait is how long the store waits for a change before it answers
+	// a watch. An answer without changes confirms that the mirror is up to date.
+	followerWatchWait = time.Second
+	// leaderWatchWait replaces followerWatchWait on the scheduler. A watch confirms
+	// the state as of its sending, so that just before its answer the mirror is two
+	// waits old. Together with two answers of a store that is 60 times slower than
+	// usual, that stays below scheduler.MaxCopyAge, at which starts stop.
+	leaderWatchWait = 500 * time.Millisecond
+	// watchTimeout bounds the answer of a watch after its wait has passed. The store
+	// can be 60 times slower than its usual 4 ms.
 	watchTimeout = 700 * time.Millisecond
 	// listTimeout bounds the read of each page of a full listing.
 	listTimeout = time.Second
@@ -34,6 +39,12 @@
 	followerReadInterval = 150 * time.Millisecond
 )
 
+// storeReader reads a key prefix of the store.
+type storeReader interface {
+	List(prefix string, timeout time.Duration) (platform.Listing, error)
+	Watch(prefix string, after int64, wait, timeout time.Duration) ([]platform.Item, int64, error)
+}
+
 // mirror keeps the scheduler's copy of one key prefix of the store up to date:
 // it lists the prefix once, then watches it and sends the changes as Synced
 // events. Only the goroutine that executes run may use it.
@@ -42,10 +53,13 @@
 	name   string
 	prefix string
 	decode func(platform.Item) (scheduler.Change, error)
-	client *platform.Client
-	clock  *bootClock
+	store  storeReader
+	now    func() time.Time
 	log    *asynclog.Log
 	send   func(scheduler.Event) bool
+	// watchWait returns how long the store may wait for a change before it answers
+	// the next watch.
+	watchWait func() time.Duration
 	// awaitNextRead waits after an answer with changes, so that further changes
 	// arrive in one batch.
 	awaitNextRead func(context.Context)
@@ -120,8 +134,8 @@
 	if !m.synced {
 		return m.list()
 	}
-	sentAt := m.clock.Now()
-	items, revision, err := m.client.Watch(m.prefix, m.revision, watchWait, watchTimeout)
+	sentAt := m.now()
+	items, revision, err := m.store.Watch(m.prefix, m.revision, m.watchWait(), watchTimeout)
 	if err != nil {
 		return 0, err
 	}
@@ -133,8 +147,8 @@
 // list reads all keys of the prefix. Known keys that are no longer present are
 // delivered as removed.
 func (m *mirror) list() (int, error) {
-	sentAt := m.clock.Now()
-	listing, err := m.client.List(m.prefix, listTimeout)
+	sentAt := m.now()
+	listing, err := m.store.List(m.prefix, listTimeout)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,7 +203,7 @@
 // mirrors returns one mirror for each key prefix that the scheduler reads.
 func (n *node) mirrors() []*mirror {
 	alwaysNeeded := func(ctx context.Context) bool { return ctx.Err() == nil }
-	base := mirror{client: n.client, clock: n.clock, log: n.log, send: n.loop.Send}
+	base := mirror{store: n.client, now: n.clock.Now, log: n.log, send: n.loop.Send, watchWait: n.watchWait}
 	operator, jobs, workers := base, base, base
 	operator.part, operator.name, operator.prefix = scheduler.OperatorPart, "operator", platform.OperatorPrefix
 	operator.decode, operator.awaitNextRead, operator.awaitNeeded = decodeOperatorItem, awaitLeaderRead, alwaysNeeded
@@ -214,6 +214,14 @@
 	return []*mirror{&operator, &jobs, &workers}
 }
 
+// watchWait returns how long a watch may wait for a change.
+func (n *node) watchWait() time.Duration {
+	if n.loop.Status().Elected {
+		return leaderWatchWait
+	}
+	return followerWatchWait
+}
+
 // awaitJobsRead waits until the next read of the jobs is due. The wait ends
 // early when this node acquires the scheduler's lease, because it can only
 // start scheduling once its mirror contains the writes of the previous
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,9 +21,9 @@
 	// placeRetryDelay is the time after which waiting tasks are tried again if no
 	// event triggers a round before.
 	placeRetryDelay = 250 * time.Millisecond
-	// maxCopyAge is the greatest age of the local copies of the store at which tasks
+	// MaxCopyAge is the greatest age of the local copies of the store at which tasks
 	// start. It is below the time after which nothing may start on a draining worker.
-	maxCopyAge = 1800 * time.Millisecond
+	MaxCopyAge = 1800 * time.Millisecond
 )
 
 // placeState schedules the rounds of placement.
@@ -73,7 +73,7 @@
 // enough to start tasks.
 func (s *Scheduler) copiesFresh(now time.Time) bool {
 	for part := range s.fresh {
-		if s.fresh[part].Age(now) > maxCopyAge {
+		if s.fresh[part].Age(now) > MaxCopyAge {
 			return false
 		}
 	}
