Bound the open tasks of a job

Cause: the bounds of a job were those of its parts: 64 steps of 4,096 tasks in 100,000 occurrences were valid. A caller could submit a job whose occurrences were all overdue; the scheduler opened them at once, 26 billion tasks, ran out of memory, and its successor read the same job.

Ruled out: a bound on the occurrences alone, since a job with many of them over a long time is legitimate.

Change: an occurrence has at most 8,192 tasks and a job 1,048,576 in all (128 KB of progress). No further occurrence opens while a job has 16,384 open tasks; it opens at a later step. CheckStructure, which stored jobs must pass, is separate from Check, so that jobs accepted by an earlier version still run.

Conclusion: one job takes a few MB of the scheduler at most. The number of jobs is not bounded here.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -134,10 +134,14 @@
 }
 
 // OpenDue opens the occurrences that are due at wallMillis, in Unix
-// milliseconds, and returns those that have tasks to run.
+// milliseconds, and returns those that have tasks to run. While the job has
+// maxOpenTasks open tasks, due occurrences stay closed until a later call.
 func (j *Job) OpenDue(wallMillis int64) []*Occurrence {
 	var opened []*Occurrence
 	for j.nextOccurrence < j.Occurrences() && (j.Spec.Times == 0 || j.DueAt(j.nextOccurrence) <= wallMillis) {
+		if len(j.occurrences)*j.tasksPerOccurrence >= maxOpenTasks {
+			break
+		}
 		if o := j.openOccurrence(j.nextOccurrence); o != nil {
 			opened = append(opened, o)
 		}
--- a/internal/contract/job/spec.go
+++ b/internal/contract/job/spec.go
@@ -33,14 +33,23 @@
 }
 
 // Bounds of one job. They limit the memory of the scheduler, which holds all
-// unfinished jobs.
+// unfinished jobs, and the size of a job's progress in the store.
 const (
 	MaxSteps        = 64
 	MaxTasksPerStep = 4096
-	MaxOccurrences  = 100_000
+	// MaxTasksPerOccurrence bounds the tasks of all steps in one occurrence. A task
+	// takes about 150 bytes while its occurrence is open.
+	MaxTasksPerOccurrence = 8192
+	MaxOccurrences        = 100_000
+	// MaxTasks bounds the tasks of all occurrences. The progress holds a bit for each.
+	MaxTasks        = 1 << 20
 	MaxPayloadBytes = 4000
 )
 
+// maxOpenTasks is the number of open tasks of a job from which no further occurrence
+// opens. Without it, a job whose occurrences are all overdue would open them at once.
+const maxOpenTasks = 2 * MaxTasksPerOccurrence
+
 // Spec is the specification of a job that the caller submitted.
 type Spec struct {
 	// Payload is passed to the workers unchanged.
@@ -123,6 +132,29 @@
 	if len(s.Payload) > MaxPayloadBytes {
 		return &SpecError{"spec", fmt.Sprintf("at most %d bytes", MaxPayloadBytes)}
 	}
+	if err := s.CheckStructure(); err != nil {
+		return err
+	}
+	if n := s.tasksPerOccurrence(); n > MaxTasksPerOccurrence {
+		return &SpecError{"steps", fmt.Sprintf("at most %d tasks in all steps", MaxTasksPerOccurrence)}
+	} else if n*max(1, s.Times) > MaxTasks {
+		return &SpecError{"times", fmt.Sprintf("at most %d tasks in all occurrences", MaxTasks)}
+	}
+	return nil
+}
+
+func (s *Spec) tasksPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// CheckStructure checks what decisions about a job rely on, and returns a SpecError
+// for the first part that does not hold. A stored job may be of another version of
+// the program, whose other bounds differ from those of Check.
+func (s *Spec) CheckStructure() error {
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		return &SpecError{"steps", fmt.Sprintf("1 to %d steps", MaxSteps)}
 	}
