Contain failed decisions and quarantine their records

Cause: no code path recovered from a panic. A stored record on which a decision fails ended the scheduler's process, and its successor read the same record: each node would have ended in turn. The same held for a failed action, decoder or request. One such input is real: the answer to a write that names a key outside cj/s/ was sliced at a fixed offset.

Ruled out: recovering around each decision, which would continue on a state that the decision has changed in part; ignoring the record on the failing node only, since its successor fails on it again.

Change: scheduler.Guard applies events. When a decision panics it drops the event's actions, starts with an empty scheduler whose copy of the store is read again (Synced carries the number of the copy, so that earlier reads are ignored), stores the quarantine of the record that the decision was about and only then releases the lease. Stored jobs are checked when they are read. Commands: quarantine list, release, end; metrics records_quarantined and scheduler_failures_contained.

Before: a stored job with a dependency on a missing step ends the process.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -112,7 +112,12 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
 	}
-	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	return printTable(c.out, rows)
+}
+
+// printTable writes rows in aligned columns.
+func printTable(out io.Writer, rows [][]string) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	for _, row := range rows {
 		for i, cell := range row {
 			if i > 0 {
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -34,6 +34,7 @@
 			entryCommand(),
 			nodeCommand(),
 			traceCommand(),
+			quarantineCommand(),
 			standinCommand(),
 			settingsCommand(),
 			explainCommand(),
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -24,7 +24,9 @@
 	leaderKey   = jobsPrefix + "leader"
 	epochKey    = jobsPrefix + "epoch"
 	releaseKey  = jobsPrefix + "left"
-	rosterKey   = jobsPrefix + "roster"
+	// quarantineKey is followed by the kind and the name of a record.
+	quarantineKey = jobsPrefix + "q/"
+	rosterKey     = jobsPrefix + "roster"
 	// decimal is the base of the numbers in keys and values.
 	decimal = 10
 	// revisionAbsent is the revision that a condition names for a missing key.
@@ -86,6 +88,9 @@
 	if err := cbor.Unmarshal(item.Value, &r); err != nil {
 		return nil, errors.Wrapf(err, "decode job %s", id)
 	}
+	if err := r.Spec.CheckStructure(); err != nil {
+		return nil, errors.Wrapf(err, "decode job %s", id)
+	}
 	return job.New(parsed, r.Terms, r.Spec, r.AcceptedAt, item.Revision), nil
 }
 
@@ -124,6 +129,9 @@
 // decodeSchedulerRecord decodes the records that the scheduler writes for
 // itself. It returns nil for any other key.
 func decodeSchedulerRecord(item platform.Item) (scheduler.Change, error) {
+	if name, ok := strings.CutPrefix(item.Key, quarantineKey); ok {
+		return decodeQuarantine(name, item)
+	}
 	if text, ok := strings.CutPrefix(item.Key, waveKey); ok && !item.Removed {
 		number, err := strconv.ParseInt(text, decimal, 64)
 		if err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,13 +16,22 @@
 // block while it is full.
 const eventQueueSize = 4096
 
-var errStopped = errors.New("control loop has stopped")
+// queryTimeout bounds the wait for the reply to a query. The control thread answers
+// within milliseconds; a query whose event failed gets no reply.
+const queryTimeout = 2 * time.Second
+
+// Errors of queries.
+var (
+	errStopped = errors.New("control loop has stopped")
+	errNoReply = errors.New("the control loop did not reply")
+)
 
 // controlLoop is the control thread: the goroutine that executes Run is the
-// only one that accesses the scheduler. Send, Status, View and the queries are
+// only one that accesses the scheduler. A failure of the scheduler is contained by
+// its guard. Send, Status, View and the queries are
 // safe for concurrent use: they send events or read the published status.
 type controlLoop struct {
-	sched    *scheduler.Scheduler
+	guard    *scheduler.Guard
 	clock    *bootClock
 	dispatch func(scheduler.Action)
 	events   chan scheduler.Event
@@ -39,16 +48,18 @@
 	// Elected is true while this node holds the scheduler's lease. Leading is true
 	// once it also has the state that it needs to schedule.
 	Elected, Leading bool
+	// CopyNumber is the number of the copy of the store that mirrors must fill.
+	CopyNumber int
 	// RoleChanged is closed when a later status has another value of Elected.
 	RoleChanged chan struct{}
 	Counts      scheduler.Counts
 }
 
-// newControlLoop returns a loop that owns sched. It passes each action of the
+// newControlLoop returns a loop that owns guard. It passes each action of the
 // scheduler to dispatch, which is called on the control thread and must not
 // block.
-func newControlLoop(sched *scheduler.Scheduler, clock *bootClock, dispatch func(scheduler.Action)) *controlLoop {
-	l := &controlLoop{sched: sched, clock: clock, dispatch: dispatch, events: make(chan scheduler.Event, eventQueueSize), stopped: make(chan struct{})}
+func newControlLoop(guard *scheduler.Guard, clock *bootClock, dispatch func(scheduler.Action)) *controlLoop {
+	l := &controlLoop{guard: guard, clock: clock, dispatch: dispatch, events: make(chan scheduler.Event, eventQueueSize), stopped: make(chan struct{})}
 	l.status.Store(&controlStatus{RoleChanged: make(chan struct{})})
 	return l
 }
@@ -98,7 +109,7 @@
 
 // resetTimer sets the timer to the scheduler's next tick.
 func (l *controlLoop) resetTimer(timer *time.Timer) {
-	tickAt := l.sched.NextTick()
+	tickAt := l.guard.Scheduler().NextTick()
 	if tickAt.IsZero() {
 		timer.Reset(maxTickDelay)
 		return
@@ -109,17 +120,19 @@
 // apply passes an event to the scheduler, dispatches the resulting actions and
 // publishes the new status.
 func (l *controlLoop) apply(e scheduler.Event) {
-	for _, a := range l.sched.Apply(e, l.clock.Now()) {
+	for _, a := range l.guard.Apply(e, l.clock.Now()) {
 		l.dispatch(a)
 	}
+	sched := l.guard.Scheduler()
 	previous := l.Status()
 	next := &controlStatus{
-		View:        ingress.View{Config: l.sched.Config(), ConfigAsOf: l.sched.ConfigAsOf()},
-		JobsAsOf:    l.sched.JobsAsOf(),
-		Elected:     l.sched.Elected(),
-		Leading:     l.sched.Leading(),
+		View:        ingress.View{Config: sched.Config(), ConfigAsOf: sched.ConfigAsOf()},
+		JobsAsOf:    sched.JobsAsOf(),
+		Elected:     sched.Elected(),
+		Leading:     sched.Leading(),
+		CopyNumber:  sched.CopyNumber(),
 		RoleChanged: previous.RoleChanged,
-		Counts:      l.sched.Counts(),
+		Counts:      sched.Counts(),
 	}
 	changed := next.Elected != previous.Elected
 	if changed {
@@ -132,16 +145,21 @@
 }
 
 // query sends the event that newEvent returns to the control loop and waits for
-// the reply. It returns errStopped if the loop stops first.
+// the reply. It returns errStopped if the loop stops first, and errNoReply if there
+// is none within queryTimeout.
 func query[T any](ctx context.Context, l *controlLoop, newEvent func(reply chan<- T) scheduler.Event) (T, error) {
 	reply := make(chan T, 1)
 	var zero T
 	if !l.Send(newEvent(reply)) {
 		return zero, errStopped
 	}
+	timer := time.NewTimer(queryTimeout)
+	defer timer.Stop()
 	select {
 	case answer := <-reply:
 		return answer, nil
+	case <-timer.C:
+		return zero, errNoReply
 	case <-l.stopped:
 		return zero, errStopped
 	case <-ctx.Done():
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -46,6 +46,7 @@
 		}},
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
+		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -61,6 +62,7 @@
 		{"crocusjunction.task.failures", "Runs that ended failed.", func(s *controlStatus) int64 { return s.Counts.Failed }},
 		{"crocusjunction.task.lost", "Runs that were lost with their worker.", func(s *controlStatus) int64 { return s.Counts.Lost }},
 		{"crocusjunction.task.refused", "Starts that workers refused.", func(s *controlStatus) int64 { return s.Counts.Refused }},
+		{"crocusjunction.scheduler.failures_contained", "Failed decisions after which the state was read again.", func(s *controlStatus) int64 { return s.Counts.Contained }},
 		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *controlStatus) int64 { return s.Counts.Takeovers }},
 	} {
 		if err := m.RegisterCounter(c.name, "", c.description, fromStatus(c.read)); err != nil {
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -60,6 +60,9 @@
 	// watchWait returns how long the store may wait for a change before it answers
 	// the next watch.
 	watchWait func() time.Duration
+	// copyNumber returns the number of the scheduler's copy. A change means that the
+	// scheduler has lost its copy and needs everything again.
+	copyNumber func() int
 	// awaitNextRead waits after an answer with changes, so that further changes
 	// arrive in one batch.
 	awaitNextRead func(context.Context)
@@ -67,6 +70,8 @@
 	// done.
 	awaitNeeded func(context.Context) bool
 
+	// copyFilled is the number of the copy that has been filled so far.
+	copyFilled int
 	// knownKeys are the keys that the scheduler's copy contains.
 	knownKeys map[string]bool
 	// revision is the store revision up to which changes have been delivered.
@@ -131,6 +136,10 @@
 // read lists the prefix or waits for changes below it, delivers the items that
 // it has read, and returns their number.
 func (m *mirror) read() (int, error) {
+	if current := m.copyNumber(); current != m.copyFilled {
+		m.copyFilled, m.synced = current, false
+		clear(m.knownKeys)
+	}
 	if !m.synced {
 		return m.list()
 	}
@@ -176,7 +185,7 @@
 		} else {
 			m.knownKeys[item.Key] = true
 		}
-		change, err := m.decode(item)
+		change, err := m.decodeItem(item)
 		if err != nil {
 			m.log.Write("store", "entry not decoded", logrus.Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
 		}
@@ -184,5 +193,15 @@
 			changes = append(changes, change)
 		}
 	}
-	m.send(scheduler.Synced{Part: m.part, Changes: changes, Revision: m.revision, SentAt: sentAt})
+	m.send(scheduler.Synced{Copy: m.copyFilled, Part: m.part, Changes: changes, Revision: m.revision, SentAt: sentAt})
+}
+
+// decodeItem decodes an item. A decoder that fails unexpectedly counts as an error.
+func (m *mirror) decodeItem(item platform.Item) (change scheduler.Change, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			change, err = nil, errors.Errorf("decoder failed: %v", cause)
+		}
+	}()
+	return m.decode(item)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	n.runner = &runner{
 		client: n.client, clock: n.clock, log: n.log, nodeName: s.Instance, process: process, address: s.PeerAddress,
 	}
-	n.loop = newControlLoop(scheduler.New(schedulerOptions(s, process)), n.clock, n.runner.start)
+	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process)), n.clock, n.runner.start)
 	n.runner.send = n.loop.Send
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
 	var err error
@@ -127,7 +127,7 @@
 	}()
 
 	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
-	callersServer := n.newServer(platform.CallersHandler(componentsCtx, service, n.observe))
+	callersServer := n.newServer(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained))
 	readinessServer := n.newServer(platform.ReadyHandler(n.ready))
 	if err := n.serve(group, callersServer, n.settings.CallersAddress); err != nil {
 		return err
@@ -203,7 +203,7 @@
 // mirrors returns one mirror for each key prefix that the scheduler reads.
 func (n *node) mirrors() []*mirror {
 	alwaysNeeded := func(ctx context.Context) bool { return ctx.Err() == nil }
-	base := mirror{store: n.client, now: n.clock.Now, log: n.log, send: n.loop.Send, watchWait: n.watchWait}
+	base := mirror{store: n.client, now: n.clock.Now, log: n.log, send: n.loop.Send, watchWait: n.watchWait, copyNumber: n.copyNumber}
 	operator, jobs, workers := base, base, base
 	operator.part, operator.name, operator.prefix = scheduler.OperatorPart, "operator", platform.OperatorPrefix
 	operator.decode, operator.awaitNextRead, operator.awaitNeeded = decodeOperatorItem, awaitLeaderRead, alwaysNeeded
@@ -222,6 +222,9 @@
 	return followerWatchWait
 }
 
+// copyNumber returns the number of the scheduler's present copy of the store.
+func (n *node) copyNumber() int { return n.loop.Status().CopyNumber }
+
 // awaitJobsRead waits until the next read of the jobs is due. The wait ends
 // early when this node acquires the scheduler's lease, because it can only
 // start scheduling once its mirror contains the writes of the previous
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -201,7 +201,10 @@
 func (q QuarantineStore) write(txn platform.Txn) error {
 	_, err := q.client.Write(txn, writeTimeout)
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
 		return ErrChanged
 	}
 	return errors.Wrap(err, "write")
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -68,7 +70,7 @@
 		return
 	}
 	r.inFlight.Go(func() {
-		if e := r.perform(a); e != nil {
+		if e := r.performContained(a); e != nil {
 			r.send(e)
 		}
 	})
@@ -82,6 +84,19 @@
 	r.log.Write("scheduler", n.Text, fields)
 }
 
+// performContained is perform, except that an unexpected failure counts as an action
+// that got no answer.
+func (r *runner) performContained(a scheduler.Action) (result scheduler.Event) {
+	sentAt := r.clock.Now()
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.log.Write("platform", "action failed", logrus.Fields{"action": fmt.Sprintf("%T", a), "error": fmt.Sprint(cause), "stack": string(debug.Stack())})
+			result = scheduler.Unanswered(a, sentAt)
+		}
+	}()
+	return r.perform(a)
+}
+
 // perform executes an action and returns its result, or nil for an action
 // without one.
 func (r *runner) perform(a scheduler.Action) scheduler.Event {
@@ -92,6 +107,8 @@
 		return r.renewLease(a)
 	case scheduler.ReleaseLease:
 		r.releaseLease(a)
+	case scheduler.Quarantine:
+		r.quarantine(a)
 	case scheduler.PollWorker:
 		return r.pollWorker(a)
 	case scheduler.StartTask:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -54,8 +55,13 @@
 			}
 			continue
 		}
+		id, ok := strings.CutPrefix(item.Key, progressKey)
+		if !ok {
+			allStored = false
+			continue
+		}
 		if item.Revision != revisionAbsent {
-			result.FoundRevisions[job.ID(item.Key[len(progressKey):])] = item.Revision
+			result.FoundRevisions[job.ID(id)] = item.Revision
 		}
 		allStored = allStored && sameValue(item, values[item.Key])
 		result.Revision = max(result.Revision, item.Revision)
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -31,7 +31,7 @@
 
 func (r *runner) startTask(a scheduler.StartTask) scheduler.Event {
 	e := scheduler.StartAnswered{
-		Worker: a.Target.ID, Fence: a.Order.Fence, Run: worker.RunKey{Task: a.Order.Task, Number: a.Order.Run},
+		Worker: a.Target.ID, Fence: a.Order.Fence, Run: scheduler.RunKeyOf(a),
 	}
 	if !r.maySend(a.NotAfter) {
 		e.Outcome, e.Refusal = scheduler.StartNotDone, worker.RefusedUnsent
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -61,6 +61,11 @@
 	NotAfter time.Time
 }
 
+// RunKeyOf returns the key of the run that an order starts.
+func RunKeyOf(a StartTask) worker.RunKey {
+	return worker.RunKey{Task: a.Order.Task, Number: a.Order.Run}
+}
+
 // StopRun orders a worker to stop a run. The result is StopAnswered.
 type StopRun struct {
 	Target   worker.Target
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -30,8 +30,10 @@
 }
 
 // Synced carries the changes that make the local copy of a part complete up to
-// Revision. SentAt is when the read was sent.
+// Revision. SentAt is when the read was sent. Copy is the number of the local copy
+// that the read is for.
 type Synced struct {
+	Copy     int
 	Part     Part
 	Changes  []Change
 	Revision int64
@@ -40,12 +42,19 @@
 
 // Apply implements Event.
 func (e Synced) Apply(s *Scheduler, now time.Time) {
+	if e.Copy != s.copyNumber {
+		return
+	}
 	if e.Part == JobsPart && s.fresh[JobsPart].Known() && s.fresh[JobsPart].Age(now) > storeOutageAge {
 		s.storeRecoveredAt = now
 	}
 	for _, c := range e.Changes {
-		c.apply(s, now)
+		s.subject = recordOf(c)
+		if !s.quarantine.skips(c) {
+			c.apply(s, now)
+		}
 	}
+	s.subject = Record{}
 	s.fresh[e.Part].RecordRead(e.SentAt)
 	if e.Part == JobsPart {
 		s.election.syncedRevision = max(s.election.syncedRevision, e.Revision)
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -51,6 +51,9 @@
 	acquiring      bool
 	acquireAt      time.Time
 	renewAt        time.Time
+	// yieldUntil is until when this node leaves the lease to other nodes, after a
+	// contained failure.
+	yieldUntil time.Time
 	// stopping is set at a planned stop. This process then no longer acquires the
 	// lease.
 	stopping bool
@@ -224,8 +227,8 @@
 	if e.acquireAt.IsZero() {
 		e.acquireAt = now.Add(s.acquireDelay())
 	}
-	if now.Before(e.acquireAt) {
-		s.requestTick(e.acquireAt)
+	if at := laterOf(e.acquireAt, e.yieldUntil); now.Before(at) {
+		s.requestTick(at)
 		return
 	}
 	e.acquiring = true
@@ -234,6 +237,13 @@
 	})
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // authorized reports whether this node may send orders now: it is the active
 // scheduler and its authority has not expired.
 func (s *Scheduler) authorized(now time.Time) bool {
@@ -283,12 +293,15 @@
 		w.ExtendExpiryTo(predecessorOrdersEnd)
 		s.workers.set(m.ID, w)
 	}
-	for _, d := range s.listed.all() {
+	for id, d := range s.listed.all() {
+		s.subject = Record{WorkerRecord, id}
 		s.updateWorker(d, now)
 	}
-	for _, j := range s.jobs.all() {
+	for id, j := range s.jobs.all() {
+		s.subject = jobRecord(id)
 		s.trackJob(j)
 	}
+	s.subject = Record{}
 	s.log("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinished.len(), "workers", s.workers.len(), "unsettled", s.unreconciled)
 }
 
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -108,9 +108,11 @@
 			continue
 		}
 		f.inFlight[j.ID] = true
+		s.subject = jobRecord(j.ID)
 		p, version := j.Unflushed()
 		writes = append(writes, ProgressWrite{j.ID, p, version, j.StoredRevision})
 	}
+	s.subject = Record{}
 	f.queue = rest
 	return writes
 }
@@ -170,6 +172,7 @@
 		if j == nil {
 			continue
 		}
+		s.subject = jobRecord(j.ID)
 		s.pending.add(j, -1)
 		j.MarkFlushed(w.Progress, w.Version, e.Revision)
 		s.pending.add(j, +1)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -9,8 +9,12 @@
 )
 
 // trackJob adds a job to those that the active scheduler runs. It rebuilds the
-// job's tasks from the stored progress and carries out a stored cancellation.
+// job's tasks from the stored progress and carries out a stored cancellation. A
+// quarantined job is not run.
 func (s *Scheduler) trackJob(j *job.Job) {
+	if s.quarantine.contains(jobRecord(j.ID)) {
+		return
+	}
 	j.StartLeading()
 	if j.Ended() {
 		return
@@ -73,7 +77,7 @@
 		return
 	}
 	s.awaitedWorkers = awaited
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		j.EachTask(func(t *job.Task) {
 			if t.Unreconciled && !slices.ContainsFunc(t.PlacedWorkers(), func(id string) bool { return awaited[id] }) {
 				s.markReconciled(t)
@@ -84,7 +88,7 @@
 
 // stepJobs opens the due occurrences of timed jobs.
 func (s *Scheduler) stepJobs(now time.Time) {
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		if j.Spec.Times == 0 {
 			continue
 		}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -222,7 +222,7 @@
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		byName[name].Demand = byName[name].Demand.Plus(s.expectedDemand(name, now))
 	}
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		p := byName[s.serviceOf(j)]
 		if p == nil || s.rankJob(j, now).rank == rankLate {
 			continue
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -112,11 +112,13 @@
 				waiting = true
 				break
 			}
+			s.subject = jobRecord(candidate.job.ID)
 			if s.placeJob(candidate.job, pool, now) {
 				waiting = true
 			}
 		}
 	}
+	s.subject = Record{}
 	return waiting
 }
 
--- a/internal/scheduler/pool_log.go
+++ b/internal/scheduler/pool_log.go
@@ -62,7 +62,7 @@
 		p.inUse = p.inUse.Plus(w.InUse())
 		p.runs += len(w.Runs())
 	}
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		p := pool(s.serviceOf(j))
 		p.jobs++
 		if s.rankJob(j, now).rank == rankLate {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) rankedJobs(now time.Time) map[string][]candidate {
 	byService := make(map[string][]candidate)
 	factors := s.shareFactors()
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		service := s.serviceOf(j)
 		c := s.rankJob(j, now)
 		if c.rank == rankTimely && j.Terms.Team != "" {
@@ -84,7 +84,7 @@
 func (s *Scheduler) shareFactors() map[string]float64 {
 	weights := make(map[string]float64)
 	sumWeight, sumUsage := 0.0, 0.0
-	for _, j := range s.unfinished.all() {
+	for j := range s.unfinishedJobs() {
 		team, ok := s.config.Team(j.Terms.Team)
 		if !ok || weights[team.Name] > 0 {
 			continue
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -101,6 +101,7 @@
 		return
 	}
 	s.counts.Ends++
+	s.subject = jobRecord(end.Task.Job)
 	key := worker.RunKey{Task: end.Task, Number: end.Run}
 	if r := w.Find(key); r != nil {
 		s.removeRun(w, r)
@@ -190,8 +191,9 @@
 // stepRuns repeats stops that had no effect yet, stops runs on draining workers and
 // moves stalled runs.
 func (s *Scheduler) stepRuns(now time.Time) {
-	for _, w := range s.workers.all() {
+	for w := range s.knownWorkers() {
 		for _, r := range w.Runs() {
+			s.subject = jobRecord(r.Task.Occurrence.Job.ID)
 			s.checkRun(w, r, now)
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,7 +42,13 @@
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
 type Scheduler struct {
-	options        Options
+	options Options
+	// copyNumber counts the local copies of the store. Reads for an earlier copy are
+	// ignored.
+	copyNumber int
+	// subject is the record that the decision under way is about.
+	subject        Record
+	quarantine     quarantine
 	config         *policy.Configuration
 	dataCentresOut map[string]bool
 	jobs           *orderedMap[job.ID, *job.Job]
@@ -92,15 +98,16 @@
 // Counts are the values for the metrics.
 type Counts struct {
 	// Totals since the process started.
-	Starts, Ends, Failed, Lost, Refused, Takeovers int64
+	Starts, Ends, Failed, Lost, Refused, Takeovers, Contained int64
 	// Current values.
-	Running, Unfinished, Workers int64
+	Running, Unfinished, Workers, Quarantined int64
 }
 
 // New returns the state of a node that has read nothing from the store yet.
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options:        o,
+		quarantine:     newQuarantine(),
 		dataCentresOut: make(map[string]bool),
 		jobs:           newOrderedMap[job.ID, *job.Job](),
 		earlyCancels:   make(map[job.ID]bool),
@@ -120,7 +127,9 @@
 func (s *Scheduler) Apply(e Event, now time.Time) []Action {
 	s.actions = nil
 	e.Apply(s, now)
+	s.subject = Record{}
 	s.step(now)
+	s.counts.Quarantined = int64(len(s.quarantine.records))
 	return s.actions
 }
 
@@ -212,6 +221,9 @@
 // scheduler lease and has read everything that its predecessor stored.
 func (s *Scheduler) Leading() bool { return s.leading }
 
+// CopyNumber returns the number of the local copy of the store that reads are for.
+func (s *Scheduler) CopyNumber() int { return s.copyNumber }
+
 // Elected reports whether this node holds the scheduler lease.
 func (s *Scheduler) Elected() bool { return s.election.authority.Held() }
 
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -16,6 +16,7 @@
 type simNode struct {
 	w            *simulation
 	name         string
+	guard        *Guard
 	state        *Scheduler
 	incarnation  int
 	seenRevision int64
@@ -37,10 +38,11 @@
 func (n *simNode) boot() {
 	n.incarnation++
 	n.down, n.seenRevision, n.syncing, n.watched = false, 0, false, WatchHolder{}
-	n.state = New(Options{
+	n.guard = NewGuard(Options{
 		NodeName: n.name, ProcessID: n.process(), CPUShare: sufficientCPUShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
 		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second,
 	})
+	n.state = n.guard.Scheduler()
 	n.later(n.w.latency(), n.poll)
 }
 
@@ -116,16 +118,19 @@
 
 // poll reads the changes of all parts of the store repeatedly.
 func (n *simNode) poll() {
-	sentAt := n.w.now
+	sentAt, copyNumber := n.w.now, n.state.CopyNumber()
 	if n.cutOff || n.w.store.down {
 		n.later(100*time.Millisecond, n.poll)
 		return
 	}
 	n.later(2*n.w.latency(), func() {
 		for _, part := range []Part{OperatorPart, JobsPart, WorkersPart} {
-			n.apply(Synced{Part: part, Changes: n.w.store.changes(part, n.seenRevision), Revision: n.w.store.revision, SentAt: sentAt})
+			n.apply(Synced{Copy: copyNumber, Part: part, Changes: n.w.store.changes(part, n.seenRevision), Revision: n.w.store.revision, SentAt: sentAt})
 		}
 		n.seenRevision = n.w.store.revision
+		if n.state.CopyNumber() != copyNumber {
+			n.seenRevision = 0
+		}
 		n.later(20*time.Millisecond, n.poll)
 	})
 }
@@ -134,7 +139,11 @@
 	if n.down {
 		return
 	}
-	for _, a := range n.state.Apply(e, n.w.now) {
+	actions := n.guard.Apply(e, n.w.now)
+	if next := n.guard.Scheduler(); next != n.state {
+		n.state, n.seenRevision, n.timerSet = next, 0, time.Time{}
+	}
+	for _, a := range actions {
 		n.perform(a)
 	}
 	at := n.state.NextTick()
@@ -187,6 +196,15 @@
 				w.store.endLease(a.Lease)
 			}
 		})
+	case Quarantine:
+		w.after(w.latency(), func() {
+			if a.Record.Kind != "" {
+				w.store.put(quarantineKey(a.Record), QuarantineRead{a.Record}, 0)
+			}
+			if a.Release != nil {
+				n.perform(*a.Release)
+			}
+		})
 	case PollWorker:
 		n.pollWorker(a)
 	case StartTask:
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -185,8 +185,8 @@
 	case EpochRead:
 		value.Revision = item.revision
 		return JobsPart, value
-	case WaveProgressRead:
-		return JobsPart, value
+	case WaveProgressRead, QuarantineRead:
+		return JobsPart, value.(Change)
 	case []RosterMember:
 		return JobsPart, RosterRead{value, item.revision}
 	case jobValue:
@@ -198,6 +198,10 @@
 	case worker.Description:
 		return WorkersPart, WorkerListed{value}
 	}
+	if name, ok := strings.CutPrefix(key, "q/"); ok {
+		kind, name, _ := strings.Cut(name, "/")
+		return JobsPart, QuarantineLifted{Record{RecordKind(kind), name}}
+	}
 	if key == "leader" {
 		return JobsPart, HolderRead{}
 	}
@@ -207,6 +211,8 @@
 	return JobsPart, nil
 }
 
+func quarantineKey(r Record) string { return "q/" + string(r.Kind) + "/" + r.Name }
+
 type jobValue struct {
 	id         job.ID
 	terms      job.Terms
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -112,6 +112,7 @@
 	if r == nil {
 		return
 	}
+	s.subject = jobRecord(e.Run.Task.Job)
 	switch e.Outcome {
 	case StartDone:
 		w.RecordClock(e.ClockMillis, now)
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -88,11 +88,13 @@
 func (s *Scheduler) stepWaves(now time.Time) {
 	for _, number := range s.waveNumbers() {
 		w := s.waves.get(number)
+		s.subject = waveRecord(number)
 		s.publishWave(w, now)
 		if w.Announced != upkeep.AnnouncedCompleted || w.BusyCount() > 0 {
 			s.stepWave(w, now)
 		}
 	}
+	s.subject = Record{}
 }
 
 // waveNumbers returns the numbers of all waves, lowest first.
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -14,6 +14,7 @@
 	seen := make(map[worker.RunKey]bool, len(e.Report.Running))
 	orphanedRuns := make(map[worker.RunKey]worker.OrphanedRun)
 	for _, report := range e.Report.Running {
+		s.subject = jobRecord(report.Task.Job)
 		key := worker.RunKey{Task: report.Task, Number: report.Run}
 		seen[key] = true
 		r := w.Find(key)
@@ -26,6 +27,7 @@
 			orphanedRuns[key] = s.orphanedRun(w, report.Task)
 		}
 	}
+	s.subject = Record{WorkerRecord, w.ID}
 	s.setOrphanedRuns(w, orphanedRuns)
 	if !e.Report.Complete() {
 		return
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -29,8 +29,9 @@
 // stepWorkers sends the polls that are due. It removes the runs of a silent worker
 // once their leases have expired, and a delisted worker once it has no runs.
 func (s *Scheduler) stepWorkers(now time.Time) {
-	for _, w := range s.workers.all() {
-		if w.Silent && w.Expired(now) && len(w.Runs())+len(w.OrphanedRuns()) > 0 {
+	for w := range s.knownWorkers() {
+		unpolled := w.Silent || s.quarantine.contains(Record{WorkerRecord, w.ID})
+		if unpolled && w.Expired(now) && len(w.Runs())+len(w.OrphanedRuns()) > 0 {
 			s.loseRuns(w, "worker silent until its lease expired", now)
 		}
 		if !w.Listed && w.Expired(now) && len(w.Runs())+len(w.OrphanedRuns()) == 0 && !w.Polling {
@@ -50,7 +51,7 @@
 // pollIfDue polls a worker if its next poll is due. A worker without runs is polled
 // only until it has answered once.
 func (s *Scheduler) pollIfDue(w *worker.Worker, now time.Time) {
-	if w.Polling || !s.authorized(now) || !w.Recorded {
+	if w.Polling || !s.authorized(now) || !w.Recorded || s.quarantine.contains(Record{WorkerRecord, w.ID}) {
 		return
 	}
 	if w.Answered && !w.Silent && len(w.Runs()) == 0 && len(w.OrphanedRuns()) == 0 && !w.HasUnacknowledgedEnds() {
@@ -123,6 +124,7 @@
 	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
+	s.subject = Record{WorkerRecord, w.ID}
 	w.Polling = false
 	switch e.Outcome {
 	case PollAnswered:
