Store the machines that are ordered, so that moves resume at a takeover

Cause: a new scheduler ordered no machine for 2.65 to 3.15 s, the least time between the orders of two holders, because it didn't know which machines its predecessor had ordered. The gap holds for each machine separately.

Ruled out: taking machines as unordered whose worker has run for longer than the gap, since an order that was refused leaves no trace on the machine.

Change: a scheduler stores the machines that it is about to order, in one write for each plan, before it sends the orders; the write is conditional on its lease. A successor holds back only the machines on that list, or all of them if its predecessor has not written one. Waves wait as before. Machines that an earlier scheduler is moving count as arriving.

Before: TestMovesResumeAtTakeover fails (no machine has moved 1.5 s after the takeover). Removing the hold fails TestOrderedMachinesWaitAfterTakeover (ONE, 1.8 s after), ordering before the write fails TestMachinesAreStoredBeforeOrders. Conclusion: a takeover costs moves its election and one write.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -27,6 +27,8 @@
 	// quarantineKey is followed by the kind and the name of a record.
 	quarantineKey = jobsPrefix + "q/"
 	rosterKey     = jobsPrefix + "roster"
+	// machineOrdersKey holds the machines that may have been ordered lately.
+	machineOrdersKey = jobsPrefix + "orders"
 	// decimal is the base of the numbers in keys and values.
 	decimal = 10
 	// revisionAbsent is the revision that a condition names for a missing key.
@@ -59,6 +61,13 @@
 	Completed bool     `json:"completed"`
 }
 
+// machineOrdersRecord is the stored list of machines that the scheduler of an epoch,
+// or those before it, may have ordered lately.
+type machineOrdersRecord struct {
+	Epoch    int      `json:"epoch"`
+	Machines []string `json:"machines"`
+}
+
 // encodeCBOR returns the CBOR encoding of a record. It panics if value cannot be
 // encoded, which does not occur with the records of this package.
 func encodeCBOR(value any) []byte {
@@ -157,6 +166,10 @@
 	case releaseKey:
 		epoch, err := strconv.Atoi(string(item.Value))
 		return scheduler.LeaseReleaseRead{Epoch: epoch}, wrapKey(err, item.Key)
+	case machineOrdersKey:
+		var orders machineOrdersRecord
+		err := json.Unmarshal(item.Value, &orders)
+		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, wrapKey(err, item.Key)
 	case rosterKey:
 		var members []scheduler.RosterMember
 		err := json.Unmarshal(item.Value, &members)
--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -22,7 +22,7 @@
 	notAfter := r.clock.Now().Add(1 << 40)
 	withResult := []scheduler.Action{
 		scheduler.AcquireLease{}, scheduler.RenewLease{}, scheduler.PollWorker{NotAfter: notAfter}, scheduler.StartTask{NotAfter: notAfter},
-		scheduler.StopRun{NotAfter: notAfter}, scheduler.StoreProgress{}, scheduler.StoreRoster{}, scheduler.ListMachines{},
+		scheduler.StopRun{NotAfter: notAfter}, scheduler.StoreProgress{}, scheduler.StoreRoster{}, scheduler.StoreMachineOrders{}, scheduler.ListMachines{},
 		scheduler.OrderUpkeep{NotAfter: notAfter}, scheduler.OrderMove{NotAfter: notAfter}, scheduler.PublishWave{}, scheduler.RequestAdvice{},
 	}
 	for _, a := range withResult {
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -121,6 +121,8 @@
 		return r.storeProgress(a)
 	case scheduler.StoreRoster:
 		return r.storeRoster(a)
+	case scheduler.StoreMachineOrders:
+		return r.storeMachineOrders(a)
 	case scheduler.RemoveJobs:
 		r.removeJobs(a)
 	case scheduler.ListMachines:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -80,6 +80,15 @@
 	return scheduler.RosterStored{Fence: a.Fence, Members: a.Members, OK: err == nil}
 }
 
+func (r *runner) storeMachineOrders(a scheduler.StoreMachineOrders) scheduler.Event {
+	_, err := r.client.Write(platform.Txn{
+		Conditions: []platform.Condition{leaderCondition(a.Fence)},
+		Puts:       []platform.Put{{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}},
+	}, storeTimeout)
+	r.logFailure("machine orders not stored", err)
+	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, OK: err == nil}
+}
+
 func (r *runner) removeJobs(a scheduler.RemoveJobs) {
 	txn := platform.Txn{Conditions: []platform.Condition{leaderCondition(a.Fence)}}
 	for _, id := range a.Jobs {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -277,7 +277,7 @@
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
 	s.place = placeState{roundNeeded: true}
-	s.machineOps = newMachineOpsState(s.machineOpsFrom(now))
+	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
@@ -305,8 +305,8 @@
 	s.log("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinished.len(), "workers", s.workers.len(), "unsettled", s.unreconciled)
 }
 
-// machineOpsFrom returns when this scheduler may order its first machine
-// operation. The first scheduler, of epoch 0, has no predecessor to wait for.
+// machineOpsFrom returns from when this scheduler may order machines that its
+// predecessor may have ordered. The first scheduler, of epoch 0, has none.
 func (s *Scheduler) machineOpsFrom(now time.Time) time.Time {
 	a := &s.election.authority
 	if a.Epoch == 0 {
--- /dev/null
+++ b/internal/scheduler/machine_orders_test.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+)
+
+// movedSince returns the machines that were moved to a pool at or after a time.
+func (w *simulation) movedSince(pool string, since time.Time) int {
+	n := 0
+	for _, m := range w.machines {
+		if m.pool == pool && !m.lastOpAt.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestMovesResumeAtTakeover guards against a takeover after which no machine moves for
+// the whole gap between the orders of two schedulers, while jobs wait for machines
+// that no scheduler has ordered.
+func TestMovesResumeAtTakeover(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newFleet(t, seed, 3, 3, 6)
+		w.teamLimit.MilliCores = 1_000_000
+		w.store.put("config", w.config(2), 0)
+		w.runFor(2 * time.Second)
+		w.withLeader(func(n *simNode) { n.kill(10 * time.Second) })
+		killedAt := w.now
+		for i := range 6 {
+			w.submit(i+1, job.Spec{Steps: []job.Step{newStep(4, 3000, 3000)}})
+		}
+		w.runFor(1500 * time.Millisecond)
+		if n := w.movedSince("s", killedAt); n == 0 {
+			w.fail("no machine has moved 1.5 s after the takeover")
+		}
+	}
+}
+
+// TestOrderedMachinesWaitAfterTakeover guards against a new scheduler that orders a
+// machine within the gap after an order of its predecessor. The simulation checks the
+// gap at each order.
+func TestOrderedMachinesWaitAfterTakeover(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newFleet(t, seed, 3, 3, 6)
+		w.teamLimit.MilliCores = 1_000_000
+		w.store.put("config", w.config(2), 0)
+		w.runFor(time.Second)
+		var ids []job.ID
+		for i := range 6 {
+			ids = append(ids, w.submit(i+1, job.Spec{Steps: []job.Step{newStep(4, 3000, 3000)}}))
+		}
+		before := w.now
+		for w.movedSince("s", before) == 0 && w.now.Sub(before) < 5*time.Second {
+			w.runFor(10 * time.Millisecond)
+		}
+		w.withLeader(func(n *simNode) { n.kill(10 * time.Second) })
+		for _, id := range ids {
+			w.cancel(id)
+		}
+		w.runFor(6 * time.Second)
+		if w.movedSince("spare", before) == 0 {
+			w.fail("no machine was parked after the jobs were cancelled")
+		}
+	}
+}
+
+// TestMachinesAreStoredBeforeOrders guards against an order for a machine that the
+// next scheduler does not know of, because the order was sent before the store held
+// the machine.
+func TestMachinesAreStoredBeforeOrders(t *testing.T) {
+	w := newFleet(t, 1, 1, 3, 6)
+	w.teamLimit.MilliCores = 1_000_000
+	w.store.put("config", w.config(2), 0)
+	w.runFor(time.Second)
+	for i := range 6 {
+		w.submit(i+1, job.Spec{Steps: []job.Step{newStep(4, 3000, 3000)}})
+	}
+	from := w.now
+	w.loseMachineOrderLists = true
+	w.runFor(time.Second)
+	if n := w.movedSince("s", from); n != 0 {
+		w.fail("%d machines were ordered while the store held none of them", n)
+	}
+	w.loseMachineOrderLists = false
+	w.runFor(time.Second)
+	if n := w.movedSince("s", from); n == 0 {
+		w.fail("no machine was ordered after the store had confirmed the list")
+	}
+}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -43,10 +43,6 @@
 	if !s.machineOpsAllowed(now) || s.machineOps.machines == nil {
 		return
 	}
-	if now.Before(s.machineOps.notBefore) {
-		s.requestTick(s.machineOps.notBefore)
-		return
-	}
 	for _, name := range slices.Sorted(maps.Keys(s.machineOps.moves)) {
 		s.advanceMove(s.machineOps.moves[name], now)
 	}
@@ -73,7 +69,7 @@
 	case m.done || m.inFlight:
 	case now.Before(m.retryAt):
 		s.requestTick(m.retryAt)
-	default:
+	case s.mayOrderMachine(m.Machine, now):
 		m.inFlight = true
 		s.act(OrderMove{Machine: m.Machine, Pool: m.To, Fence: s.fence(), NotAfter: s.election.authority.MachineOpsUntil()})
 	}
@@ -138,14 +134,21 @@
 	for _, name := range slices.Sorted(maps.Keys(s.machineOps.machines)) {
 		m := s.machineOps.machines[name]
 		p := byName[m.Pool]
-		if p == nil || m.State != upkeep.MachineUp || s.machineOps.moves[name] != nil {
+		if p == nil || s.machineOps.moves[name] != nil {
+			continue
+		}
+		if m.State == upkeep.MachineMoving {
+			// An earlier scheduler has ordered this move.
+			p.Arriving++
+		}
+		if m.State != upkeep.MachineUp {
 			continue
 		}
 		w := s.workers.get(m.Worker)
 		if !inWave[name] && s.countsInPool(w, p.Spare, m, now) {
 			p.Machines = append(p.Machines, pools.Machine{
 				Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
-				Idle: w == nil || len(w.Runs()) == 0 && runsKnown(w, now),
+				Idle: !s.heldBack(name, now) && (w == nil || len(w.Runs()) == 0 && runsKnown(w, now)),
 			})
 		}
 	}
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -14,7 +14,7 @@
 	const milliCores, interval = 1000, 10 * time.Millisecond
 	s := New(Options{NodeName: "node"})
 	now := time.UnixMilli(1_700_000_000_000)
-	s.machineOps = newMachineOpsState(now)
+	s.machineOps = newMachineOpsState(now, machineOrders{})
 	for at := now.Add(-2 * forecastWindow); at.Before(now); at = at.Add(interval) {
 		s.machineOps.arrivals["s"] = append(s.machineOps.arrivals["s"], arrival{at, machine.Resources{MilliCores: milliCores}})
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,8 +59,8 @@
 	election     election
 
 	// The remaining fields are used only while this node is the active scheduler.
-	// Of these, listed, expiredEntries, waves and waveProgress are updated from the
-	// store at all times.
+	// Of these, listed, expiredEntries, waves, waveProgress and storedOrders are
+	// updated from the store at all times.
 	leading bool
 	workers *orderedMap[string, *worker.Worker]
 	listed  *orderedMap[string, worker.Description]
@@ -85,6 +85,8 @@
 	waves          *orderedMap[int64, *upkeep.Wave]
 	// waveProgress is the stored progress of each wave.
 	waveProgress map[int64]WaveProgressRead
+	// storedOrders is the stored list of machines that may have been ordered lately.
+	storedOrders MachineOrdersRead
 	machineOps   machineOpsState
 	advice       adviceState
 
@@ -202,6 +204,7 @@
 	s.stepPacing(now)
 	s.stepWaves(now)
 	s.stepMoves(now)
+	s.stepMachineOrders(now)
 	s.stepRemoval(now)
 	s.stepPoolLog(now)
 	s.updateCounts()
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -222,6 +222,11 @@
 		ok := false
 		n.storeCall(func() { ok = w.store.write(a.Fence, map[string]any{"roster": a.Members}, nil) },
 			func() { n.apply(RosterStored{a.Fence, a.Members, ok}) }, func() { n.apply(RosterStored{a.Fence, a.Members, false}) })
+	case StoreMachineOrders:
+		ok := false
+		n.storeCall(func() {
+			ok = !w.loseMachineOrderLists && w.store.write(a.Fence, map[string]any{"orders": MachineOrdersRead{Epoch: a.Epoch, Machines: a.Machines}}, nil)
+		}, func() { n.apply(MachineOrdersStored{a.Fence, a.Machines, ok}) }, func() { n.apply(MachineOrdersStored{a.Fence, a.Machines, false}) })
 	case ListMachines:
 		n.later(2*w.latency(), func() {
 			list := w.listMachines()
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -187,6 +187,9 @@
 		return JobsPart, value
 	case WaveProgressRead, QuarantineRead:
 		return JobsPart, value.(Change)
+	case MachineOrdersRead:
+		value.Revision = item.revision
+		return JobsPart, value
 	case []RosterMember:
 		return JobsPart, RosterRead{value, item.revision}
 	case jobValue:
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -51,6 +51,8 @@
 	// other nodes do not detect it.
 	powerLoss bool
 	teamLimit machine.Resources
+	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
+	loseMachineOrderLists bool
 }
 
 type timedCall struct {
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -18,6 +18,8 @@
 		return StopAnswered{Worker: a.Target.ID, Run: a.Run, Fence: a.Fence}
 	case StoreProgress:
 		return ProgressStored{Fence: a.Fence, Writes: a.Writes, Outcome: StoreFailed}
+	case StoreMachineOrders:
+		return MachineOrdersStored{Fence: a.Fence, Machines: a.Machines}
 	case StoreRoster:
 		return RosterStored{Fence: a.Fence, Members: a.Members}
 	case ListMachines:
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -32,8 +32,10 @@
 
 // machineOpsState is the state of upkeep and moves that is not part of a wave.
 type machineOpsState struct {
-	// notBefore is when this scheduler may order its first machine operation.
+	// notBefore is from when this scheduler may order upkeep, and machines that an
+	// earlier scheduler may have ordered.
 	notBefore time.Time
+	orders    machineOrders
 	// machines is the last list of machines by name, nil before the first one.
 	// listedAt is when its read was sent, listAt when the next read is due.
 	machines map[string]upkeep.Machine
@@ -51,9 +53,9 @@
 	retired map[string]bool
 }
 
-func newMachineOpsState(notBefore time.Time) machineOpsState {
+func newMachineOpsState(notBefore time.Time, orders machineOrders) machineOpsState {
 	return machineOpsState{
-		notBefore: notBefore, retired: make(map[string]bool),
+		notBefore: notBefore, orders: orders, retired: make(map[string]bool),
 		planner: pools.NewPlanner(), moves: make(map[string]*moveState), arrivals: make(map[string][]arrival),
 	}
 }
@@ -397,6 +399,9 @@
 		s.requestTick(m.RetryAt)
 		return
 	}
+	if !s.mayOrderMachine(m.Name, now) {
+		return
+	}
 	m.InFlight = true
 	s.log("upkeep ordered", "wave", w.Order.Wave, "machine", m.Name, "busy", w.BusyCount(), "at_once", w.MaxConcurrent, "drained_ms", now.Sub(m.Since).Milliseconds())
 	s.act(OrderUpkeep{Machine: m.Name, Wave: w.Order.Wave, Fence: s.fence(), NotAfter: s.election.authority.MachineOpsUntil()})
