--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -51,13 +52,13 @@
 func New(out io.Writer, fields logrus.Fields) *Log {
 	logger := logrus.New()
 	logger.SetOutput(out)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	logger.SetFormatter(jsonFormatter{})
 	return &Log{logger: logger, fields: fields, lines: make(chan line, queueSize)}
 }
 
 // Write queues a line, or drops it if the queue is full. Part is the component
-// that logs and becomes the prefix of the message. The caller must not modify
-// fields after the call.
+// that logs and becomes the prefix of the message. The caller must not use fields
+// after the call.
 func (l *Log) Write(part, text string, fields logrus.Fields) {
 	select {
 	case l.lines <- line{time.Now(), part, text, fields}:
@@ -141,10 +142,11 @@
 }
 
 func (l *Log) emit(next line) {
-	entry := l.logger.WithTime(next.at).WithFields(l.fields)
-	if len(next.fields) > 0 {
-		entry = entry.WithFields(next.fields)
+	if next.fields == nil {
+		next.fields = make(logrus.Fields, len(l.fields))
 	}
+	maps.Copy(next.fields, l.fields)
+	entry := logrus.Entry{Logger: l.logger, Data: next.fields, Time: next.at}
 	entry.Info(next.part + ": " + next.text)
 	l.written.Add(1)
 }
--- a/internal/node/lease_calls.go
+++ b/internal/node/lease_calls.go
@@ -60,9 +60,9 @@
 	if a.Replaces == 0 {
 		return
 	}
-	r.inFlight.Go(func() {
+	go func() {
 		r.logFailure("lease of the replaced scheduler not revoked", r.client.RevokeLease(a.ReplacedLease, leaseTimeout))
-	})
+	}()
 }
 
 // releaseLease releases the scheduler's lease after it has stored that the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,9 +93,10 @@
 	process := strconv.FormatInt(time.Now().UnixNano(), decimal)
 	n.runner = &runner{
 		client: n.client, clock: n.clock, log: n.log, nodeName: s.Instance, process: process, address: s.PeerAddress,
+		idle: make(chan chan scheduler.Action, maxIdleWorkers),
 	}
 	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process)), n.clock, n.runner.start)
-	n.runner.send = n.loop.Send
+	n.runner.send, n.runner.done = n.loop.Send, n.loop.stopped
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
 	var err error
 	n.metrics, err = newMetrics(n)
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,9 +48,17 @@
 	process, address string
 	watcher          *holderWatcher
 	metrics          *metrics
-	inFlight         sync.WaitGroup
+	// idle holds the channels of the goroutines that wait for an action, until done is
+	// closed.
+	idle chan chan scheduler.Action
+	done <-chan struct{}
 }
 
+// maxIdleWorkers is the number of goroutines that wait for the next action. A new
+// goroutine has to grow its stack several times while it performs a call, which took
+// a tenth of the time of an action.
+const maxIdleWorkers = 256
+
 // start performs an action. It is called on the control thread and does not
 // block: platform calls run on a new goroutine.
 func (r *runner) start(a scheduler.Action) {
@@ -69,11 +76,39 @@
 		r.metrics.recordRefusal(a)
 		return
 	}
-	r.inFlight.Go(func() {
+	r.run(a)
+}
+
+// run performs an action on a goroutine that has finished earlier ones, or on a new
+// one.
+func (r *runner) run(a scheduler.Action) {
+	select {
+	case worker := <-r.idle:
+		worker <- a
+	default:
+		go r.work(a)
+	}
+}
+
+// work performs an action, and further ones as long as fewer than maxIdleWorkers
+// goroutines wait for one.
+func (r *runner) work(a scheduler.Action) {
+	next := make(chan scheduler.Action, 1)
+	for {
 		if e := r.performContained(a); e != nil {
 			r.send(e)
 		}
-	})
+		select {
+		case r.idle <- next:
+		default:
+			return
+		}
+		select {
+		case a = <-next:
+		case <-r.done:
+			return
+		}
+	}
 }
 
 func (r *runner) writeLogLine(n scheduler.LogLine) {
--- /dev/null
+++ b/internal/scheduler/load_test.go
@@ -0,0 +1,188 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
+)
+
+// loadQueue is a queue with an open-loop load in a simulation: callers submit whether
+// or not earlier jobs have ended.
+type loadQueue struct {
+	name string
+	// meanRate is the mean number of jobs a second. The queues take turns: in its turn
+	// a queue gets several times that, and a twentieth in between.
+	meanRate float64
+	// steps, width, millicores and work are the means of a job's steps, of the tasks
+	// of a step, of the need of a task and of its run time.
+	steps, width float64
+	millicores   int64
+	work         time.Duration
+}
+
+// loadDay is an open-loop load on a fleet.
+type loadDay struct {
+	queues          []loadQueue
+	machines        int
+	turn            time.Duration
+	length          time.Duration
+	burstFactor     float64
+	burstAt         time.Duration
+	killSchedulerAt time.Duration
+	lostMachinesAt  time.Duration
+}
+
+// loadResult counts what callers got.
+type loadResult struct {
+	jobs, inAim, late, tooLate, unfinished int
+	// machineSeconds is the time of machines in pools, moves the number of moves.
+	machineSeconds float64
+	moves          int
+}
+
+func (r loadResult) String() string {
+	return fmt.Sprintf("%d jobs: %.3f in aim, %.3f late, %.3f too late, %.3f unfinished; %.0f machine-seconds, %d moves", r.jobs,
+		r.share(r.inAim), r.share(r.late), r.share(r.tooLate), r.share(r.unfinished), r.machineSeconds, r.moves)
+}
+
+func (r loadResult) share(n int) float64 { return float64(n) / float64(max(1, r.jobs)) }
+
+func (r *loadResult) add(o loadResult) {
+	r.jobs += o.jobs
+	r.inAim += o.inAim
+	r.late += o.late
+	r.tooLate += o.tooLate
+	r.unfinished += o.unfinished
+	r.machineSeconds += o.machineSeconds
+	r.moves += o.moves
+}
+
+// smallDay is a load of the kind that a fleet of about 50 machines gets.
+func smallDay() loadDay {
+	return loadDay{
+		queues: []loadQueue{
+			{"quotes", 10, 1.6, 6, 400, 640 * time.Millisecond}, {"proofs", 1.2, 2, 8, 850, 1700 * time.Millisecond},
+			{"reorders", 12, 1.6, 6, 400, 640 * time.Millisecond}, {"bulk", 1.4, 2, 8, 850, 1700 * time.Millisecond},
+		},
+		machines: 49, turn: 5 * time.Second, length: 40 * time.Second,
+	}
+}
+
+// rate returns the jobs a second of queue i at a time of the day.
+func (d *loadDay) rate(i int, at time.Duration) float64 {
+	cycle := d.turn * time.Duration(len(d.queues))
+	offset := (at - d.turn*time.Duration(i) + 10*cycle) % cycle
+	// A turn rises and falls over twice its length.
+	x := float64(offset) / float64(2*d.turn)
+	factor := 0.05
+	if x < 1 {
+		factor += 4.5 * (1 - math.Cos(2*math.Pi*x)) / 2
+	}
+	if d.burstFactor > 0 && at >= d.burstAt && at < d.burstAt+4*time.Second && i == 0 {
+		factor *= d.burstFactor
+	}
+	return d.queues[i].meanRate * factor
+}
+
+// spread returns a value with the given mean, between half and one and a half of it.
+func (w *simulation) spread(mean float64) float64 { return mean * (0.5 + w.random.Float64()) }
+
+// jobOf returns a random job of a queue.
+func (w *simulation) jobOf(q loadQueue) job.Spec {
+	spec := job.Spec{Payload: "p"}
+	for len(spec.Steps) == 0 || float64(len(spec.Steps)) < w.spread(q.steps) {
+		step := newStep(max(1, int(w.spread(q.width))), int64(w.spread(float64(q.millicores))), int(w.spread(float64(q.work.Milliseconds()))))
+		if n := len(spec.Steps); n > 0 {
+			step.After = []int{n - 1}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
+
+// play plays the day and returns what callers got.
+func (d *loadDay) play(t *testing.T, seed uint64) loadResult {
+	w := newSimulation(t, seed, 2)
+	w.quiet = true
+	w.teamLimit = machine.Resources{MilliCores: 1 << 40}
+	queues, services := []policy.Queue{}, []policy.Service{{Name: "spare", Spare: true}}
+	for _, q := range d.queues {
+		queues = append(queues, policy.Queue{Name: q.name, Service: q.name, Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond})
+		services = append(services, policy.Service{Name: q.name, ChecksAdmission: true})
+	}
+	w.store.put("config", policy.New(2, queues, []policy.Team{{Name: "team", Keys: []string{"k"}, UpperLimit: w.teamLimit}}, services, policy.RequestLimits{}), 0)
+	for i := range d.machines {
+		w.addMachine(i, "spare")
+	}
+	w.runFor(5 * time.Second)
+
+	start := w.now
+	accepted := make(map[job.ID]time.Time)
+	number := 0
+	for i := range d.queues {
+		q := d.queues[i]
+		var next func()
+		next = func() {
+			at := w.now.Sub(start)
+			if at >= d.length {
+				return
+			}
+			// Thinning: candidates come at the highest rate and are kept by the present one.
+			highest := q.meanRate * 5 * max(1, d.burstFactor)
+			if w.random.Float64() < d.rate(i, at)/highest {
+				number++
+				accepted[w.submitTo(q.name, number, w.jobOf(q))] = w.now
+			}
+			w.after(time.Duration(w.random.ExpFloat64()/highest*float64(time.Second)), next)
+		}
+		w.after(0, next)
+	}
+	if d.killSchedulerAt > 0 {
+		w.after(d.killSchedulerAt, func() { w.withLeader(func(n *simNode) { n.kill(2 * time.Second) }) })
+	}
+	var r loadResult
+	moved := w.moves
+	const sample = 100 * time.Millisecond
+	for w.now.Sub(start) < d.length+20*time.Second {
+		for _, m := range w.machines {
+			if m.pool != "spare" && w.now.Sub(start) < d.length {
+				r.machineSeconds += sample.Seconds()
+			}
+		}
+		w.runFor(sample)
+	}
+	r.moves = w.moves - moved
+	for id, at := range accepted {
+		j := job.New(id, w.terms[id], w.jobs[id], 0, 0)
+		r.jobs++
+		took := w.ended[id].Sub(at)
+		switch objective := j.CompletionObjective(); {
+		case w.ended[id].IsZero():
+			r.unfinished++
+		case took <= objective:
+			r.inAim++
+		case took <= lateFactor*objective:
+			r.late++
+		default:
+			r.tooLate++
+		}
+	}
+	return r
+}
+
+// TestTurnsOfDemand plays the queues' turns of demand.
+func TestTurnsOfDemand(t *testing.T) {
+	day := smallDay()
+	var sum loadResult
+	for seed := range uint64(4) {
+		r := day.play(t, seed)
+		t.Log(r)
+		sum.add(r)
+	}
+	t.Log("all:", sum)
+}
--- a/internal/scheduler/sim_checks_test.go
+++ b/internal/scheduler/sim_checks_test.go
@@ -117,6 +117,9 @@
 // callers can read it.
 func (w *simulation) checkFinalState(p ProgressWrite) {
 	spec := w.jobs[p.Job]
+	if p.Progress.State.Final() && w.ended[p.Job].IsZero() {
+		w.ended[p.Job] = w.now
+	}
 	switch p.Progress.State {
 	case job.Completed:
 		for occurrence := range max(1, spec.Times) {
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -377,6 +377,7 @@
 	m.worker = ""
 	m.state = upkeep.MachineUpkeep
 	if pool != "" {
+		w.moves++
 		m.pool, m.state = pool, upkeep.MachineMoving
 	} else {
 		m.waves[wave], m.wave = true, wave
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -51,6 +51,11 @@
 	// other nodes do not detect it.
 	powerLoss bool
 	teamLimit machine.Resources
+	// quiet drops the trace, which takes most of the time of a long simulation.
+	quiet bool
+	// ended is when the final state of a job was stored, moves the number of moves.
+	ended map[job.ID]time.Time
+	moves int
 	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
 	loseMachineOrderLists bool
 }
@@ -84,7 +89,7 @@
 		workers: make(map[string]*simWorker), machines: make(map[string]*simMachine),
 		jobs: make(map[job.ID]job.Spec), terms: make(map[job.ID]job.Terms), cancels: make(map[job.ID]time.Time),
 		finished: make(map[string]bool), failed: make(map[string]int), acknowledged: make(map[string]bool), absences: make(map[string]absence), tickets: make(map[string]time.Time),
-		teamLimit: machine.Resources{MilliCores: 24000},
+		teamLimit: machine.Resources{MilliCores: 24000}, ended: make(map[job.ID]time.Time),
 	}
 	w.store = newSimStore(w)
 	for i := range nodes {
@@ -122,6 +127,9 @@
 }
 
 func (w *simulation) log(format string, args ...any) {
+	if w.quiet {
+		return
+	}
 	w.trace = append(w.trace, fmt.Sprintf("%9.3f ", w.now.Sub(time.UnixMilli(1_700_000_000_000)).Seconds())+fmt.Sprintf(format, args...))
 }
 
@@ -133,8 +141,17 @@
 
 // submit writes a job to the store in the same way as a node that accepts it.
 func (w *simulation) submit(number int, spec job.Spec) job.ID {
+	return w.submitTo("q", number, spec)
+}
+
+// submitTo is submit for a queue other than "q", which has a service of its name.
+func (w *simulation) submitTo(queue string, number int, spec job.Spec) job.ID {
 	id := job.ID(fmt.Sprintf("%016x", number))
-	terms := job.Terms{Queue: "q", Service: "s", Team: "team", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}
+	service := queue
+	if queue == "q" {
+		service = "s"
+	}
+	terms := job.Terms{Queue: queue, Service: service, Team: "team", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}
 	w.jobs[id], w.terms[id] = spec, terms
 	w.store.put("j/"+string(id), jobValue{id, terms, spec, w.now.UnixMilli()}, 0)
 	return id
