Bound the rate of polls by the processor share

Cause: polls take as much of the scheduler's time as starts.

Ruled out: a longer fixed interval, which would delay the ends on a small fleet for nothing.

Change: the interval grows with the number of workers that run something, so that together they are polled at most 2,500 times a second for a whole core.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,7 +63,9 @@
 	// updated from the store at all times.
 	leading bool
 	workers *orderedMap[string, *worker.Worker]
-	listed  *orderedMap[string, worker.Description]
+	// busyWorkers is the number of workers with runs, as of the last slow step.
+	busyWorkers int
+	listed      *orderedMap[string, worker.Description]
 	// expiredEntries maps listed workers whose entry expired in an outage of the
 	// store to the time until which it may reappear. storeRecoveredAt is the end
 	// of the last outage.
@@ -237,8 +239,11 @@
 func (s *Scheduler) updateCounts() {
 	s.counts.Unfinished = int64(s.unfinished.len())
 	s.counts.Workers = int64(s.workers.len())
-	s.counts.Running = 0
+	s.counts.Running, s.busyWorkers = 0, 0
 	for _, w := range s.workers.all() {
 		s.counts.Running += int64(len(w.Runs()))
+		if len(w.Runs()) > 0 {
+			s.busyWorkers++
+		}
 	}
 }
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -15,9 +15,13 @@
 	// mixedPollWait replaces pollWait on workers that run serving and filler tasks,
 	// where the latency of the serving ones is checked more often.
 	mixedPollWait = 450 * time.Millisecond
-	// pollInterval is the delay between an answer and the next poll. It gathers runs
-	// that end at about the same time into one answer.
-	pollInterval = 15 * time.Millisecond
+	// minPollInterval is the least delay between an answer and the next poll. It
+	// gathers runs that end at about the same time into one answer.
+	minPollInterval = 15 * time.Millisecond
+	// maxPollRate is the number of polls a second that a whole core sends. Polls and
+	// starts take most of the scheduler's processor time. At a higher rate each poll
+	// brings a single end, and a large fleet's starts wait for the processor instead.
+	maxPollRate = 2500
 	// ackTimeout bounds the delay of a poll while the ends of the last answer are
 	// not stored yet and cannot be acknowledged. An earlier poll would return the
 	// same ends again.
@@ -175,7 +179,17 @@
 		s.applyEnd(w, end, now)
 	}
 	s.matchRuns(w, e, now)
-	w.NextPollAt = now.Add(pollInterval)
+	w.NextPollAt = now.Add(s.pollInterval())
+}
+
+// pollInterval returns the delay between an answer and the next poll, at which the
+// workers with runs together are polled at most at maxPollRate.
+func (s *Scheduler) pollInterval() time.Duration {
+	rate := maxPollRate * s.options.CPUShare
+	if rate <= 0 {
+		return minPollInterval
+	}
+	return max(minPollInterval, time.Duration(float64(s.busyWorkers)/rate*float64(time.Second)))
 }
 
 // handleRestart handles a new incarnation of a worker under the same id. Runs
