Resume waves at a takeover

Cause: a new scheduler ordered no upkeep for 2.65 to 3.15 s, as with moves before.

Ruled out: a shorter cycle; the machines were idle and waited for the order.

Change: a wave passes over the machines that an earlier scheduler may have ordered until the gap has passed, and goes on with the others. Such a machine counts as down while an order of the earlier scheduler may still take effect after the last list was read, 1.2 s: the timeout of an order and a margin.

Before: TestWaveResumesAtTakeover fails (3 machines 2.6 s after the takeover, want more). Not shown: a test that fails without the count of orders in flight; the simulation carries out orders within milliseconds.

--- a/internal/scheduler/machine_orders.go
+++ b/internal/scheduler/machine_orders.go
@@ -10,13 +10,16 @@
 
 // The machines that a scheduler may have ordered lately are stored before the orders
 // are sent. After a takeover only these machines have to wait until the least time
-// between the orders of two schedulers has passed; all others may be moved at once.
+// between the orders of two schedulers has passed; all others may be ordered at once.
 
 const (
 	// orderEffectMargin is the time after an order was decided within which it can
 	// reach the machines service: the age at which machine operations end and the
 	// timeout of an order.
 	orderEffectMargin = 2 * time.Second
+	// orderReach is the time after the end of a scheduler's term within which its last
+	// order takes effect: the timeout of an order, and a margin for clocks.
+	orderReach = 1200 * time.Millisecond
 	// machineOrdersRetryDelay is the delay after a write that failed.
 	machineOrdersRetryDelay = 100 * time.Millisecond
 )
@@ -109,6 +112,13 @@
 	return true
 }
 
+// orderMayBeInFlight reports whether an order of an earlier scheduler for a machine may
+// take effect after the last list of machines was read.
+func (s *Scheduler) orderMayBeInFlight(name string) bool {
+	o := &s.machineOps.orders
+	return (o.inheritedAll || o.inherited[name]) && !s.machineOps.listedAt.After(s.election.authority.Since.Add(orderReach))
+}
+
 // mayOrderMachine reports whether a machine may be ordered now. If it is not in the
 // stored list yet, the next stepMachineOrders stores it.
 func (s *Scheduler) mayOrderMachine(name string, now time.Time) bool {
--- a/internal/scheduler/machine_orders_test.go
+++ b/internal/scheduler/machine_orders_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 )
 
 // movedSince returns the machines that were moved to a pool at or after a time.
@@ -90,3 +91,26 @@
 		w.fail("no machine was ordered after the store had confirmed the list")
 	}
 }
+
+// TestWaveResumesAtTakeover guards against a wave that stands still after a takeover for
+// the whole gap between the orders of two schedulers, and that misses its deadline for
+// that. The simulation checks the wave's limit and the gap at each order.
+func TestWaveResumesAtTakeover(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newFleet(t, seed, 3, 3, 9)
+		w.runFor(2 * time.Second)
+		w.store.put("wave", upkeep.Order{Wave: 1, Machines: []string{"m-3", "m-4", "m-5", "m-6", "m-7", "m-8"}, MaxConcurrent: 3, Deadline: 20 * time.Second}, 0)
+		w.runFor(400 * time.Millisecond)
+		w.withLeader(func(n *simNode) { n.kill(20 * time.Second) })
+		w.runFor(2600 * time.Millisecond)
+		down := 0
+		for _, m := range w.machines {
+			if m.waves[1] {
+				down++
+			}
+		}
+		if down <= 3 {
+			w.fail("%d machines of the wave had their upkeep 2.6 s after the takeover, want more than the first 3", down)
+		}
+	}
+}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -32,8 +32,8 @@
 
 // machineOpsState is the state of upkeep and moves that is not part of a wave.
 type machineOpsState struct {
-	// notBefore is from when this scheduler may order upkeep, and machines that an
-	// earlier scheduler may have ordered.
+	// notBefore is from when this scheduler may order the machines that an earlier
+	// scheduler may have ordered.
 	notBefore time.Time
 	orders    machineOrders
 	// machines is the last list of machines by name, nil before the first one.
@@ -197,8 +197,9 @@
 	}
 	// A waiting member that is in upkeep may be down for this wave, because an
 	// earlier scheduler may have ordered the upkeep, or for another one. A member
-	// that is missing from the list may be in upkeep, too.
-	m.MaybeDown = m.Phase == upkeep.Waiting && (listed.State == upkeep.MachineUpkeep || !ok && !delisted)
+	// that is missing from the list may be in upkeep, too, and so may one that an
+	// earlier scheduler has ordered while the list does not show it yet.
+	m.MaybeDown = m.Phase == upkeep.Waiting && (listed.State == upkeep.MachineUpkeep || !ok && !delisted || s.orderMayBeInFlight(m.Name))
 	switch {
 	case delisted && (m.Phase == upkeep.Waiting || m.Phase == upkeep.Draining) && after:
 		s.log("wave machine no longer listed", "wave", w.Order.Wave, "machine", m.Name)
@@ -247,7 +248,7 @@
 	lowest := 0
 	for _, m := range w.Members {
 		listed := s.machineOps.machines[m.Name]
-		if m.Phase != upkeep.Waiting || listed.State != upkeep.MachineUp || now.Before(m.RetryAt) || s.machineOps.moves[m.Name] != nil {
+		if m.Phase != upkeep.Waiting || listed.State != upkeep.MachineUp || now.Before(m.RetryAt) || s.machineOps.moves[m.Name] != nil || s.heldBack(m.Name, now) {
 			continue
 		}
 		if cost := s.interruptionCost(listed); next == nil || cost < lowest {
@@ -330,10 +331,6 @@
 	if w.BusyCount() >= w.MaxConcurrent || !s.authorized(now) {
 		return
 	}
-	if now.Before(s.machineOps.notBefore) {
-		s.requestTick(s.machineOps.notBefore)
-		return
-	}
 	if wk != nil && (!runsKnown(wk, now) || !s.evictRuns(wk, now.Sub(m.Since), now)) {
 		return
 	}
