Refuse writes at once while the store does not answer

Cause: a node that is cut off from the store attempted each caller's write: two connections of 400 ms each, or, on a connection that had gone silent, until the caller's deadline, which then learned no outcome (504).

Ruled out: withdrawing readiness sooner, which flaps on single failures; the caller's retry reaches another node in any case.

Change: three reads of the store in succession without an answer mark it as unreachable for the node; any answer clears that. Meanwhile a submission or cancellation is refused at once, which is true: nothing is sent.

--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -34,6 +34,7 @@
 	client *platform.Client
 	clock  *bootClock
 	log    *asynclog.Log
+	health *storeHealth
 }
 
 // logUnconfirmed logs that a caller's write was refused or could not be
@@ -83,6 +84,10 @@
 // outcome. Repeating the write is safe because its condition can hold at most
 // once.
 func (s jobStore) writeUntilOutcomeKnown(id job.ID, txn platform.Txn, deadline time.Time, onConflict func(*platform.ConflictError) ingress.WriteResult) ingress.WriteResult {
+	if s.health.unreachable() {
+		s.logUnconfirmed("write refused, the store does not answer", id, 0, nil)
+		return ingress.NotStored
+	}
 	mayTakeEffect := false
 	var lastErr error
 	for attempt := 1; ; attempt++ {
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -60,6 +60,7 @@
 	// watchWait returns how long the store may wait for a change before it answers
 	// the next watch.
 	watchWait func() time.Duration
+	health    *storeHealth
 	// copyNumber returns the number of the scheduler's copy. A change means that the
 	// scheduler has lost its copy and needs everything again.
 	copyNumber func() int
@@ -116,10 +117,12 @@
 
 func (m *mirror) recordFailure(err error) {
 	if errors.Is(err, platform.ErrCompacted) {
+		m.health.recordAnswer()
 		m.log.Write("store", "history dropped, reading everything again", logrus.Fields{"part": m.name, "after": m.revision})
 		m.synced = false
 		return
 	}
+	m.health.recordFailure()
 	if !m.unreachable {
 		m.unreachable = true
 		m.log.Write("store", "reading lost", logrus.Fields{"part": m.name, "error": err.Error()})
@@ -127,6 +130,7 @@
 }
 
 func (m *mirror) recordSuccess() {
+	m.health.recordAnswer()
 	if m.unreachable {
 		m.unreachable = false
 		m.log.Write("store", "reading regained", logrus.Fields{"part": m.name, "revision": m.revision})
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -39,7 +39,7 @@
 			n.loop.status.Store(&controlStatus{Elected: true})
 			var fresh lease.Freshness
 			m := mirror{
-				part: scheduler.OperatorPart, store: idleStore{delay}, now: time.Now, watchWait: n.watchWait, copyNumber: n.copyNumber,
+				part: scheduler.OperatorPart, store: idleStore{delay}, now: time.Now, watchWait: n.watchWait, copyNumber: n.copyNumber, health: &n.health,
 				log: asynclog.New(io.Discard, logrus.Fields{}), awaitNextRead: awaitLeaderRead,
 				awaitNeeded: func(ctx context.Context) bool { return ctx.Err() == nil },
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	loop     *controlLoop
 	runner   *runner
 	metrics  *metrics
+	health   storeHealth
 	draining atomic.Bool
 }
 
@@ -127,7 +128,7 @@
 		<-logDone
 	}()
 
-	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
+	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
 	callersServer := n.newServer(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained))
 	readinessServer := n.newServer(platform.ReadyHandler(n.ready))
 	if err := n.serve(group, callersServer, n.settings.CallersAddress); err != nil {
@@ -204,7 +205,7 @@
 // mirrors returns one mirror for each key prefix that the scheduler reads.
 func (n *node) mirrors() []*mirror {
 	alwaysNeeded := func(ctx context.Context) bool { return ctx.Err() == nil }
-	base := mirror{store: n.client, now: n.clock.Now, log: n.log, send: n.loop.Send, watchWait: n.watchWait, copyNumber: n.copyNumber}
+	base := mirror{store: n.client, now: n.clock.Now, log: n.log, send: n.loop.Send, watchWait: n.watchWait, copyNumber: n.copyNumber, health: &n.health}
 	operator, jobs, workers := base, base, base
 	operator.part, operator.name, operator.prefix = scheduler.OperatorPart, "operator", platform.OperatorPrefix
 	operator.decode, operator.awaitNextRead, operator.awaitNeeded = decodeOperatorItem, awaitLeaderRead, alwaysNeeded
