Hand the lease over from weak to strong schedulers

Cause: a node with 0.192 of a core that has acquired the lease keeps it. Longer delays of weak nodes only help where a strong node is up at the time of the election.

Ruled out: never letting weak nodes acquire the lease, which stops the site while the strong ones are down.

Change: the stored lease names the holder's share of a core. A node with enough asks a weaker holder for the lease 2 to 3 s after it has taken it, by a write that is conditional on the lease; the holder releases it as at a planned stop.

Before: TestWeakSchedulerHandsOver fails (the weak node holds the lease 5 s after the stronger ones have returned).

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -23,6 +23,8 @@
 	progressKey = "cs/"
 	// legacyProgressKey is where earlier versions stored the progress.
 	legacyProgressKey = jobsPrefix + "s/"
+	// handoverKey holds the last request to a scheduler to hand its lease over.
+	handoverKey = jobsPrefix + "handover"
 	// pendingKey holds the numbers of jobs that have not begun.
 	pendingKey = jobsPrefix + "pending"
 	cancelKey  = jobsPrefix + "x/"
@@ -59,6 +61,14 @@
 	// Lease is the store's lease of this claim. It distinguishes two claims of one
 	// process.
 	Lease int64 `json:"lease"`
+	// CPUShare is the part of one core that the holder may use.
+	CPUShare float64 `json:"cpu,omitempty"`
+}
+
+// handoverRecord is the stored request to the holder of the lease to hand it over.
+type handoverRecord struct {
+	Fence int64  `json:"fence"`
+	Node  string `json:"node"`
 }
 
 // waveRecord is the stored progress of an upkeep wave.
@@ -172,7 +182,7 @@
 		var r leaderRecord
 		err := json.Unmarshal(item.Value, &r)
 		return scheduler.HolderRead{
-			Holder: r.Holder, Address: r.Address, Process: r.Process, Fence: item.Revision, Lease: item.Lease,
+			Holder: r.Holder, Address: r.Address, Process: r.Process, Fence: item.Revision, Lease: item.Lease, CPUShare: r.CPUShare,
 		}, wrapKey(err, item.Key)
 	case epochKey:
 		epoch, err := strconv.Atoi(string(item.Value))
@@ -180,6 +190,10 @@
 	case releaseKey:
 		epoch, err := strconv.Atoi(string(item.Value))
 		return scheduler.LeaseReleaseRead{Epoch: epoch}, wrapKey(err, item.Key)
+	case handoverKey:
+		var handover handoverRecord
+		err := json.Unmarshal(item.Value, &handover)
+		return scheduler.HandoverRead{Fence: handover.Fence}, wrapKey(err, item.Key)
 	case pendingKey:
 		var pending pendingRecord
 		err := json.Unmarshal(item.Value, &pending)
--- a/internal/node/lease_calls.go
+++ b/internal/node/lease_calls.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return scheduler.LeaseRefused{Reason: err.Error()}
 	}
-	value := encodeJSON(leaderRecord{Holder: r.nodeName, Address: r.address, Process: r.process, Lease: id})
+	value := encodeJSON(leaderRecord{Holder: r.nodeName, Address: r.address, Process: r.process, Lease: id, CPUShare: r.cpuShare})
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: leaderKey, Revision: a.Replaces}, {Key: epochKey, Revision: a.EpochRevision}},
 		Puts: []platform.Put{
@@ -65,6 +65,16 @@
 	}()
 }
 
+// requestHandover stores the request to the present holder of the lease. Without an
+// answer the scheduler asks again later.
+func (r *runner) requestHandover(a scheduler.RequestHandover) {
+	_, err := r.client.Write(platform.Txn{
+		Conditions: []platform.Condition{leaderCondition(a.Fence)},
+		Puts:       []platform.Put{{Key: handoverKey, Value: encodeJSON(handoverRecord{a.Fence, r.nodeName})}},
+	}, storeTimeout)
+	r.logFailure("handover not requested", err)
+}
+
 // releaseLease releases the scheduler's lease after it has stored that the
 // scheduler of this epoch released it. If that record cannot be stored, the
 // lease is not released but expires: a successor that does not find the record
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 	}
 	process := strconv.FormatInt(time.Now().UnixNano(), decimal)
 	n.runner = &runner{
-		client: n.client, clock: n.clock, log: n.log, nodeName: s.Instance, process: process, address: s.PeerAddress,
+		client: n.client, clock: n.clock, log: n.log, nodeName: s.Instance, process: process, address: s.PeerAddress, cpuShare: s.CPUShare,
 		idle: make(chan chan scheduler.Action, maxIdleWorkers),
 	}
 	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process)), n.clock, n.runner.start)
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -46,8 +46,10 @@
 	// process distinguishes this process from earlier and later processes of the
 	// same node. Address is where other nodes connect to watch this process.
 	process, address string
-	watcher          *holderWatcher
-	metrics          *metrics
+	// cpuShare is the part of one core that this node may use.
+	cpuShare float64
+	watcher  *holderWatcher
+	metrics  *metrics
 	// idle holds the channels of the goroutines that wait for an action, until done is
 	// closed.
 	idle chan chan scheduler.Action
@@ -142,6 +144,8 @@
 		return r.renewLease(a)
 	case scheduler.ReleaseLease:
 		r.releaseLease(a)
+	case scheduler.RequestHandover:
+		r.requestHandover(a)
 	case scheduler.Quarantine:
 		r.quarantine(a)
 	case scheduler.PollWorker:
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -214,6 +214,8 @@
 	// Address and Process identify the holder's process to the nodes that watch it.
 	Address, Process string
 	Fence, Lease     int64
+	// CPUShare is the part of one core that the holder may use, 0 if it is not known.
+	CPUShare float64
 }
 
 func (c HolderRead) apply(s *Scheduler, now time.Time) { s.applyHolder(c, now) }
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -50,6 +50,12 @@
 	// is complete.
 	syncedRevision int64
 	acquiring      bool
+	// holderSeenAt is when this node first read of the present holder. handoverAsked is
+	// the fencing token of the last holder that was asked for the lease, handoverAt
+	// when this node may ask next.
+	holderSeenAt  time.Time
+	handoverAsked int64
+	handoverAt    time.Time
 	// readingProgress is set while the progress of the jobs is read after this node
 	// has acquired the lease. readProgressAt is when a failed read is repeated.
 	readingProgress bool
@@ -161,7 +167,7 @@
 	if next.Fence == e.holder.Fence {
 		return
 	}
-	e.holder = next
+	e.holder, e.holderSeenAt = next, now
 	if next.Fence == 0 {
 		e.acquireAt = now.Add(s.acquireDelay())
 	}
@@ -208,6 +214,7 @@
 	e := &s.election
 	if !e.authority.Held() {
 		s.acquireLease(now)
+		s.stepHandover(now)
 		return
 	}
 	if !now.Before(e.renewAt) {
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -17,6 +17,7 @@
 	w            *simulation
 	name         string
 	guard        *Guard
+	cpuShare     float64
 	state        *Scheduler
 	incarnation  int
 	seenRevision int64
@@ -30,7 +31,7 @@
 }
 
 func (w *simulation) addNode(name string) {
-	n := &simNode{w: w, name: name}
+	n := &simNode{w: w, name: name, cpuShare: sufficientCPUShare}
 	w.nodes = append(w.nodes, n)
 	n.boot()
 }
@@ -39,7 +40,7 @@
 	n.incarnation++
 	n.down, n.seenRevision, n.syncing, n.watched = false, 0, false, WatchHolder{}
 	n.guard = NewGuard(Options{
-		NodeName: n.name, ProcessID: n.process(), CPUShare: sufficientCPUShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
+		NodeName: n.name, ProcessID: n.process(), CPUShare: n.cpuShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
 		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second,
 	})
 	n.state = n.guard.Scheduler()
@@ -196,6 +197,8 @@
 				w.store.endLease(a.Lease)
 			}
 		})
+	case RequestHandover:
+		w.after(w.latency(), func() { w.store.write(a.Fence, map[string]any{"handover": HandoverRead{a.Fence}}, nil) })
 	case Quarantine:
 		w.after(w.latency(), func() {
 			if a.Record.Kind != "" {
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -84,7 +84,7 @@
 	if taken {
 		s.put("left", LeaseReleaseRead{a.Epoch - 1}, 0)
 	}
-	fence := s.put("leader", HolderRead{Holder: n.name, Address: n.name, Process: n.process(), Lease: s.nextID}, s.nextID)
+	fence := s.put("leader", HolderRead{Holder: n.name, Address: n.name, Process: n.process(), Lease: s.nextID, CPUShare: n.cpuShare}, s.nextID)
 	if taken {
 		s.endLease(a.ReplacedLease)
 	}
@@ -205,7 +205,7 @@
 	case EpochRead:
 		value.Revision = item.revision
 		return JobsPart, value
-	case WaveProgressRead, QuarantineRead:
+	case WaveProgressRead, QuarantineRead, HandoverRead:
 		return JobsPart, value.(Change)
 	case PendingRead:
 		value.Revision = item.revision
