--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -30,7 +30,7 @@
 			t.Errorf("%T that failed has no result", a)
 		}
 	}
-	for _, a := range []scheduler.Action{scheduler.ReleaseLease{}, scheduler.SetPace{NotAfter: notAfter}, scheduler.RemoveJobs{}, scheduler.CloseWorker{}, scheduler.Quarantine{}} {
+	for _, a := range []scheduler.Action{scheduler.ReleaseLease{}, scheduler.SetPace{NotAfter: notAfter}, scheduler.RemoveJobs{}, scheduler.CloseWorker{}, scheduler.StoreQuarantine{}} {
 		if e := r.performContained(a); e != nil {
 			t.Errorf("%T that failed has the result %+v", a, e)
 		}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -48,12 +48,12 @@
 	return scheduler.QuarantineRead{Record: r}, nil
 }
 
-// quarantine stores the quarantine of a record and then releases the lease.
-func (r *runner) quarantine(a scheduler.Quarantine) {
+// storeQuarantine stores the quarantine of a record and then releases the lease.
+func (r *runner) storeQuarantine(a scheduler.StoreQuarantine) {
 	if a.Record.Kind != "" {
 		key := keyOfQuarantine(a.Record)
 		value := encodeJSON(quarantineRecord{Error: a.Reason, Node: r.nodeName, AtMillis: r.clock.Now().UnixMilli()})
-		if err := r.storeQuarantine(key, value); err != nil {
+		if err := r.writeQuarantine(key, value); err != nil {
 			r.logFailure("quarantine not stored", err)
 			return
 		}
@@ -63,8 +63,8 @@
 	}
 }
 
-// storeQuarantine creates the key. A quarantine that exists already is kept.
-func (r *runner) storeQuarantine(key string, value []byte) error {
+// writeQuarantine creates the key. A quarantine that exists already is kept.
+func (r *runner) writeQuarantine(key string, value []byte) error {
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Revision: revisionAbsent}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -146,8 +146,8 @@
 		r.releaseLease(a)
 	case scheduler.RequestHandover:
 		r.requestHandover(a)
-	case scheduler.Quarantine:
-		r.quarantine(a)
+	case scheduler.StoreQuarantine:
+		r.storeQuarantine(a)
 	case scheduler.PollWorker:
 		return r.pollWorker(a)
 	case scheduler.StartTask:
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -48,18 +48,18 @@
 	return g.current.Apply(e, now)
 }
 
-// Quarantine stores the quarantine of a record whose Reason made a decision fail.
+// StoreQuarantine stores the quarantine of a record whose Reason made a decision fail.
 // Afterwards, it releases the lease in Release, if there is one: the next scheduler
 // then reads the quarantine before it decides anything. It has no result of its own:
 // the quarantine arrives as QuarantineRead.
-type Quarantine struct {
+type StoreQuarantine struct {
 	// Record is the zero Record if the failure had no subject. Nothing is stored then.
 	Record  Record
 	Reason  string
 	Release *ReleaseLease
 }
 
-func (Quarantine) isAction() {}
+func (StoreQuarantine) isAction() {}
 
 // contain replaces the scheduler after a failure and returns the actions that end its
 // term.
@@ -81,7 +81,7 @@
 	maps.Copy(next.quarantine.records, failed.quarantine.records)
 	g.current = next
 
-	action := Quarantine{Reason: fmt.Sprint(cause)}
+	action := StoreQuarantine{Reason: fmt.Sprint(cause)}
 	if len(next.quarantine.records) < maxQuarantined {
 		action.Record = failed.subject
 	}
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -199,7 +199,7 @@
 		})
 	case RequestHandover:
 		w.after(w.latency(), func() { w.store.write(a.Fence, map[string]any{"handover": HandoverRead{a.Fence}}, nil) })
-	case Quarantine:
+	case StoreQuarantine:
 		w.after(w.latency(), func() {
 			if a.Record.Kind != "" {
 				w.store.put(quarantineKey(a.Record), QuarantineRead{a.Record}, 0)
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/machine/pools"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
@@ -258,69 +257,6 @@
 	return next, lowest
 }
 
-// interruptionCost ranks a machine by the runs that taking it down interrupts.
-// A long-running task that may not end now outweighs all others.
-func (s *Scheduler) interruptionCost(m upkeep.Machine) int {
-	wk := s.workers.get(m.Worker)
-	if wk == nil {
-		return 0
-	}
-	cost := len(wk.Runs())
-	for _, r := range wk.Runs() {
-		if r.Task.Spec().LongRunning && !s.mayEndWithWorker(wk, r) {
-			cost += 1000
-		}
-	}
-	return cost
-}
-
-// mayEndWithWorker reports whether a run may end together with its worker. For a
-// long-running one this means that, without the tasks of its step on the worker,
-// no more than Step.MaxUnavailable are unavailable.
-func (s *Scheduler) mayEndWithWorker(w *worker.Worker, r *job.Run) bool {
-	spec := r.Task.Spec()
-	if !spec.LongRunning || spec.MaxUnavailable == 0 || r.Task.Occurrence.Job.Ended() {
-		return true
-	}
-	unavailable := 0
-	tasks := r.Task.Occurrence.Tasks(r.Task.Step)
-	for i := range tasks {
-		t := &tasks[i]
-		here := slices.ContainsFunc(t.Runs, func(o *job.Run) bool { return o.Worker == w.ID })
-		if here || !s.serving(t) {
-			unavailable++
-		}
-	}
-	return unavailable <= spec.MaxUnavailable
-}
-
-// serving reports whether a long-running task serves. A run on a worker that does
-// not answer is not counted, because it may have ended long ago.
-func (s *Scheduler) serving(t *job.Task) bool {
-	return slices.ContainsFunc(t.Runs, func(r *job.Run) bool {
-		w := s.workers.get(r.Worker)
-		return r.Serving() && w != nil && !w.Silent
-	})
-}
-
-// mayStopRun reports whether a run may be stopped by itself. For a long-running one
-// this means that, without it, no more than Step.MaxUnavailable tasks of its
-// step are unavailable.
-func (s *Scheduler) mayStopRun(r *job.Run) bool {
-	spec := r.Task.Spec()
-	if !spec.LongRunning || spec.MaxUnavailable == 0 || r.Task.Occurrence.Job.Ended() {
-		return true
-	}
-	unavailable := 1
-	tasks := r.Task.Occurrence.Tasks(r.Task.Step)
-	for i := range tasks {
-		if &tasks[i] != r.Task && !s.serving(&tasks[i]) {
-			unavailable++
-		}
-	}
-	return unavailable <= spec.MaxUnavailable
-}
-
 // drainMember marks a draining member as ready for its upkeep order once its
 // machine may go down.
 func (s *Scheduler) drainMember(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
@@ -346,47 +282,6 @@
 // this scheduler, or nothing can be running on it any longer.
 func runsKnown(wk *worker.Worker, now time.Time) bool { return wk.Answered || wk.Expired(now) }
 
-// evictRuns stops the runs of a draining worker that have to be stopped by now. It
-// reports whether the machine may be taken down with the remaining runs.
-func (s *Scheduler) evictRuns(wk *worker.Worker, drainingFor time.Duration, now time.Time) bool {
-	ready := true
-	for _, r := range wk.Runs() {
-		spec := r.Task.Spec()
-		switch {
-		case spec.LongRunning:
-			ready = ready && s.evictLongRunning(wk, r, now)
-		case drainingFor >= drainGrace:
-		case spec.Checkpoints && drainingFor >= checkpointStopDelay:
-			if r.StopSentAt.IsZero() && r.Phase == job.RunActive {
-				r.EndPlanned = true
-				s.stopRun(wk, r, now)
-			}
-			ready = false
-		default:
-			ready = false
-		}
-	}
-	if !ready {
-		s.requestTick(now.Add(listInterval / 4))
-	}
-	return ready
-}
-
-// evictLongRunning reports whether a long-running run may end with its machine. If
-// the machine has more tasks of a step than may be unavailable at a time,
-// evictLongRunning stops their runs one by one, so that each task restarts
-// elsewhere before the next one is stopped.
-func (s *Scheduler) evictLongRunning(wk *worker.Worker, r *job.Run, now time.Time) bool {
-	if s.mayEndWithWorker(wk, r) {
-		return true
-	}
-	if r.StopSentAt.IsZero() && r.Phase == job.RunActive && s.mayStopRun(r) {
-		r.EndPlanned = true
-		s.stopRun(wk, r, now)
-	}
-	return false
-}
-
 // orderUpkeep orders the upkeep of a member whose machine may go down.
 func (s *Scheduler) orderUpkeep(w *upkeep.Wave, m *upkeep.Member, now time.Time) {
 	if !s.machineOpsAllowed(now) {
