Take only reports as evidence of a stall

Cause: a run without progress for 1.5 s is stopped.

Ruled out: machine orders after the takeover; moves take idle machines only, and workers with runs are in the roster.

Change: a run is stalled when a report shows no progress since one that is as old as the limit. The interval of polls is 300 ms at most.

Before: TestLateReportIsNoStall and TestPollsStayFrequent fail (a poll every 1.6 s with 500 busy workers on 0.2 of a core). After: they pass. Conclusion: a late scheduler is slow, but ends nothing for it.

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -213,9 +213,10 @@
 	// answered it. Each is the zero time when that has not happened.
 	StopSentAt, StopConfirmedAt time.Time
 	// ProgressPercent is the progress that the worker reported last. ProgressAt
-	// is when it last changed.
+	// is when it last changed, ReportedAt when the worker last reported the run.
 	ProgressPercent int
 	ProgressAt      time.Time
+	ReportedAt      time.Time
 	// Measurement is the worker's rough measurement over the last half second: the
 	// tail latency in ms of a serving task, the milli-cores in use of any other.
 	Measurement int
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -229,8 +229,9 @@
 	s.checkStall(w, r, now)
 }
 
-// checkStall stops a run that makes no progress, so that its task is placed on
-// another worker.
+// checkStall stops a run that makes no progress according to its worker's reports, so
+// that its task is placed on another worker. The time without a report does not count:
+// a scheduler that polls late must not stop runs for it.
 func (s *Scheduler) checkStall(w *worker.Worker, r *job.Run, now time.Time) {
 	spec := r.Task.Spec()
 	if spec.Gang || w.Silent || r.ProgressPercent >= 100 || r.PacePercent < 100 {
@@ -240,9 +241,7 @@
 	if !spec.LongRunning {
 		timeout += spec.Estimate / 2
 	}
-	at := r.ProgressAt.Add(timeout)
-	if now.Before(at) {
-		s.requestTick(at)
+	if r.ReportedAt.Sub(r.ProgressAt) < timeout {
 		return
 	}
 	s.log("run stalled", "job", r.Task.Occurrence.Job.ID, "task", r.Task.Name().String(), "run", r.Number, "worker", w.ID, "percent", r.ProgressPercent)
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -198,7 +198,7 @@
 			}
 		})
 	case RequestHandover:
-		w.after(w.latency(), func() { w.store.write(a.Fence, map[string]any{"handover": HandoverRead{a.Fence}}, nil) })
+		w.after(w.latency(), func() { w.store.write(a.Fence, map[string]any{"handover": HandoverRead(a)}, nil) })
 	case StoreQuarantine:
 		w.after(w.latency(), func() {
 			if a.Record.Kind != "" {
--- /dev/null
+++ b/internal/scheduler/stall_test.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+)
+
+// TestLateReportIsNoStall guards against a scheduler that stops a run as stalled because
+// it has polled the worker late, and against a run that makes no progress and is not
+// stopped.
+func TestLateReportIsNoStall(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 0)
+	spec := job.Spec{Steps: []job.Step{newLongRunningStep(1, 1, 0)}}
+	j := job.New("0000000000000001", job.Terms{Queue: "s0", Service: "s0", Attempts: 3}, spec, now.UnixMilli(), 2)
+	s.jobs.set(j.ID, j)
+	s.trackJob(j)
+	w := s.workers.get("i-0")
+	r := &job.Run{Task: j.Task(job.TaskName{Job: j.ID}), Number: 1, OrderedAt: now, ProgressAt: now, ConfirmedAt: now, Phase: job.RunActive, PacePercent: fullPace}
+	s.addRun(w, r)
+	report := func(at time.Time, percent int) {
+		s.confirm(r, worker.RunReport{Task: r.Task.Name(), Run: 1, Percent: percent}, at)
+	}
+	check := func(at time.Time) bool {
+		s.checkRun(w, r, at)
+		return !r.StopSentAt.IsZero()
+	}
+	report(now.Add(time.Second), 20)
+	if check(now.Add(time.Second + 3*stallTimeout)) {
+		t.Error("a run without a report is stopped")
+	}
+	report(now.Add(time.Second+3*stallTimeout), 60)
+	if check(now.Add(time.Second + 3*stallTimeout)) {
+		t.Error("a run with progress in a late report is stopped")
+	}
+	report(now.Add(time.Second+4*stallTimeout), 60)
+	if !check(now.Add(time.Second + 4*stallTimeout)) {
+		t.Error("a run without progress between two reports is not stopped")
+	}
+}
+
+// TestPollsStayFrequent guards against a scheduler with little processor time that polls
+// the workers of a large fleet so rarely that leases run out or runs seem to stall.
+func TestPollsStayFrequent(t *testing.T) {
+	for _, share := range []float64{0, 0.1, 0.2, 1} {
+		for _, busy := range []int{0, 10, 500, 3000} {
+			s := New(Options{CPUShare: share})
+			s.busyWorkers = busy
+			if got := s.pollInterval() + pollWait; got > stallTimeout || got < minPollInterval {
+				t.Errorf("%.1f of a core and %d busy workers: a poll every %v", share, busy, got)
+			}
+		}
+	}
+}
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -94,6 +94,7 @@
 			s.queueProgress(j)
 		}
 	}
+	r.ReportedAt = now
 	if report.Percent != r.ProgressPercent {
 		r.ProgressPercent, r.ProgressAt = report.Percent, now
 	}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -22,6 +22,9 @@
 	// starts take most of the scheduler's processor time. At a higher rate each poll
 	// brings a single end, and a large fleet's starts wait for the processor instead.
 	maxPollRate = 2500
+	// maxPollInterval bounds the delay on a scheduler with too little processor time:
+	// leases, ends and latencies must still be seen in time.
+	maxPollInterval = 300 * time.Millisecond
 	// ackTimeout bounds the delay of a poll while the ends of the last answer are
 	// not stored yet and cannot be acknowledged. An earlier poll would return the
 	// same ends again.
@@ -189,7 +192,8 @@
 	if rate <= 0 {
 		return minPollInterval
 	}
-	return max(minPollInterval, time.Duration(float64(s.busyWorkers)/rate*float64(time.Second)))
+	interval := time.Duration(float64(s.busyWorkers) / rate * float64(time.Second))
+	return min(max(interval, minPollInterval), maxPollInterval)
 }
 
 // handleRestart handles a new incarnation of a worker under the same id. Runs
