scheduler: take the stack reader from the node

Cause: TestDecisionPackagesImportNoIO fails on: the guard imports runtime/debug to log the stack of a contained failure, and a decision package imports nothing of the runtime. Ruled out: allowing runtime/debug in the check. The check keeps decisions runnable in simulation; a list of exceptions would grow. Change: NewGuard takes a function that returns the stack; the node passes debug.Stack. After: internal/scheduler and test/imports pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -102,7 +103,7 @@
 		client: n.client, clock: n.clock, log: n.log, nodeName: s.Instance, process: process, address: s.PeerAddress, cpuShare: s.CPUShare,
 		idle: make(chan chan scheduler.Action, maxIdleWorkers),
 	}
-	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process)), n.clock, n.runner.start)
+	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process), debug.Stack), n.clock, n.runner.start)
 	n.runner.send, n.runner.done = n.loop.Send, n.loop.stopped
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
 	var err error
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"runtime/debug"
 	"time"
 )
 
@@ -25,6 +24,8 @@
 // read again. A Guard is not safe for concurrent use.
 type Guard struct {
 	options Options
+	// stack returns the stack of the calling goroutine, for the log line of a failure.
+	stack   func() []byte
 	current *Scheduler
 	// yield is the delay after the last failure, at lastFailureAt.
 	yield         time.Duration
@@ -32,7 +33,10 @@
 }
 
 // NewGuard returns a guard of a scheduler that has read nothing from the store yet.
-func NewGuard(o Options) *Guard { return &Guard{options: o, current: New(o)} }
+// Stack returns the stack of the calling goroutine.
+func NewGuard(o Options, stack func() []byte) *Guard {
+	return &Guard{options: o, stack: stack, current: New(o)}
+}
 
 // Scheduler returns the present scheduler. A later Apply may replace it.
 func (g *Guard) Scheduler() *Scheduler { return g.current }
@@ -91,7 +95,7 @@
 	if a := failed.election.authority; a.Held() {
 		action.Release = &ReleaseLease{a.LeaseID, a.Fence, a.Epoch}
 	}
-	stack := debug.Stack()
+	stack := g.stack()
 	next.log("failure contained", "error", action.Reason, "event", fmt.Sprintf("%T", e), "kind", failed.subject.Kind,
 		"name", failed.subject.Name, "leading", failed.leading, "yield_ms", g.yield.Milliseconds(), "stack", string(stack[:min(len(stack), maxLoggedStack)]))
 	next.act(action)
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -8,6 +8,8 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 )
 
+func noStack() []byte { return nil }
+
 // poisonSpec is a job whose second step depends on a step that does not exist, which
 // makes every decision about the job panic.
 func poisonSpec() job.Spec {
@@ -138,7 +140,7 @@
 			w.fail("%s has quarantined %v", n.name, n.state.quarantine.records)
 		}
 	}
-	g, now := NewGuard(Options{NodeName: "node"}), w.now
+	g, now := NewGuard(Options{NodeName: "node"}, noStack), w.now
 	for range 10 {
 		g.Apply(failingEvent{}, now)
 	}
@@ -149,7 +151,7 @@
 
 // TestQuarantineIsBounded guards against a defect that takes every record out of use.
 func TestQuarantineIsBounded(t *testing.T) {
-	g, now := NewGuard(Options{NodeName: "node"}), time.UnixMilli(1_700_000_000_000)
+	g, now := NewGuard(Options{NodeName: "node"}, noStack), time.UnixMilli(1_700_000_000_000)
 	for i := range 2 * maxQuarantined {
 		g.Scheduler().subject = jobRecord(job.ID(rune('a' + i)))
 		g.contain("defect", Tick{}, now)
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -42,7 +42,7 @@
 	n.guard = NewGuard(Options{
 		NodeName: n.name, ProcessID: n.process(), CPUShare: n.cpuShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
 		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second,
-	})
+	}, noStack)
 	n.state = n.guard.Scheduler()
 	n.later(n.w.latency(), n.poll)
 }
