node: lengthen Retry-After with the outage of the store

The store answers nobody for 5.5 s. Nodes refuse at once with Retry-After 1 s, and a caller's five attempts are used up before the store is back.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -29,8 +29,6 @@
 	// used to report the state of an unfinished job. If the copy is older, the
 	// store is read.
 	maxJobViewAge = 1500 * time.Millisecond
-	// RetryAfter is the delay after which a refused caller should try again.
-	RetryAfter = time.Second
 )
 
 // Code is the outcome of a request.
@@ -76,6 +74,9 @@
 	State  job.State
 	// Pending is the number of jobs in a queue that have not started.
 	Pending int
+	// RetryAfter is the delay after which a caller should try again, set if Code is
+	// NotRun or Unavailable.
+	RetryAfter time.Duration
 	// Queue, Team and Job are empty if the request was refused before they were
 	// determined.
 	Queue, Team string
@@ -129,6 +130,9 @@
 	// Read reads the present state of a job from the store. Known is false if the
 	// job does not exist.
 	Read(id job.ID, until time.Time) (view scheduler.JobView, err error)
+	// RetryAfter returns the delay after which a caller whose request was refused
+	// should try again.
+	RetryAfter() time.Duration
 	// ReadState reads the state of a job that exists and is not cancelled.
 	ReadState(id job.ID, until time.Time) (job.State, error)
 }
@@ -182,9 +186,9 @@
 func (s *Service) admit(r Request, now time.Time) admission {
 	view := s.control.View()
 	if view.Config == nil {
-		return admission{answer: Answer{Code: NotRun, Reason: "no configuration has been read yet"}}
+		return admission{answer: Answer{Code: NotRun, Reason: "no configuration has been read yet", RetryAfter: s.store.RetryAfter()}}
 	}
-	a := admission{answer: Answer{ConfigVersion: view.Config.Version, ConfigAge: now.Sub(view.ConfigAsOf)}}
+	a := admission{answer: Answer{ConfigVersion: view.Config.Version, ConfigAge: now.Sub(view.ConfigAsOf), RetryAfter: s.store.RetryAfter()}}
 	if a.answer.ConfigAge > s.maxConfigAge {
 		a.answer.Code, a.answer.Reason = NotRun, "the configuration may be out of date"
 		return a
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -38,6 +38,8 @@
 
 func (s *fakeStore) Accept(*job.Job, time.Time) WriteResult { return Stored }
 
+func (s *fakeStore) RetryAfter() time.Duration { return time.Second }
+
 func (s *fakeStore) Cancel(job.ID, int64, time.Time) WriteResult { return Stored }
 
 func (s *fakeStore) Read(id job.ID, _ time.Time) (scheduler.JobView, error) {
--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -119,6 +119,9 @@
 	}
 }
 
+// RetryAfter implements ingress.Store.
+func (s jobStore) RetryAfter() time.Duration { return s.health.retryAfter(s.clock.Now()) }
+
 // Read implements ingress.Store.
 func (s jobStore) Read(id job.ID, until time.Time) (scheduler.JobView, error) {
 	sentAt := s.clock.Now()
--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -122,7 +122,7 @@
 		m.synced = false
 		return
 	}
-	m.health.recordFailure()
+	m.health.recordFailure(m.now())
 	if !m.unreachable {
 		m.unreachable = true
 		m.log.Write("store", "reading lost", logrus.Fields{"part": m.name, "error": err.Error()})
--- a/internal/node/mirror_test.go
+++ b/internal/node/mirror_test.go
@@ -35,7 +35,7 @@
 func TestIdleCopyStaysFreshOnScheduler(t *testing.T) {
 	for _, delay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
-			n := &node{loop: newControlLoop(scheduler.NewGuard(scheduler.Options{}), newBootClock(), nil)}
+			n := &node{loop: newControlLoop(scheduler.NewGuard(scheduler.Options{}, nil), newBootClock(), nil)}
 			n.loop.status.Store(&controlStatus{Elected: true})
 			var fresh lease.Freshness
 			m := mirror{
--- a/internal/node/store_health_test.go
+++ b/internal/node/store_health_test.go
@@ -24,7 +24,7 @@
 		if got := accept(); got != ingress.WriteUnknown {
 			t.Errorf("after %d failures: result %v, want an attempt", i, got)
 		}
-		health.recordFailure()
+		health.recordFailure(store.clock.Now())
 	}
 	if got := accept(); got != ingress.NotStored {
 		t.Errorf("after %d failures: result %v, want a refusal", unreachableAfter, got)
@@ -34,3 +34,28 @@
 		t.Errorf("after an answer: result %v, want an attempt", got)
 	}
 }
+
+// TestAttemptsOutlastOutage guards against callers whose few attempts are used up while
+// the store is down, because each is refused at once and returns after a second, and
+// against a long delay where only this node has lost the store.
+func TestAttemptsOutlastOutage(t *testing.T) {
+	const attempts = 5
+	var health storeHealth
+	start := time.UnixMilli(1_700_000_000_000)
+	if got := health.retryAfter(start); got != minRetryAfter {
+		t.Errorf("with a store that answers: %v", got)
+	}
+	health.recordFailure(start)
+	at := start.Add(300 * time.Millisecond)
+	for i := range attempts - 1 {
+		delay := health.retryAfter(at)
+		if i == 0 && delay != minRetryAfter {
+			t.Errorf("the first refusal asks to return after %v", delay)
+		}
+		at = at.Add(delay)
+	}
+	// Outages of the users' store last up to 5 s.
+	if lasted := at.Sub(start); lasted < 5*time.Second {
+		t.Errorf("%d attempts end %v after the beginning of the outage", attempts, lasted)
+	}
+}
