platform: let answers of the store take time while data arrive

Callers saw nodes with a 10 Mbit/s link that answered by an old version of a large configuration, or refused everything with 503, for up to 19 s, while the other nodes had the newest version within a second.

Cause: the timeout of a read covered the whole answer. A watch answers with every version since the last one; at 3,800 routes a version is about 1 MB in base64, so that two versions do not fit into 1.7 s on such a link, nor one into the 1 s of a listing when another listing shares it. The same read was repeated until the store dropped the history that it asked for.

The answer to a watch of the operator's keys is bounded; a larger one is not read, and the newest state is listed instead.

Ruled out: a lost or slow store (only weak nodes were late, and only for the operator's keys), processor time (the nodes spend 0.02 of a core in the mean).

--- a/internal/node/mirror.go
+++ b/internal/node/mirror.go
@@ -22,10 +22,10 @@
 	// waits old. Together with two answers of a store that is 60 times slower than
 	// usual, that stays below scheduler.MaxCopyAge, at which starts stop.
 	leaderWatchWait = 500 * time.Millisecond
-	// watchTimeout bounds the answer of a watch after its wait has passed. The store
-	// can be 60 times slower than its usual 4 ms.
+	// watchTimeout bounds the beginning of the answer of a watch after its wait has
+	// passed. The store can be 60 times slower than its usual 4 ms.
 	watchTimeout = 700 * time.Millisecond
-	// listTimeout bounds the read of each page of a full listing.
+	// listTimeout bounds the beginning of each page of a full listing.
 	listTimeout = time.Second
 	// readRetryDelay is the delay before a failed read is repeated.
 	readRetryDelay = 100 * time.Millisecond
@@ -149,6 +149,10 @@
 	}
 	sentAt := m.now()
 	items, revision, err := m.store.Watch(m.prefix, m.revision, m.watchWait(), watchTimeout)
+	if errors.Is(err, platform.ErrAnswerTooLarge) {
+		m.log.Write("store", "changes too large, reading the newest state instead", logrus.Fields{"part": m.name, "after": m.revision})
+		return m.list()
+	}
 	if err != nil {
 		return 0, err
 	}
