ingress: decide by a configuration only while it must be in force

Callers of a node whose copy of the configuration was late got 401 or 404 by an older version, up to 4.5 s after the newer one was acknowledged; it has to be in force after config-apply-ms, 2 to 4 s.

Cause: the only bound on the age of the copy was that for withdrawn keys. It also let a node stay ready while it refused everything, because readiness went by the newer of the copies of jobs and configuration.

Change: a copy decides about requests up to the smaller of the two bounds, less a margin each; a node with an older copy answers 503 and withdraws readiness. The watch of the configuration waits at most 0.3 of config-apply-ms, so that an idle copy stays below the bound where the store is 60 times slower.

Ruled out: applying the bound to refusals only. Acceptance by a dropped queue or key breaks the same rule.

Evidence: TestNoRefusalByOutdatedConfiguration fails with the bound for keys alone (no-queue and bad-key at an age of 3 s).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,10 @@
 	// keyClockMargin is subtracted from the time after which a withdrawn key must
 	// no longer be accepted. It covers the difference in rate between clocks.
 	keyClockMargin = 500 * time.Millisecond
+	// applyMargin is subtracted from the time after which a version of the
+	// configuration must be in force. It covers the time between the check of the
+	// copy's age and the answer, and the difference in rate between clocks.
+	applyMargin = 250 * time.Millisecond
 	// answerReserve is subtracted from the caller's deadline, to leave time for
 	// the answer to reach the caller.
 	answerReserve = 200 * time.Millisecond
@@ -145,11 +149,17 @@
 	maxConfigAge time.Duration
 }
 
-// New returns a service. KeyWithdrawal is the time after which a withdrawn key
-// must no longer be accepted; requests are refused if the node has not
-// confirmed its configuration for that time less keyClockMargin.
-func New(control Control, store Store, clock func() time.Time, keyWithdrawal time.Duration) *Service {
-	return &Service{control: control, store: store, clock: clock, maxConfigAge: keyWithdrawal - keyClockMargin}
+// New returns a service. It refuses requests if the node has not confirmed its
+// configuration for longer than maxConfigAge.
+func New(control Control, store Store, clock func() time.Time, maxConfigAge time.Duration) *Service {
+	return &Service{control: control, store: store, clock: clock, maxConfigAge: maxConfigAge}
+}
+
+// MaxConfigAge returns the age up to which a copy of the configuration decides about
+// requests. KeyWithdrawal is the time after which a withdrawn key must no longer be
+// accepted, configApply the time after which any version must be in force.
+func MaxConfigAge(keyWithdrawal, configApply time.Duration) time.Duration {
+	return min(keyWithdrawal-keyClockMargin, configApply-applyMargin)
 }
 
 // Request holds the fields that every request of a caller carries.
@@ -181,8 +191,8 @@
 }
 
 // admit finds the queue of a request and checks its key. It refuses the request
-// if the configuration is older than maxConfigAge, because the key may have
-// been withdrawn since.
+// if the configuration is older than maxConfigAge, because the key may have been
+// withdrawn, or a queue added or removed, since.
 func (s *Service) admit(r Request, now time.Time) admission {
 	view := s.control.View()
 	if view.Config == nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -17,12 +17,15 @@
 const testJob = job.ID("0123456789abcdef")
 
 // fakeControl is a control thread whose copy holds one view of a job.
-type fakeControl struct{ view scheduler.JobView }
+type fakeControl struct {
+	view      scheduler.JobView
+	configAge time.Duration
+}
 
 func (c fakeControl) View() View {
 	config := policy.New(1, []policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}},
 		[]policy.Team{{Name: "team", Keys: []string{"key"}}}, nil, policy.RequestLimits{})
-	return View{Config: config, ConfigAsOf: testNow}
+	return View{Config: config, ConfigAsOf: testNow.Add(-c.configAge)}
 }
 
 func (c fakeControl) Job(context.Context, job.ID) (scheduler.JobView, error) { return c.view, nil }
@@ -72,7 +75,7 @@
 		"not in the copy":          {scheduler.JobView{ID: testJob}, job.Completed, 1, 0},
 	} {
 		store := &fakeStore{state: job.Completed}
-		s := New(fakeControl{c.view}, store, func() time.Time { return testNow }, 5*time.Second)
+		s := New(fakeControl{view: c.view}, store, func() time.Time { return testNow }, 5*time.Second)
 		a := s.Show(t.Context(), Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"})
 		if a.Code != Shown || a.State != c.want || store.reads != c.reads || store.stateReads != c.stateReads {
 			t.Errorf("%s: %v %q, %d and %d reads; want %q, %d and %d", name, a.Code, a.State, store.reads, store.stateReads, c.want, c.reads, c.stateReads)
@@ -85,8 +88,31 @@
 func TestUnknownStateIsNotGuessed(t *testing.T) {
 	store := &fakeStore{err: errors.New("down")}
 	view := scheduler.JobView{ID: testJob, Known: true, Queue: "q", Team: "team", State: job.Queued, AsOf: testNow}
-	s := New(fakeControl{view}, store, func() time.Time { return testNow }, 5*time.Second)
+	s := New(fakeControl{view: view}, store, func() time.Time { return testNow }, 5*time.Second)
 	if a := s.Show(t.Context(), Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"}); a.Code != Unavailable || a.State != "" {
 		t.Errorf("%v %q", a.Code, a.State)
 	}
 }
+
+// TestNoRefusalByOutdatedConfiguration guards against a request that is refused as
+// unknown by a copy which a newer version may have replaced so long ago that it must be
+// in force.
+func TestNoRefusalByOutdatedConfiguration(t *testing.T) {
+	const keyWithdrawal, configApply = 5 * time.Second, 3 * time.Second
+	for name, c := range map[string]struct {
+		request Request
+		age     time.Duration
+		want    Code
+	}{
+		"unknown queue, current copy":  {Request{Host: "h", Path: "/added/", Key: "key"}, 2 * time.Second, NoQueue},
+		"unknown queue, outdated copy": {Request{Host: "h", Path: "/added/", Key: "key"}, configApply, Unavailable},
+		"unknown key, current copy":    {Request{Host: "h", Path: "/q/", Key: "granted"}, 2 * time.Second, BadKey},
+		"unknown key, outdated copy":   {Request{Host: "h", Path: "/q/", Key: "granted"}, configApply, Unavailable},
+		"known queue, outdated copy":   {Request{Host: "h", Path: "/q/", Key: "key"}, configApply, Unavailable},
+	} {
+		s := New(fakeControl{configAge: c.age}, &fakeStore{}, func() time.Time { return testNow }, MaxConfigAge(keyWithdrawal, configApply))
+		if a := s.Show(t.Context(), c.request); a.Code != c.want {
+			t.Errorf("%s: %v, want %v", name, a.Code, c.want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 		<-logDone
 	}()
 
-	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.settings.Bounds.KeyWithdrawal)
+	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.maxConfigAge())
 	callersServer := n.newServer(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained))
 	readinessServer := n.newServer(platform.ReadyHandler(n.ready))
 	if err := n.serve(group, callersServer, n.settings.CallersAddress); err != nil {
@@ -217,6 +217,7 @@
 	operator, jobs, workers := base, base, base
 	operator.part, operator.name, operator.prefix = scheduler.OperatorPart, "operator", platform.OperatorPrefix
 	operator.decode, operator.awaitNextRead, operator.awaitNeeded = decodeOperatorItem, awaitLeaderRead, alwaysNeeded
+	operator.watchWait = n.operatorWatchWait
 	jobs.part, jobs.name, jobs.prefix = scheduler.JobsPart, "jobs", jobsPrefix
 	jobs.decode, jobs.awaitNextRead, jobs.awaitNeeded = decodeJobsItem, n.awaitJobsRead, alwaysNeeded
 	workers.part, workers.name, workers.prefix = scheduler.WorkersPart, "workers", platform.WorkerPrefix
@@ -232,6 +233,19 @@
 	return followerWatchWait
 }
 
+// operatorWatchWait is watchWait for the configuration. Just before the answer of a
+// watch, the copy is two waits and two answers old; with a store that is 60 times slower
+// than usual that stays below maxConfigAge.
+func (n *node) operatorWatchWait() time.Duration {
+	return min(n.watchWait(), n.settings.Bounds.ConfigApply*3/10)
+}
+
+// maxConfigAge is the age up to which the copy of the configuration decides about
+// callers' requests.
+func (n *node) maxConfigAge() time.Duration {
+	return ingress.MaxConfigAge(n.settings.Bounds.KeyWithdrawal, n.settings.Bounds.ConfigApply)
+}
+
 // copyNumber returns the number of the scheduler's present copy of the store.
 func (n *node) copyNumber() int { return n.loop.Status().CopyNumber }
 
@@ -271,17 +285,19 @@
 }
 
 // ready reports whether the load balancer should route callers to this node:
-// it is not draining, and its mirrored data is recent.
+// it is not draining, its mirrored data is recent, and its copy of the configuration
+// is not too old to decide about requests.
 func (n *node) ready() bool {
 	status := n.loop.Status()
-	if n.draining.Load() || status.Config == nil {
+	now := n.clock.Now()
+	if n.draining.Load() || status.Config == nil || now.Sub(status.ConfigAsOf) > n.maxConfigAge() {
 		return false
 	}
 	asOf := status.ConfigAsOf
 	if status.JobsAsOf.After(asOf) {
 		asOf = status.JobsAsOf
 	}
-	return n.clock.Now().Sub(asOf) < maxReadyStaleness
+	return now.Sub(asOf) < maxReadyStaleness
 }
 
 // shutdown fails the readiness checks, serves requests for drainDelay while the
