ingress: give no answer by a superseded configuration

A scheduler starts jobs that other nodes have accepted. Where its own read of the configuration is later than theirs, it starts a job of a queue that was just added and refuses that queue's callers with 404. At 3,800 routes a node with a 10 Mbit/s link reads a version about a second after the others.

Cause: a job did not say by which version it was accepted.

Change: the terms of a job name the version. A node that knows a job accepted by a newer version than its own answers 503 until it has read that version, unless the version is in quarantine.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -17,6 +17,8 @@
 	Stretch        float64       `cbor:"6,keyasint,omitempty"`
 	Objective      time.Duration `cbor:"7,keyasint,omitempty"`
 	RequiresAdvice bool          `cbor:"8,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration by which the job was accepted.
+	ConfigVersion int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Job is one accepted job. It is owned by the control thread and is not safe
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -97,6 +97,9 @@
 	Config *policy.Configuration
 	// ConfigAsOf is the time at which Config was last known to be the newest.
 	ConfigAsOf time.Time
+	// ConfigSuperseded is true if another node has accepted a job by a newer version
+	// than Config.
+	ConfigSuperseded bool
 }
 
 // Control gives access to the control state. It is safe for concurrent use.
@@ -199,7 +202,7 @@
 		return admission{answer: Answer{Code: NotRun, Reason: "no configuration has been read yet", RetryAfter: s.store.RetryAfter()}}
 	}
 	a := admission{answer: Answer{ConfigVersion: view.Config.Version, ConfigAge: now.Sub(view.ConfigAsOf), RetryAfter: s.store.RetryAfter()}}
-	if a.answer.ConfigAge > s.maxConfigAge {
+	if a.answer.ConfigAge > s.maxConfigAge || view.ConfigSuperseded {
 		a.answer.Code, a.answer.Reason = NotRun, "the configuration may be out of date"
 		return a
 	}
@@ -239,7 +242,7 @@
 	if err != nil {
 		return a.refuse(Invalid, err.Error())
 	}
-	j := job.New(id, jobTerms(a.queue, a.team), spec, now.UnixMilli(), 0)
+	j := job.New(id, jobTerms(a.queue, a.team, a.answer.ConfigVersion), spec, now.UnixMilli(), 0)
 	switch s.store.Accept(j, r.deadline(now)) {
 	case Stored:
 		a.answer.Code = Accepted
@@ -250,10 +253,11 @@
 	return a.refuse(Unsettled, "the store has not confirmed the job")
 }
 
-func jobTerms(q *policy.Queue, team string) job.Terms {
+func jobTerms(q *policy.Queue, team string, configVersion int64) job.Terms {
 	return job.Terms{
 		Queue: q.Name, Service: q.Service, Team: team, Priority: q.Priority, Attempts: q.Attempts,
 		Stretch: q.Stretch, Objective: q.Objective, RequiresAdvice: q.RequiresAdvice,
+		ConfigVersion: configVersion,
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -18,14 +18,15 @@
 
 // fakeControl is a control thread whose copy holds one view of a job.
 type fakeControl struct {
-	view      scheduler.JobView
-	configAge time.Duration
+	view       scheduler.JobView
+	configAge  time.Duration
+	superseded bool
 }
 
 func (c fakeControl) View() View {
 	config := policy.New(1, []policy.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}},
 		[]policy.Team{{Name: "team", Keys: []string{"key"}}}, nil, policy.RequestLimits{})
-	return View{Config: config, ConfigAsOf: testNow.Add(-c.configAge)}
+	return View{Config: config, ConfigAsOf: testNow.Add(-c.configAge), ConfigSuperseded: c.superseded}
 }
 
 func (c fakeControl) Job(context.Context, job.ID) (scheduler.JobView, error) { return c.view, nil }
@@ -116,3 +117,12 @@
 		}
 	}
 }
+
+// TestNoAnswerBySupersededConfiguration guards against a caller who has seen the effect
+// of a version and is then refused by an older one.
+func TestNoAnswerBySupersededConfiguration(t *testing.T) {
+	s := New(fakeControl{superseded: true}, &fakeStore{}, func() time.Time { return testNow }, time.Second)
+	if a := s.Show(t.Context(), Request{Host: "h", Path: "/added/", Key: "key"}); a.Code != Unavailable {
+		t.Errorf("%v", a.Code)
+	}
+}
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -138,6 +138,7 @@
 type JobAccepted struct{ Job *job.Job }
 
 func (c JobAccepted) apply(s *Scheduler, now time.Time) {
+	s.newestConfigVersion = max(s.newestConfigVersion, c.Job.Terms.ConfigVersion)
 	if s.jobs.get(c.Job.ID) != nil {
 		return
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -29,9 +29,7 @@
 // recordedChange is a Change that belongs to a Record.
 type recordedChange interface{ record() Record }
 
-func (c ConfigChanged) record() Record {
-	return Record{ConfigRecord, strconv.FormatInt(c.Config.Version, decimal)}
-}
+func (c ConfigChanged) record() Record    { return configRecord(c.Config.Version) }
 func (c WaveOrdered) record() Record      { return waveRecord(c.Order.Wave) }
 func (c WaveProgressRead) record() Record { return waveRecord(c.Wave) }
 func (c JobAccepted) record() Record      { return jobRecord(c.Job.ID) }
@@ -42,7 +40,10 @@
 // decimal is the base of numbers in names of records.
 const decimal = 10
 
-func jobRecord(id job.ID) Record     { return Record{JobRecord, string(id)} }
+func jobRecord(id job.ID) Record { return Record{JobRecord, string(id)} }
+func configRecord(version int64) Record {
+	return Record{ConfigRecord, strconv.FormatInt(version, decimal)}
+}
 func waveRecord(number int64) Record { return Record{WaveRecord, strconv.FormatInt(number, decimal)} }
 
 // recordOf returns the record that a change belongs to, the zero Record if none.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,12 +47,14 @@
 	// ignored.
 	copyNumber int
 	// subject is the record that the decision under way is about.
-	subject        Record
-	quarantine     quarantine
-	config         *policy.Configuration
-	dataCentresOut map[string]bool
-	jobs           *orderedMap[job.ID, *job.Job]
-	pending        pendingJobs
+	subject    Record
+	quarantine quarantine
+	config     *policy.Configuration
+	// newestConfigVersion is the newest version by which a known job was accepted.
+	newestConfigVersion int64
+	dataCentresOut      map[string]bool
+	jobs                *orderedMap[job.ID, *job.Job]
+	pending             pendingJobs
 	// earlyCancels are cancellations that were read before their job.
 	earlyCancels map[job.ID]bool
 	fresh        [partCount]lease.Freshness
@@ -219,6 +221,12 @@
 // complete.
 func (s *Scheduler) ConfigAsOf() time.Time { return s.fresh[OperatorPart].AsOf() }
 
+// ConfigSuperseded reports whether a job was accepted by a newer version of the
+// configuration than the one in force here, unless that version is in quarantine.
+func (s *Scheduler) ConfigSuperseded() bool {
+	return s.config != nil && s.newestConfigVersion > s.config.Version && !s.quarantine.contains(configRecord(s.newestConfigVersion))
+}
+
 // JobsAsOf returns the time up to which the local copy of the jobs is complete.
 func (s *Scheduler) JobsAsOf() time.Time { return s.fresh[JobsPart].AsOf() }
 
