scheduler: give up jobs whose tasks crash their workers

Cause: a run that is lost with its worker counted for nothing. Only ends that a worker reports as failed use up attempts.

Change: each crash of a worker is recorded, with the job's progress, for the tasks that were on it. A task is a suspect when the worker crashed before it had listed its run for 250 ms, or twice later. Suspects start where no other run is that young, or alone after late crashes, so that the next crash shows the cause. A job is given up when a task was the only suspect of two crashes, or was alone on the last of two. A worker is held for suspects that find none. A copy of a run on a silent worker is kept apart; a suspect gets none. A worker that only went silent makes suspects, but no job is given up for it.

Ruled out: counting each lost run as an attempt.

--- /dev/null
+++ b/internal/contract/job/crash.go
@@ -0,0 +1,121 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// startProbation is how long after its start a run must be listed by its worker to show
+// that it has not crashed the worker at its start. Crashes were seen 10 ms after it.
+const startProbation = 250 * time.Millisecond
+
+// Proven reports whether the worker has listed the run after its probation.
+func (r *Run) Proven() bool { return r.ReportedAt.Sub(r.OrderedAt) >= startProbation }
+
+// Crash is the crash of a worker under a run of a task.
+type Crash struct {
+	Run int `cbor:"1,keyasint"`
+	// Late means that the run was proven.
+	Late bool `cbor:"2,keyasint,omitempty"`
+	// Certain means that the worker is known to have started the run, or that the run was
+	// kept apart. A start without an answer may have been sent to a worker that another
+	// task had crashed.
+	Certain bool `cbor:"3,keyasint,omitempty"`
+	// Single means that the run was kept apart, and was the only one on the worker that
+	// was not proven.
+	Single bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Isolation is how a task that may crash workers is kept apart from other tasks, so
+// that the next crash shows whether it is the cause.
+type Isolation int
+
+// Degrees of isolation.
+const (
+	// NotIsolated is for tasks that are not suspected.
+	NotIsolated Isolation = iota
+	// IsolatedStart means that no other run on the worker is unproven until the task's
+	// run is proven.
+	IsolatedStart
+	// IsolatedRun means that the worker has no other run.
+	IsolatedRun
+)
+
+// Numbers of crashes.
+const (
+	// lateCrashesForIsolation is the number of late crashes after which a task is kept
+	// apart for its whole run. That takes a worker out of use for all others, and any
+	// task may be running on a machine that fails.
+	lateCrashesForIsolation = 2
+	// minCrashes is the number of crashes after which the users allow a task to be given
+	// up. They forbid a third start after three.
+	minCrashes = 2
+)
+
+// RecordCrash records a crash under a run of the task. A repeated report of a run is not
+// counted again.
+func (t *Task) RecordCrash(c Crash) {
+	j := t.Occurrence.Job
+	ordinal := t.sharedOrdinal()
+	if slices.ContainsFunc(j.progress.Crashes[ordinal], func(known Crash) bool { return known.Run == c.Run }) {
+		return
+	}
+	j.progress.Crashes[ordinal] = append(j.progress.Crashes[ordinal], c)
+	j.markChanged()
+}
+
+// Crashes returns the crashes of workers under the task or its gang. The caller must not
+// change the slice.
+func (t *Task) Crashes() []Crash { return t.Occurrence.Job.progress.Crashes[t.sharedOrdinal()] }
+
+// Suspected reports whether a worker has crashed, or may have crashed, under the task.
+func (t *Task) Suspected() bool { return t.LostStarts > 0 || len(t.Crashes()) > 0 }
+
+// Isolation returns how the next run of the task must be kept apart. A further run beside
+// one that is not proven starts because the worker of that one is silent, which may have
+// crashed.
+func (t *Task) Isolation() Isolation {
+	early, late := t.LostStarts, 0
+	for _, r := range t.Runs {
+		if !r.Proven() {
+			early++
+		}
+	}
+	for _, c := range t.Crashes() {
+		if c.Late {
+			late++
+		} else {
+			early++
+		}
+	}
+	switch {
+	case late >= lateCrashesForIsolation:
+		return IsolatedRun
+	case early > 0:
+		return IsolatedStart
+	}
+	return NotIsolated
+}
+
+// CrashesWorkers reports whether the crashes show that the task is their cause. Alone
+// means that no other task ran on the worker that crashed last, and that the task was
+// kept apart there. Beside proven runs, one of which may be the cause, two crashes as the
+// single suspect are needed.
+func (t *Task) CrashesWorkers(alone bool) bool {
+	certain, single := 0, 0
+	for _, c := range t.Crashes() {
+		if c.Certain {
+			certain++
+		}
+		if c.Single {
+			single++
+		}
+	}
+	return alone && certain >= minCrashes || single >= minCrashes
+}
+
+// SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
+// task or belong to one gang.
+func (t *Task) SameSuspect(other *Task) bool {
+	return t.Occurrence.Job == other.Occurrence.Job && t.sharedOrdinal() == other.sharedOrdinal()
+}
--- a/internal/contract/job/progress.go
+++ b/internal/contract/job/progress.go
@@ -39,6 +39,8 @@
 	// takeover the new scheduler knows which workers must report before it starts
 	// the task again.
 	Placed map[int][]string `cbor:"6,keyasint,omitempty"`
+	// Crashes lists the crashes of workers under a task or gang.
+	Crashes map[int][]Crash `cbor:"7,keyasint,omitempty"`
 }
 
 // clone returns a copy whose maps are never nil.
@@ -50,10 +52,14 @@
 		Saved:      make(map[int]string, len(p.Saved)),
 		EndedAt:    p.EndedAt,
 		Placed:     make(map[int][]string, len(p.Placed)),
+		Crashes:    make(map[int][]Crash, len(p.Crashes)),
 	}
 	for ordinal, runs := range p.FailedRuns {
 		c.FailedRuns[ordinal] = slices.Clone(runs)
 	}
+	for ordinal, crashes := range p.Crashes {
+		c.Crashes[ordinal] = slices.Clone(crashes)
+	}
 	maps.Copy(c.Saved, p.Saved)
 	// The lists of workers are immutable; Task.RecordPlacement replaces them.
 	maps.Copy(c.Placed, p.Placed)
--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -59,7 +59,10 @@
 	FailedOn string
 	// NotBefore is the earliest start of the next run after a failure.
 	NotBefore time.Time
-	done      bool
+	// LostStarts is the number of runs that were lost with workers which are silent, or
+	// which crashed under an earlier scheduler, and may have caused it.
+	LostStarts int
+	done       bool
 }
 
 // Name returns the name that identifies the task in the whole fleet.
@@ -151,6 +154,7 @@
 	j.progress.setDone(j.ordinal(t.Name()))
 	delete(j.progress.Saved, j.ordinal(t.Name()))
 	delete(j.progress.Placed, j.ordinal(t.Name()))
+	delete(j.progress.Crashes, j.ordinal(t.Name()))
 	j.markChanged()
 	o.steps[t.Step].open--
 	o.open--
@@ -228,6 +232,8 @@
 	OverObjectiveSince time.Time
 	// EndPlanned is set when the scheduler itself decided to end the run.
 	EndPlanned bool
+	// Isolation is how the run is kept apart from others on its worker.
+	Isolation Isolation
 }
 
 // Serving reports whether the run of a long-running task serves: the worker has
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -75,6 +75,7 @@
 	ends          endLog
 	history       failureHistory
 	paceChangedAt time.Time
+	heldUntil     time.Time
 }
 
 // RunKey identifies a run.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -61,6 +61,7 @@
 		{"crocusjunction.task.ends", "Ends that workers listed.", func(s *controlStatus) int64 { return s.Counts.Ends }},
 		{"crocusjunction.task.failures", "Runs that ended failed.", func(s *controlStatus) int64 { return s.Counts.Failed }},
 		{"crocusjunction.task.lost", "Runs that were lost with their worker.", func(s *controlStatus) int64 { return s.Counts.Lost }},
+		{"crocusjunction.job.given_up", "Jobs that were ended because a task crashed its workers.", func(s *controlStatus) int64 { return s.Counts.GivenUp }},
 		{"crocusjunction.task.refused", "Starts that workers refused.", func(s *controlStatus) int64 { return s.Counts.Refused }},
 		{"crocusjunction.scheduler.failures_contained", "Failed decisions after which the state was read again.", func(s *controlStatus) int64 { return s.Counts.Contained }},
 		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *controlStatus) int64 { return s.Counts.Takeovers }},
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -186,6 +186,10 @@
 	if !spec.Speculative || spec.Gang || spec.LongRunning || len(t.Runs) >= maxSpeculativeRuns {
 		return false
 	}
+	if t.Suspected() {
+		// The worker may be silent because the task has crashed it.
+		return false
+	}
 	w := s.workers.get(t.Runs[0].Worker)
 	return w == nil || w.Silent
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,7 +104,7 @@
 // Counts are the values for the metrics.
 type Counts struct {
 	// Totals since the process started.
-	Starts, Ends, Failed, Lost, Refused, Takeovers, Contained int64
+	Starts, Ends, Failed, Lost, GivenUp, Refused, Takeovers, Contained int64
 	// Current values.
 	Running, Unfinished, Workers, Quarantined int64
 }
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -171,6 +171,15 @@
 	x.running[name] = run
 	e.ClockMillis = x.clock()
 	x.w.log("%s starts %s run %d", x.description.ID, name, o.Run)
+	if x.w.deadly[name] {
+		x.w.after(x.w.crashDelay, func() {
+			if x.running[name] == run {
+				x.w.crashes[name]++
+				x.w.crash(x.description.ID)
+			}
+		})
+		return
+	}
 	spec := x.w.jobs[o.Task.Job].Steps[o.Task.Step]
 	if spec.LongRunning && !x.failing {
 		return
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -56,6 +56,12 @@
 	// ended is when the final state of a job was stored, moves the number of moves.
 	ended map[job.ID]time.Time
 	moves int
+	// deadly are the tasks that crash their worker crashDelay after their start,
+	// crashes the workers that crashed under each, furtherStarts its starts after
+	// three of them.
+	deadly                 map[string]bool
+	crashDelay             time.Duration
+	crashes, furtherStarts map[string]int
 	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
 	loseMachineOrderLists bool
 }
@@ -89,6 +95,7 @@
 		workers: make(map[string]*simWorker), machines: make(map[string]*simMachine),
 		jobs: make(map[job.ID]job.Spec), terms: make(map[job.ID]job.Terms), cancels: make(map[job.ID]time.Time),
 		finished: make(map[string]bool), failed: make(map[string]int), acknowledged: make(map[string]bool), absences: make(map[string]absence), tickets: make(map[string]time.Time),
+		deadly: make(map[string]bool), crashes: make(map[string]int), furtherStarts: make(map[string]int),
 		teamLimit: machine.Resources{MilliCores: 24000}, ended: make(map[job.ID]time.Time),
 	}
 	w.store = newSimStore(w)
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -11,7 +11,7 @@
 // the placement, so that the next scheduler knows where the task may run.
 func (s *Scheduler) start(t *job.Task, w *worker.Worker, number int, now time.Time) {
 	j := t.Occurrence.Job
-	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, PacePercent: fullPace}
+	r := &job.Run{Task: t, Number: number, OrderedAt: now, ProgressAt: now, PacePercent: fullPace, Isolation: t.Isolation()}
 	s.addRun(w, r)
 	t.RecordPlacement()
 	if j.PlacementDurable() {
@@ -149,6 +149,7 @@
 	r.Task.NotBefore = now.Add(taskRetryDelay)
 	switch {
 	case e.Replaced:
+		s.recordCrash(w, w.Runs(), now)
 		s.loseRuns(w, "another incarnation answers at its address", now)
 		w.Listed = false
 		s.listed.delete(w.ID)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -15,6 +15,9 @@
 	// mixedPollWait replaces pollWait on workers that run serving and filler tasks,
 	// where the latency of the serving ones is checked more often.
 	mixedPollWait = 450 * time.Millisecond
+	// probationPollWait replaces pollWait while no other task may start on the worker
+	// because of a run that is not proven yet.
+	probationPollWait = 100 * time.Millisecond
 	// minPollInterval is the least delay between an answer and the next poll. It
 	// gathers runs that end at about the same time into one answer.
 	minPollInterval = 15 * time.Millisecond
@@ -39,6 +42,7 @@
 	for w := range s.knownWorkers() {
 		unpolled := w.Silent || s.quarantine.contains(Record{WorkerRecord, w.ID})
 		if unpolled && w.Expired(now) && len(w.Runs())+len(w.OrphanedRuns()) > 0 {
+			s.recordLostStarts(w, now)
 			s.loseRuns(w, "worker silent until its lease expired", now)
 		}
 		if !w.Listed && w.Expired(now) && len(w.Runs())+len(w.OrphanedRuns()) == 0 && !w.Polling {
@@ -86,6 +90,9 @@
 		if w.Mixed() {
 			q.Wait = mixedPollWait
 		}
+		if w.HasProbation() {
+			q.Wait = probationPollWait
+		}
 		if w.HasUnacknowledgedEnds() {
 			q.Wait = 0
 		}
@@ -148,6 +155,7 @@
 	case PollFenced:
 		s.stepDownFenced("worker "+w.ID, now)
 	case PollReplaced:
+		s.recordCrash(w, w.Runs(), now)
 		s.loseRuns(w, "another incarnation answers at its address", now)
 		w.Listed = false
 		s.listed.delete(w.ID)
@@ -166,7 +174,7 @@
 // applyReport updates a worker and its runs from its report.
 func (s *Scheduler) applyReport(w *worker.Worker, e WorkerAnswered, now time.Time) {
 	if e.Report.StartedMillis != 0 && w.StartedMillis != 0 && e.Report.StartedMillis > w.StartedMillis {
-		s.handleRestart(w, e.Report.StartedMillis, e.Report.ClockMillis, now)
+		s.handleRestart(w, e.Report, now)
 	} else if e.Report.StartedMillis != 0 {
 		w.StartedMillis = max(w.StartedMillis, e.Report.StartedMillis)
 	}
@@ -199,12 +207,13 @@
 // handleRestart handles a new incarnation of a worker under the same id. Runs
 // are not removed here, because starts that were in flight may have reached the
 // new incarnation; its report lists the runs that it has.
-func (s *Scheduler) handleRestart(w *worker.Worker, startedMillis, clockMillis int64, now time.Time) {
-	s.log("worker restarted", "worker", w.ID, "born", startedMillis, "runs", len(w.Runs()))
-	w.StartIncarnation(startedMillis)
+func (s *Scheduler) handleRestart(w *worker.Worker, report worker.Report, now time.Time) {
+	s.log("worker restarted", "worker", w.ID, "born", report.StartedMillis, "runs", len(w.Runs()))
+	s.recordCrash(w, runsMissing(w, report), now)
+	w.StartIncarnation(report.StartedMillis)
 	for _, r := range w.Runs() {
 		if r.Phase != job.RunActive {
-			r.StartDeadline = clockMillis + startOrderTTL.Milliseconds()
+			r.StartDeadline = report.ClockMillis + startOrderTTL.Milliseconds()
 		}
 	}
 }
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -43,6 +43,9 @@
 const (
 	failedWorkerPenalty = 1 << 34
 	suspectPenalty      = 1 << 32
+	// endangeredRunPenalty applies, for a task that may crash its worker, to each run
+	// that a crash would end.
+	endangeredRunPenalty = 1 << 31
 	// slowPenalty applies to a worker that is cold or outside the rack of
 	// the step's data.
 	slowPenalty = 1 << 30
@@ -53,11 +56,11 @@
 // rack of the data, then the worker with the least free cores, so that workers
 // with many free cores stay available for large tasks.
 func (p *Pool) Choose(t *job.Task, allowed func(*worker.Worker) bool) *worker.Worker {
-	spec := t.Spec()
+	spec, isolation := t.Spec(), t.Isolation()
 	var best *worker.Worker
 	var bestCost int64
 	for _, w := range p.workers {
-		if !w.Fits(spec) || !w.HasLabel(spec.Label) || !allowed(w) {
+		if !w.Fits(spec) || !w.HasLabel(spec.Label) || !w.Admits(isolation, p.now) || !allowed(w) {
 			continue
 		}
 		if spec.MaxPerWorker > 0 && w.CountStep(t.Occurrence, t.Step) >= spec.MaxPerWorker {
@@ -67,9 +70,45 @@
 			best, bestCost = w, cost
 		}
 	}
+	if best == nil && isolation != job.NotIsolated {
+		p.hold(t, isolation, allowed)
+	}
 	return best
 }
 
+const (
+	// holdTime is how long a worker is held for tasks that must be kept apart. It is
+	// renewed while such tasks wait, and longer than the time between two rounds.
+	holdTime = 400 * time.Millisecond
+	// maxHeldPart is the part of a pool, one in this number, that may be held.
+	maxHeldPart = 4
+)
+
+// hold keeps other tasks off a worker until a waiting task that must be kept apart can
+// start there. Without that, a pool under load never has a worker for it.
+func (p *Pool) hold(t *job.Task, isolation job.Isolation, allowed func(*worker.Worker) bool) {
+	spec := t.Spec()
+	held := 0
+	var best *worker.Worker
+	bestObstacles := 0
+	for _, w := range p.workers {
+		if w.Held(p.now) {
+			held++
+			w.HoldUntil(p.now.Add(holdTime))
+			continue
+		}
+		if w.Isolated() || !spec.CountedNeed().FitsIn(w.Capacity) || !w.HasLabel(spec.Label) || !allowed(w) {
+			continue
+		}
+		if obstacles := w.Obstacles(isolation); best == nil || obstacles < bestObstacles {
+			best, bestObstacles = w, obstacles
+		}
+	}
+	if best != nil && held < max(1, len(p.workers)/maxHeldPart) {
+		best.HoldUntil(p.now.Add(holdTime))
+	}
+}
+
 func (p *Pool) cost(w *worker.Worker, t *job.Task) int64 {
 	spec := t.Spec()
 	cost := w.Free().MilliCores
@@ -79,6 +118,9 @@
 	if w.Suspect() {
 		cost += suspectPenalty
 	}
+	if t.Isolation() != job.NotIsolated {
+		cost += int64(len(w.Runs())) * endangeredRunPenalty
+	}
 	if spec.Rack != "" && w.Rack() != spec.Rack {
 		cost += slowPenalty
 	}
@@ -173,10 +215,10 @@
 // chooseAll assigns the tasks to the workers in the order of the pool,
 // filling each worker before the next one.
 func (p *Pool) chooseAll(tasks []job.Task, allowed func(*worker.Worker) bool) ([]*worker.Worker, bool) {
-	spec := tasks[0].Spec()
+	spec, isolation := tasks[0].Spec(), tasks[0].Isolation()
 	chosen := make([]*worker.Worker, 0, len(tasks))
 	for _, w := range p.workers {
-		if !w.HasLabel(spec.Label) || !allowed(w) {
+		if !w.HasLabel(spec.Label) || !w.Admits(isolation, p.now) || !allowed(w) {
 			continue
 		}
 		free := w.Free()
