scheduler: check the capacity again before a deferred start

A worker's capacity may shrink while it runs. A start waits for its placement to be stored, which takes seconds while the store is slow; the worker's entry may have shrunk meanwhile. Workers that do not guard their capacity start it all the same (LIMIT).

Cause: the check before a deferred start did not include the worker's room.

Evidence: TestNoStartBeyondShrunkCapacity, in which 6 starts were sent to a worker with room for 0 and 2.

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -161,6 +161,10 @@
 // Free returns the resources that are not in use.
 func (w *Worker) Free() machine.Resources { return w.Capacity.Minus(w.inUse) }
 
+// Overcommitted reports whether the runs need more than the worker's capacity, which may
+// have shrunk since they were placed.
+func (w *Worker) Overcommitted() bool { return !w.inUse.FitsIn(w.Capacity) }
+
 // Fits reports whether a task of the step fits in the free resources.
 func (w *Worker) Fits(s *job.Step) bool { return s.CountedNeed().FitsIn(w.Free()) }
 
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
 // leastDrainBound is the least bound of the users' sites after which nothing may start on
@@ -41,3 +43,46 @@
 		}
 	}
 }
+
+// TestNoStartBeyondShrunkCapacity guards against starts that bring a worker over its
+// capacity, because it has shrunk after the tasks were placed.
+func TestNoStartBeyondShrunkCapacity(t *testing.T) {
+	for name, c := range map[string]struct {
+		capacity machine.Resources
+		want     int
+	}{
+		"unchanged":            {machine.Resources{MilliCores: 32000, MemoryMB: 65536}, 6},
+		"less than one task":   {machine.Resources{MilliCores: 1000, MemoryMB: 65536}, 0},
+		"room for two of them": {machine.Resources{MilliCores: 3200, MemoryMB: 65536}, 2},
+	} {
+		s, now := newLoadedScheduler(1, 1, 1)
+		s.placeRound(now)
+		if n := startsOrdered(s); n != 0 {
+			t.Fatalf("%s: %d starts were sent before their placement was stored", name, n)
+		}
+		for _, w := range s.workers.all() {
+			d := w.Description
+			d.Capacity = c.capacity
+			Synced{Part: WorkersPart, Changes: []Change{WorkerListed{d}}, SentAt: now}.Apply(s, now)
+		}
+		for _, j := range s.jobs.all() {
+			progress, version := j.Unflushed()
+			j.MarkFlushed(progress, version, 3)
+			s.sendDeferredStarts(j, now)
+		}
+		if n := startsOrdered(s); n != c.want {
+			t.Errorf("%s: %d starts were sent, want %d", name, n, c.want)
+		}
+	}
+}
+
+// startsOrdered returns the number of starts among the scheduler's actions.
+func startsOrdered(s *Scheduler) int {
+	n := 0
+	for _, a := range s.actions {
+		if _, ok := a.(StartTask); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -51,7 +51,7 @@
 // still hold.
 func (s *Scheduler) mayStart(t *job.Task, w *worker.Worker, now time.Time) bool {
 	j := t.Occurrence.Job
-	return !j.Ended() && s.authorized(now) && s.copiesFresh(now) && w.Usable(now) && !s.dataCentresOut[w.DataCentre] &&
+	return !j.Ended() && s.authorized(now) && s.copiesFresh(now) && w.Usable(now) && !w.Overcommitted() && !s.dataCentresOut[w.DataCentre] &&
 		w.Service == s.serviceOf(j) && s.allowedWorkers(t.Occurrence, t.Step, now)(w)
 }
 
