--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -75,6 +75,9 @@
 // one that is not proven starts because the worker of that one is silent, which may have
 // crashed.
 func (t *Task) Isolation() Isolation {
+	if len(t.Runs) == 0 && t.LostStarts == 0 && len(t.Occurrence.Job.progress.Crashes) == 0 {
+		return NotIsolated
+	}
 	early, late := t.LostStarts, 0
 	for _, r := range t.Runs {
 		if !r.Proven() {
--- a/internal/machine/worker/isolation.go
+++ b/internal/machine/worker/isolation.go
@@ -10,14 +10,14 @@
 // Isolated reports whether no task may start on the worker, because one of its runs
 // must be kept apart.
 func (w *Worker) Isolated() bool {
-	return slices.ContainsFunc(w.runs, func(r *job.Run) bool {
+	return w.isolatedRuns > 0 && slices.ContainsFunc(w.runs, func(r *job.Run) bool {
 		return r.Isolation == job.IsolatedRun || r.Isolation == job.IsolatedStart && !r.Proven()
 	})
 }
 
 // HasProbation reports whether a run on the worker is kept apart until it is proven.
 func (w *Worker) HasProbation() bool {
-	return slices.ContainsFunc(w.runs, func(r *job.Run) bool { return r.Isolation != job.NotIsolated && !r.Proven() })
+	return w.isolatedRuns > 0 && slices.ContainsFunc(w.runs, func(r *job.Run) bool { return r.Isolation != job.NotIsolated && !r.Proven() })
 }
 
 // Obstacles returns the number of runs that keep a task with the given isolation from
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -76,6 +76,8 @@
 	history       failureHistory
 	paceChangedAt time.Time
 	heldUntil     time.Time
+	// isolatedRuns is the number of runs that are kept apart.
+	isolatedRuns int
 }
 
 // RunKey identifies a run.
@@ -128,6 +130,9 @@
 	r.Worker = w.ID
 	w.runs = append(slices.Clip(w.runs), r)
 	w.inUse = w.inUse.Plus(r.Task.Spec().CountedNeed())
+	if r.Isolation != job.NotIsolated {
+		w.isolatedRuns++
+	}
 }
 
 // Remove records the end of a run and frees its resources.
@@ -138,6 +143,9 @@
 	}
 	w.runs = slices.Concat(w.runs[:at], w.runs[at+1:])
 	w.inUse = w.inUse.Minus(r.Task.Spec().CountedNeed())
+	if r.Isolation != job.NotIsolated {
+		w.isolatedRuns--
+	}
 }
 
 // OrphanedRuns returns the runs that are being stopped and belong to no open task.
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -66,7 +66,7 @@
 		if spec.MaxPerWorker > 0 && w.CountStep(t.Occurrence, t.Step) >= spec.MaxPerWorker {
 			continue
 		}
-		if cost := p.cost(w, t); best == nil || cost < bestCost {
+		if cost := p.cost(w, t, isolation); best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
 	}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (p *Pool) cost(w *worker.Worker, t *job.Task) int64 {
+func (p *Pool) cost(w *worker.Worker, t *job.Task, isolation job.Isolation) int64 {
 	spec := t.Spec()
 	cost := w.Free().MilliCores
 	if w.ID == t.FailedOn {
@@ -118,7 +118,7 @@
 	if w.Suspect() {
 		cost += suspectPenalty
 	}
-	if t.Isolation() != job.NotIsolated {
+	if isolation != job.NotIsolated {
 		cost += int64(len(w.Runs())) * endangeredRunPenalty
 	}
 	if spec.Rack != "" && w.Rack() != spec.Rack {
