scheduler: count only confirmed runs as evidence of a crash

Cause: a run that was kept apart counted as started although its worker had not confirmed it. The start had been sent to a worker that was already gone, and the answer of the next incarnation counted as its crash.

Change: a crash is certain only under a run that its worker has confirmed, and only certain ones give a job up; four crashes as the single suspect do without that, for tasks whose starts are never answered. A start that was sent within 0.5 s before the next incarnation answered has not reached the old one.

Evidence: TestReplacedWorkerIsNoCrash fails in two of three cases without the change.

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -17,9 +17,8 @@
 	Run int `cbor:"1,keyasint"`
 	// Late means that the run was proven.
 	Late bool `cbor:"2,keyasint,omitempty"`
-	// Certain means that the worker is known to have started the run, or that the run was
-	// kept apart. A start without an answer may have been sent to a worker that another
-	// task had crashed.
+	// Certain means that the worker has confirmed the run. A start without an answer may
+	// have been sent to a worker that was already down.
 	Certain bool `cbor:"3,keyasint,omitempty"`
 	// Single means that the run was kept apart, and was the only one on the worker that
 	// was not proven.
@@ -50,6 +49,9 @@
 	// minCrashes is the number of crashes after which the users allow a task to be given
 	// up. They forbid a third start after three.
 	minCrashes = 2
+	// maxCrashes is the number of crashes at which a task is given up as the single
+	// suspect, although its starts were not confirmed.
+	maxCrashes = 4
 )
 
 // RecordCrash records a crash under a run of the task. A repeated report of a run is not
@@ -102,19 +104,21 @@
 
 // CrashesWorkers reports whether the crashes show that the task is their cause. Alone
 // means that no other task ran on the worker that crashed last, and that the task was
-// kept apart there. Beside proven runs, one of which may be the cause, two crashes as the
-// single suspect are needed.
+// kept apart there. Beside proven runs, one of which may be the cause, two certain
+// crashes as the single suspect are needed.
 func (t *Task) CrashesWorkers(alone bool) bool {
+	crashes := t.Crashes()
 	certain, single := 0, 0
-	for _, c := range t.Crashes() {
-		if c.Certain {
+	var last Crash
+	for _, last = range crashes {
+		if last.Certain {
 			certain++
-		}
-		if c.Single {
-			single++
+			if last.Single {
+				single++
+			}
 		}
 	}
-	return alone && certain >= minCrashes || single >= minCrashes
+	return alone && last.Certain && certain >= minCrashes || single >= minCrashes || last.Single && len(crashes) >= maxCrashes
 }
 
 // SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -8,6 +8,11 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
+// minRestartTime is less than the time from the crash of a worker until its next
+// incarnation answers. A start that was sent later than that before the answer has not
+// reached the worker that crashed.
+const minRestartTime = 500 * time.Millisecond
+
 // recordCrash records the crash of a worker under runs that it can no longer have, and
 // gives up the jobs that are shown to be the cause. A worker that was about to leave has
 // not crashed.
@@ -15,7 +20,9 @@
 	if w.Draining || w.Reserved {
 		return
 	}
-	runs = slices.DeleteFunc(slices.Clone(runs), func(r *job.Run) bool { return r.Phase == job.RunAwaitingPlacement })
+	runs = slices.DeleteFunc(slices.Clone(runs), func(r *job.Run) bool {
+		return r.Phase == job.RunAwaitingPlacement || r.Phase != job.RunActive && now.Sub(r.OrderedAt) < minRestartTime
+	})
 	s.recordPlacedCrash(w)
 	unproven := slices.DeleteFunc(slices.Clone(runs), (*job.Run).Proven)
 	for _, r := range runs {
@@ -28,7 +35,7 @@
 		s.subject = jobRecord(j.ID)
 		isolated := r.Isolation != job.NotIsolated
 		t.RecordCrash(job.Crash{
-			Run: r.Number, Late: r.Proven(), Certain: isolated || r.Phase == job.RunActive,
+			Run: r.Number, Late: r.Proven(), Certain: r.Phase == job.RunActive,
 			Single: isolated && !r.Proven() && onlySuspect(t, unproven),
 		})
 		s.log("worker crashed under task", "job", j.ID, "task", t.Name().String(), "run", r.Number, "worker", w.ID,
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
 // TestTaskThatCrashesWorkersIsGivenUp guards against a task that crashes one worker after
@@ -57,3 +58,57 @@
 		}
 	}
 }
+
+// TestReplacedWorkerIsNoCrash guards against jobs that are given up because their starts
+// were sent to workers whose addresses had gone to others: three jobs were shown as failed
+// when 48 workers were replaced at once.
+func TestReplacedWorkerIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed bool
+		after     time.Duration
+		want      bool
+	}{
+		"another incarnation answers at once":   {false, 3 * time.Millisecond, false},
+		"the start was not answered":            {false, 3 * time.Second, false},
+		"the worker crashed under the only run": {true, 3 * time.Second, true},
+	} {
+		s, now := newLoadedScheduler(3, 1, 1)
+		var j *job.Job
+		for _, j = range s.jobs.all() {
+			break
+		}
+		// place starts the tasks that can start, as if their placement was stored at once.
+		place := func() {
+			s.placeRound(now)
+			progress, version := j.Unflushed()
+			j.MarkFlushed(progress, version, version)
+			s.sendDeferredStarts(j, now)
+		}
+		replace := func(w *worker.Worker, after time.Duration) {
+			now = now.Add(after)
+			for part := range s.fresh {
+				s.fresh[part].RecordRead(now)
+			}
+			s.election.authority.Renew(now, time.Hour)
+			WorkerAnswered{Worker: w.ID, Fence: s.fence(), Outcome: PollReplaced, SentAt: now}.Apply(s, now)
+		}
+		place()
+		first := j.Task(job.TaskName{Job: j.ID}).Runs[0]
+		for _, r := range s.workers.get(first.Worker).Runs() {
+			r.Phase = job.RunActive
+		}
+		replace(s.workers.get(first.Worker), 3*time.Second)
+		place()
+		second := first.Task.Runs[0]
+		if second.Isolation != job.IsolatedStart {
+			t.Fatalf("%s: the suspect is not kept apart", name)
+		}
+		if c.confirmed {
+			second.Phase = job.RunActive
+		}
+		replace(s.workers.get(second.Worker), c.after)
+		if j.Ended() != c.want {
+			t.Errorf("%s: the job is given up: %v", name, j.Ended())
+		}
+	}
+}
