--- a/internal/machine/worker/isolation.go
+++ b/internal/machine/worker/isolation.go
@@ -41,15 +41,15 @@
 // Admits reports whether a task with the given isolation may start on the worker beside
 // its runs.
 func (w *Worker) Admits(isolation job.Isolation, now time.Time) bool {
-	if isolation == job.NotIsolated && w.Held(now) {
+	if isolation == job.NotIsolated && w.KeptForSuspects(now) {
 		return false
 	}
 	return !w.Isolated() && w.Obstacles(isolation) == 0
 }
 
-// HoldUntil keeps tasks off the worker until the given time, except those that must be
+// KeepForSuspects keeps tasks off the worker until the given time, except those that must be
 // kept apart.
-func (w *Worker) HoldUntil(at time.Time) { w.heldUntil = at }
+func (w *Worker) KeepForSuspects(at time.Time) { w.keptUntil = at }
 
-// Held reports whether only tasks that must be kept apart may start on the worker.
-func (w *Worker) Held(now time.Time) bool { return now.Before(w.heldUntil) }
+// KeptForSuspects reports whether only tasks that must be kept apart may start on the worker.
+func (w *Worker) KeptForSuspects(now time.Time) bool { return now.Before(w.keptUntil) }
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -75,7 +75,8 @@
 	ends          endLog
 	history       failureHistory
 	paceChangedAt time.Time
-	heldUntil     time.Time
+	// keptUntil is the time until which only tasks that must be isolated may start.
+	keptUntil time.Time
 	// isolatedRuns is the number of runs that are kept apart.
 	isolatedRuns int
 }
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -71,30 +71,30 @@
 		}
 	}
 	if best == nil && isolation != job.NotIsolated {
-		p.hold(t, isolation, allowed)
+		p.keepForSuspects(t, isolation, allowed)
 	}
 	return best
 }
 
 const (
-	// holdTime is how long a worker is held for tasks that must be kept apart. It is
+	// keepTime is how long a worker is kept for tasks that must be isolated. It is
 	// renewed while such tasks wait, and longer than the time between two rounds.
-	holdTime = 400 * time.Millisecond
-	// maxHeldPart is the part of a pool, one in this number, that may be held.
-	maxHeldPart = 4
+	keepTime = 400 * time.Millisecond
+	// maxKeptPart is the part of a pool, one in this number, that may be kept for them.
+	maxKeptPart = 4
 )
 
-// hold keeps other tasks off a worker until a waiting task that must be kept apart can
+// keepForSuspects keeps other tasks off a worker until a waiting task that must be isolated can
 // start there. Without that, a pool under load never has a worker for it.
-func (p *Pool) hold(t *job.Task, isolation job.Isolation, allowed func(*worker.Worker) bool) {
+func (p *Pool) keepForSuspects(t *job.Task, isolation job.Isolation, allowed func(*worker.Worker) bool) {
 	spec := t.Spec()
-	held := 0
+	kept := 0
 	var best *worker.Worker
 	bestObstacles := 0
 	for _, w := range p.workers {
-		if w.Held(p.now) {
-			held++
-			w.HoldUntil(p.now.Add(holdTime))
+		if w.KeptForSuspects(p.now) {
+			kept++
+			w.KeepForSuspects(p.now.Add(keepTime))
 			continue
 		}
 		if w.Isolated() || !spec.CountedNeed().FitsIn(w.Capacity) || !w.HasLabel(spec.Label) || !allowed(w) {
@@ -104,8 +104,8 @@
 			best, bestObstacles = w, obstacles
 		}
 	}
-	if best != nil && held < max(1, len(p.workers)/maxHeldPart) {
-		best.HoldUntil(p.now.Add(holdTime))
+	if best != nil && kept < max(1, len(p.workers)/maxKeptPart) {
+		best.KeepForSuspects(p.now.Add(keepTime))
 	}
 }
 
