--- a/review/_rig/main_test.go
+++ b/review/_rig/main_test.go
@@ -13,6 +13,7 @@
 	cases := map[string]func() (*deployment, []string, error){
 		"lost-progress-answers": lostProgressAnswers,
 		"withdrawn-then-stored": withdrawnThenStored,
+		"crashed-lasting-job":   crashedLastingJob,
 	}
 	play, record := cases[os.Getenv("REVIEW_CASE")], os.Getenv("REVIEW_RECORD")
 	if play == nil || record == "" {
