--- a/review/_rig/withdrawn_test.go
+++ b/review/_rig/withdrawn_test.go
@@ -11,9 +11,7 @@
 // accepts a job. Its last attempt to store the job is carried out late, after the
 // caller has cancelled the job at another node.
 func withdrawnThenStored() (*deployment, []string, error) {
-	d, err := newDeployment(3, 4, func(string, string, int) (time.Duration, site.Outcome) {
-		return 2 * time.Second, site.Done
-	})
+	d, err := newDeployment(3, 4, func(string, string, int) (time.Duration, site.Outcome) { return 0, site.Done })
 	if err != nil {
 		return d, nil, err
 	}
@@ -50,14 +48,14 @@
 	}
 	d.mu.Unlock()
 	d.note("scheduler: %s; the store gives %s no answer until %.3f s", leader, cut.name, d.since(begin.Add(window)))
-	job := map[string]any{"spec": "withdrawn", "steps": []map[string]any{{"count": 1, "cpu": 1000, "mem-mb": 100, "est-runtime-ms": 2000}}}
+	job := map[string]any{"spec": "withdrawn", "steps": []map[string]any{{"count": 1, "cpu": 1000, "mem-mb": 100, "est-runtime-ms": 1000, "long-running": true}}}
 	submitted, _ := d.call(cut, "POST", id, job)
 	cancelled, _ := d.call(other, "DELETE", id, nil)
 	cancelledAt := time.Now()
 	if cancelled != 410 && cancelled/100 != 2 {
 		return d, nil, fmt.Errorf("the cancellation was answered %d", cancelled)
 	}
-	time.Sleep(time.Until(begin.Add(16 * time.Second)))
+	time.Sleep(time.Until(begin.Add(25 * time.Second)))
 	d.call(other, "GET", id, nil)
 	d.noteRuns(id)
 	d.note("submission answered %d after %d writes, cancellation answered %d at %.3f s", submitted, attempts, cancelled, d.since(cancelledAt))
