--- a/review/_rig/crashes_test.go
+++ b/review/_rig/crashes_test.go
@@ -18,7 +18,7 @@
 	time.Sleep(4 * time.Second)
 	const id, mayMiss = "00000000000000d0", 1
 	job := map[string]any{"spec": "lasts", "steps": []map[string]any{
-		{"count": 3, "cpu": 2000, "mem-mb": 100, "est-runtime-ms": 1000, "long-running": true, "may-miss": mayMiss, "anti-affinity": 1},
+		{"count": 5, "cpu": 2000, "mem-mb": 100, "est-runtime-ms": 1000, "long-running": true, "may-miss": mayMiss, "anti-affinity": 1},
 	}}
 	if status, _ := d.call(d.nodes[0], "POST", id, job); status != 200 {
 		return d, nil, fmt.Errorf("submission answered %d", status)
@@ -32,7 +32,7 @@
 		}
 		return runs
 	}
-	if err := d.await(5*time.Second, func() bool { return len(active()) == 3 }); err != nil {
+	if err := d.await(5*time.Second, func() bool { return len(active()) == 5 }); err != nil {
 		return d, nil, err
 	}
 	time.Sleep(3 * time.Second)
@@ -65,28 +65,31 @@
 	d.noteRuns(id)
 	var broken []string
 	runs := d.runsOf(id)
-	atWork := func(task string, at time.Time) bool {
+	// A task is away if a stop has ended it, or if it hasn't been at work for notice-ms.
+	away := func(task string, at time.Time) bool {
+		const notice = 4500 * time.Millisecond
+		stopped, worked := false, false
 		for _, r := range runs {
-			if r.Task == task && r.Start.Before(at) && (r.End.IsZero() || r.End.After(at)) {
-				return true
+			if r.Task != task || r.Start.After(at) {
+				continue
 			}
+			stopped = r.EndState == "stopped" && !r.End.After(at)
+			worked = worked || r.End.IsZero() || r.End.After(at.Add(-notice))
 		}
-		return false
+		return stopped || !worked
 	}
 	for _, r := range runs {
 		if r.EndState != "stopped" {
 			continue
 		}
-		// Tasks that end by the same decision count as away from their stop on.
-		away := 0
-		for i := range 3 {
-			other := fmt.Sprintf("%s.0.0.%d", id, i)
-			if other != r.Task && !atWork(other, r.End) {
-				away++
+		others := 0
+		for i := range 5 {
+			if other := fmt.Sprintf("%s.0.0.%d", id, i); other != r.Task && away(other, r.End) {
+				others++
 			}
 		}
-		if away >= mayMiss {
-			broken = append(broken, fmt.Sprintf("AVAIL: %s was stopped at %.3f s at work on a sound worker, while %d others of its step were away and %d may be; nobody has cancelled the job", r.Task, d.since(r.End), away, mayMiss))
+		if others >= mayMiss {
+			broken = append(broken, fmt.Sprintf("AVAIL: %s was stopped at %.3f s at work on a sound worker, while %d others of its step were away and %d may be; nobody has cancelled the job", r.Task, d.since(r.End), others, mayMiss))
 		}
 	}
 	if strings.Contains(state, "failed") && len(broken) > 0 {
