scheduler: settle each job of a refused write on its own

Cause: a write of several jobs that was refused (412) counted as stored if every key that the answer named held the write's value, at the highest revision of all keys. The store leaves out keys that do not exist, so a job that was never stored counted as stored; and jobs stored by two earlier writes without an answer got one revision. Later writes of such a job expect a revision that the store does not have.

Change: the node reports what the store holds of each job, and the scheduler decides for each job: stored if the same progress has a newer revision than expected, otherwise queued again with the revision that was found, 0 for none. A refusal whose answer lacks the lease key means that the lease is lost. The stand-in leaves out missing keys like the users' store.

--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"strings"
 	"testing"
 
@@ -40,11 +41,13 @@
 // TestConflictThatNamesOtherKeys guards against a malformed answer of the store that
 // ends the process.
 func TestConflictThatNamesOtherKeys(t *testing.T) {
-	var result scheduler.ProgressStored
-	conflict := &platform.ConflictError{Items: []platform.Item{{Key: "op", Revision: 7}, {Key: progressKey + "a", Revision: 9}}}
-	(&runner{}).resolveConflict(&result, conflict, nil, scheduler.StoreProgress{})
-	if result.Outcome != scheduler.StoreFailed || len(result.FoundRevisions) != 1 || result.FoundRevisions["a"] != 9 {
-		t.Errorf("outcome %v, revisions %v", result.Outcome, result.FoundRevisions)
+	conflict := &platform.ConflictError{Items: []platform.Item{{Key: "op", Revision: 7}, {Key: progressKey + "a", Revision: 9}, {Key: leaderKey, Revision: 3}}}
+	if outcome := conflictOutcome(conflict, 3); outcome != scheduler.StoreConflict {
+		t.Errorf("outcome %v", outcome)
+	}
+	want := map[job.ID]scheduler.FoundProgress{"a": {Revision: 9}}
+	if found := foundProgress(conflict, nil); !maps.Equal(found, want) {
+		t.Errorf("found %v, want %v", found, want)
 	}
 }
 
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -33,7 +33,8 @@
 	case err == nil:
 		result.Revision = revision
 	case errors.As(err, &conflict):
-		r.resolveConflict(&result, conflict, values, a)
+		result.Outcome = conflictOutcome(conflict, a.Fence)
+		result.Found = foundProgress(conflict, values)
 	default:
 		r.logFailure("progress not stored", err)
 		result.Outcome = scheduler.StoreFailed
@@ -41,34 +42,28 @@
 	return result
 }
 
-// resolveConflict sets the outcome of a progress write that failed with a
-// conflict. If every key holds the value that this write puts, an earlier
-// attempt without an answer has been applied, and the write counts as stored.
-func (r *runner) resolveConflict(result *scheduler.ProgressStored, c *platform.ConflictError, values map[string][]byte, a scheduler.StoreProgress) {
-	result.FoundRevisions = make(map[job.ID]int64)
-	allStored := len(c.Items) > 0
+// conflictOutcome tells whether a write that is conditional on the lease with the
+// given fencing token failed because the lease has another holder or none.
+func conflictOutcome(c *platform.ConflictError, fence int64) scheduler.StoreOutcome {
+	if c.Revision(leaderKey) != fence {
+		return scheduler.StoreLeaseLost
+	}
+	return scheduler.StoreConflict
+}
+
+// foundProgress returns the stored progress that a conflict names. Values are the
+// values that the failed write would have put, by key.
+func foundProgress(c *platform.ConflictError, values map[string][]byte) map[job.ID]scheduler.FoundProgress {
+	found := make(map[job.ID]scheduler.FoundProgress, len(c.Items))
 	for _, item := range c.Items {
-		if item.Key == leaderKey {
-			if item.Revision != a.Fence {
-				result.Outcome = scheduler.StoreLeaseLost
-				return
-			}
-			continue
-		}
-		id, ok := strings.CutPrefix(item.Key, progressKey)
-		if !ok {
-			allStored = false
+		id, isProgress := strings.CutPrefix(item.Key, progressKey)
+		if !isProgress || item.Revision == revisionAbsent {
 			continue
 		}
-		if item.Revision != revisionAbsent {
-			result.FoundRevisions[job.ID(id)] = item.Revision
-		}
-		allStored = allStored && sameValue(item, values[item.Key])
-		result.Revision = max(result.Revision, item.Revision)
-	}
-	if !allStored {
-		result.Outcome = scheduler.StoreFailed
+		value, written := values[item.Key]
+		found[job.ID(id)] = scheduler.FoundProgress{Revision: item.Revision, Same: written && sameValue(item, value)}
 	}
+	return found
 }
 
 func (r *runner) storeRoster(a scheduler.StoreRoster) scheduler.Event {
--- /dev/null
+++ b/internal/node/store_calls_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusjunction/crocusjunction/internal/asynclog"
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/scheduler"
+	"github.com/crocusjunction/crocusjunction/internal/standin/site"
+	"github.com/crocusjunction/crocusjunction/platform"
+)
+
+// startStore serves a stand-in of the store and returns it with a runner that calls it.
+func startStore(t *testing.T) (*site.Store, *runner) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := site.NewStore()
+	server := &fasthttp.Server{Handler: store.Serve}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	r := &runner{
+		client: platform.NewClient(platform.Settings{StoreAddress: l.Addr().String()}),
+		clock:  newBootClock(), log: asynclog.New(io.Discard, logrus.Fields{}), nodeName: "node",
+	}
+	return store, r
+}
+
+// takeLease makes the runner's node the holder of the scheduler's lease and returns its
+// fencing token.
+func takeLease(t *testing.T, r *runner) int64 {
+	t.Helper()
+	granted, ok := r.perform(scheduler.AcquireLease{}).(scheduler.LeaseGranted)
+	if !ok {
+		t.Fatal("the lease was refused")
+	}
+	return granted.Fence
+}
+
+// TestRefusedProgressWriteNamesEachJob guards against a refused write whose answer is
+// read as the same for all of its jobs. The store leaves out jobs without progress.
+func TestRefusedProgressWriteNamesEachJob(t *testing.T) {
+	_, r := startStore(t)
+	fence := takeLease(t, r)
+	placed := job.Progress{State: job.Queued, Placed: map[int][]string{0: {"i-1"}}}
+	store := func(writes ...scheduler.ProgressWrite) scheduler.ProgressStored {
+		return r.perform(scheduler.StoreProgress{Fence: fence, Writes: writes}).(scheduler.ProgressStored)
+	}
+	a, b := scheduler.ProgressWrite{Job: "a", Progress: placed}, scheduler.ProgressWrite{Job: "b", Progress: placed}
+	revisionA, revisionB := store(a).Revision, store(b).Revision
+	if revisionA == 0 || revisionB <= revisionA {
+		t.Fatalf("revisions %d, %d", revisionA, revisionB)
+	}
+	b.Progress.State = job.Running
+	result := store(a, b, scheduler.ProgressWrite{Job: "c", Progress: placed})
+	want := map[job.ID]scheduler.FoundProgress{"a": {Revision: revisionA, Same: true}, "b": {Revision: revisionB}}
+	if result.Outcome != scheduler.StoreConflict || len(result.Found) != 2 || result.Found["a"] != want["a"] || result.Found["b"] != want["b"] {
+		t.Errorf("outcome %v, found %v, want %v", result.Outcome, result.Found, want)
+	}
+}
+
+// TestWriteWithoutLeaseIsNoConflict guards against a scheduler that goes on after its
+// lease has ended: the store's answer then lacks the key of the lease.
+func TestWriteWithoutLeaseIsNoConflict(t *testing.T) {
+	store, r := startStore(t)
+	fence := takeLease(t, r)
+	store.Delete(leaderKey)
+	result := r.perform(scheduler.StoreProgress{Fence: fence, Writes: []scheduler.ProgressWrite{{Job: "a"}}}).(scheduler.ProgressStored)
+	if result.Outcome != scheduler.StoreLeaseLost {
+		t.Errorf("outcome %v, want %v", result.Outcome, scheduler.StoreLeaseLost)
+	}
+}
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -118,14 +118,17 @@
 	return writes
 }
 
-// StoreOutcome is the result of StoreProgress.
+// StoreOutcome is the outcome of a write to the store.
 type StoreOutcome int
 
-// Results of StoreProgress.
+// Outcomes of a write.
 const (
 	StoreDone StoreOutcome = iota
-	// StoreFailed means that the write may not have been carried out and has to be
-	// repeated.
+	// StoreConflict means that nothing was written, because the store holds another
+	// revision of a record than the write expects.
+	StoreConflict
+	// StoreFailed means that the write may or may not have been carried out, or may
+	// still be, and has to be repeated.
 	StoreFailed
 	// StoreLeaseLost means that this node no longer holds the scheduler lease.
 	StoreLeaseLost
@@ -133,14 +136,21 @@
 
 // ProgressStored is the result of StoreProgress.
 type ProgressStored struct {
-	Fence    int64
-	Writes   []ProgressWrite
-	Outcome  StoreOutcome
+	Fence   int64
+	Writes  []ProgressWrite
+	Outcome StoreOutcome
+	// Revision is the revision of the write if Outcome is StoreDone.
 	Revision int64
-	// FoundRevisions maps jobs to the revision in the store where it differs from
-	// the expected one, because an earlier write of this scheduler was carried
-	// out late.
-	FoundRevisions map[job.ID]int64
+	// Found is what the store holds of each job if Outcome is StoreConflict. It lacks
+	// the jobs without stored progress.
+	Found map[job.ID]FoundProgress
+}
+
+// FoundProgress is the stored progress of a job.
+type FoundProgress struct {
+	Revision int64
+	// Same means that it is the progress of the write.
+	Same bool
 }
 
 // Apply implements Event.
@@ -154,48 +164,69 @@
 	}
 	switch e.Outcome {
 	case StoreDone:
-		s.applyStored(e, now)
+		for _, w := range e.Writes {
+			s.applyStored(w, e.Revision, now)
+		}
+	case StoreConflict:
+		s.applyConflict(e, now)
 	case StoreFailed:
 		s.flush.retryAt = now.Add(flushRetryDelay)
 		for _, w := range e.Writes {
-			s.requeueProgress(w.Job, e.FoundRevisions[w.Job])
+			s.requeueProgress(w.Job)
 		}
 	case StoreLeaseLost:
 		s.stepDown("the store has another lease holder", now)
 	}
 }
 
-// applyStored records that progress is stored, sends the starts that waited for it
-// and queues what has changed since.
-func (s *Scheduler) applyStored(e ProgressStored, now time.Time) {
+// applyConflict settles each job of a refused write by what the store holds of it: the
+// jobs may have been stored by different earlier writes without an answer, or by none.
+// The retry is delayed unless the answer explains the refusal.
+func (s *Scheduler) applyConflict(e ProgressStored, now time.Time) {
+	explained, settled := false, 0
 	for _, w := range e.Writes {
-		j := s.jobs.get(w.Job)
-		if j == nil {
+		found := e.Found[w.Job]
+		explained = explained || found.Revision != w.Expected
+		// A write without an answer that expects the same revision may still replace
+		// the stored progress if its revision is the expected one.
+		if found.Same && found.Revision > w.Expected {
+			s.applyStored(w, found.Revision, now)
+			settled++
 			continue
 		}
-		s.subject = jobRecord(j.ID)
-		s.pending.add(j, -1)
-		j.MarkFlushed(w.Progress, w.Version, e.Revision)
-		s.pending.add(j, +1)
-		s.sendDeferredStarts(j, now)
-		s.queueProgress(j)
+		if j := s.jobs.get(w.Job); j != nil {
+			j.StoredRevision = found.Revision
+		}
+		s.requeueProgress(w.Job)
 	}
+	if !explained {
+		s.flush.retryAt = now.Add(flushRetryDelay)
+	}
+	s.log("progress write refused", "jobs", len(e.Writes), "found", len(e.Found), "stored_before", settled, "explained", explained)
 }
 
-// requeueProgress queues progress again after a write that failed. If found is not
-// 0, it is the revision that the store held instead of the expected one, and the
-// next write expects it.
-func (s *Scheduler) requeueProgress(id job.ID, found int64) {
-	j := s.jobs.get(id)
+// applyStored records that the store holds the progress of a write, sends the starts
+// that waited for it and queues what has changed since.
+func (s *Scheduler) applyStored(w ProgressWrite, revision int64, now time.Time) {
+	j := s.jobs.get(w.Job)
 	if j == nil {
 		return
 	}
-	if found != 0 {
-		j.StoredRevision = max(j.StoredRevision, found)
-	}
+	s.subject = jobRecord(j.ID)
+	s.pending.add(j, -1)
+	j.MarkFlushed(w.Progress, w.Version, revision)
+	s.pending.add(j, +1)
+	s.sendDeferredStarts(j, now)
 	s.queueProgress(j)
 }
 
+// requeueProgress queues progress again after a write that was not carried out.
+func (s *Scheduler) requeueProgress(id job.ID) {
+	if j := s.jobs.get(id); j != nil {
+		s.queueProgress(j)
+	}
+}
+
 // stepRemoval removes ended jobs from the store once their final state no
 // longer has to stay readable.
 func (s *Scheduler) stepRemoval(now time.Time) {
--- /dev/null
+++ b/internal/scheduler/flush_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+)
+
+// TestRefusedWriteIsSettledForEachJob guards against jobs of a refused write that are
+// taken as stored, or as stored at the revision of another job: no later write of such a
+// job succeeds.
+func TestRefusedWriteIsSettledForEachJob(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 4)
+	id := func(i int) job.ID { return job.ID(fmt.Sprintf("%016x", i)) }
+	first, second, changed, absent := s.jobs.get(id(0)), s.jobs.get(id(1)), s.jobs.get(id(2)), s.jobs.get(id(3))
+	absent.StoredRevision = 5
+	s.placeRound(now)
+	s.flushProgress(now)
+	write := lastAction[StoreProgress](t, s)
+	if len(write.Writes) != 4 {
+		t.Fatalf("%d jobs in the write, want 4", len(write.Writes))
+	}
+	s.actions = nil
+	s.Apply(ProgressStored{Fence: write.Fence, Writes: write.Writes, Outcome: StoreConflict, Found: map[job.ID]FoundProgress{
+		first.ID: {Revision: 7, Same: true}, second.ID: {Revision: 9, Same: true}, changed.ID: {Revision: 8},
+	}}, now)
+	for _, c := range []struct {
+		name     string
+		job      *job.Job
+		revision int64
+		durable  bool
+	}{
+		{"stored by the first write", first, 7, true}, {"stored by the second write", second, 9, true},
+		{"stored with other progress", changed, 8, false}, {"not stored", absent, 0, false},
+	} {
+		if c.job.StoredRevision != c.revision || c.job.PlacementDurable() != c.durable {
+			t.Errorf("%s: revision %d, durable %v, want %d, %v", c.name, c.job.StoredRevision, c.job.PlacementDurable(), c.revision, c.durable)
+		}
+	}
+	s.actions = nil
+	s.Apply(Tick{}, now.Add(flushInterval))
+	for _, w := range lastAction[StoreProgress](t, s).Writes {
+		if want := s.jobs.get(w.Job).StoredRevision; w.Expected != want {
+			t.Errorf("the next write of %s expects revision %d, want %d", w.Job, w.Expected, want)
+		}
+	}
+}
+
+// TestProgressAtExpectedRevisionIsStoredAgain guards against progress that counts as
+// stored because the store holds the same, while an earlier write without an answer can
+// still replace it.
+func TestProgressAtExpectedRevisionIsStoredAgain(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 1)
+	s.placeRound(now)
+	s.flushProgress(now)
+	write := lastAction[StoreProgress](t, s)
+	write.Writes[0].Expected = 6
+	s.Apply(ProgressStored{Fence: write.Fence, Writes: write.Writes, Outcome: StoreConflict, Found: map[job.ID]FoundProgress{
+		write.Writes[0].Job: {Revision: 6, Same: true},
+	}}, now)
+	if j := s.jobs.get(write.Writes[0].Job); j.PlacementDurable() || !s.flush.inQueue[j.ID] {
+		t.Error("the progress counts as stored")
+	}
+	s.actions = nil
+	s.Apply(Tick{}, now.Add(flushInterval))
+	for _, a := range s.actions {
+		if _, ok := a.(StoreProgress); ok {
+			t.Error("a refusal that nothing explains is repeated without a delay")
+		}
+	}
+	s.Apply(Tick{}, now.Add(flushRetryDelay+time.Millisecond))
+	if len(lastAction[StoreProgress](t, s).Writes) != 1 {
+		t.Error("the write is not repeated")
+	}
+}
+
+// lastAction returns the last action of a type.
+func lastAction[A Action](t *testing.T, s *Scheduler) A {
+	t.Helper()
+	for i := len(s.actions) - 1; i >= 0; i-- {
+		if a, ok := s.actions[i].(A); ok {
+			return a
+		}
+	}
+	var none A
+	t.Fatalf("no action %T", none)
+	return none
+}
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -6,6 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
@@ -134,10 +137,10 @@
 		e.Outcome = StoreLeaseLost
 		return
 	}
-	e.FoundRevisions = make(map[job.ID]int64)
+	e.Outcome, e.Found = StoreConflict, make(map[job.ID]FoundProgress)
 	for _, p := range a.Writes {
 		if item, ok := s.get("s/" + string(p.Job)); ok {
-			e.FoundRevisions[p.Job] = item.revision
+			e.Found[p.Job] = FoundProgress{Revision: item.revision, Same: cmp.Equal(item.value, p.Progress, cmpopts.EquateEmpty())}
 		}
 	}
 }
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -6,7 +6,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -16,31 +15,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// StoreFault selects how a Store mishandles calls.
-type StoreFault int
-
-// Faults of a Store.
-const (
-	// StoreNoFault injects no fault.
-	StoreNoFault StoreFault = iota
-	// StoreUnavailable rejects every call with 503.
-	StoreUnavailable
-	// StoreTooManyRequests rejects every call with 429.
-	StoreTooManyRequests
-	// StoreSilent blocks every call until the fault changes, for maxSilence at
-	// most, and then closes the connection without an answer.
-	StoreSilent
-	// StoreLosesAnswers executes every call and closes the connection without an
-	// answer.
-	StoreLosesAnswers
-	// StoreLate closes the connection without an answer and executes the call
-	// after lateDelay.
-	StoreLate
-)
-
-// lateDelay is how long StoreLate and WorkerLate delay a call.
-const lateDelay = 300 * time.Millisecond
-
 // Item is one key of the store with its value. In the answer to a watch it may
 // instead be the removal of a key. Created is the revision that created the key.
 type Item struct {
@@ -73,7 +47,11 @@
 	changed chan struct{}
 	fault   StoreFault
 	delay   time.Duration
-	writes  int
+	// writeFault selects the fault of a transaction by its keys; it may be nil.
+	writeFault func(keys []string) StoreFault
+	// held are the calls that StoreHeld keeps.
+	held   []*fasthttp.RequestCtx
+	writes int
 }
 
 // NewStore returns an empty store.
@@ -81,14 +59,6 @@
 	return &Store{items: make(map[string]Item), leases: make(map[int64]*storeLease), revision: 1, changed: make(chan struct{})}
 }
 
-// SetFault replaces the injected fault. Every call is delayed by delay.
-func (s *Store) SetFault(f StoreFault, delay time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault, s.delay = f, delay
-	s.wakeWatches()
-}
-
 // Compact discards the history, so that a watch of an earlier revision is
 // answered 410.
 func (s *Store) Compact() {
@@ -204,64 +174,6 @@
 	s.wakeWatches()
 }
 
-// Serve handles one HTTP call to the store, with the injected fault and delay.
-func (s *Store) Serve(c *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	fault, delay := s.fault, s.delay
-	s.mu.Unlock()
-	time.Sleep(delay)
-	switch fault {
-	case StoreUnavailable:
-		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
-	case StoreTooManyRequests:
-		c.SetStatusCode(fasthttp.StatusTooManyRequests)
-		return
-	case StoreSilent:
-		s.awaitFaultChange(StoreSilent)
-		abort(c)
-		return
-	case StoreLosesAnswers:
-		s.dispatch(c)
-		abort(c)
-		return
-	case StoreLate:
-		late := &fasthttp.RequestCtx{}
-		c.Request.CopyTo(&late.Request)
-		time.AfterFunc(lateDelay, func() { s.dispatch(late) })
-		abort(c)
-		return
-	}
-	s.dispatch(c)
-}
-
-// abort closes the connection without an answer.
-func abort(c *fasthttp.RequestCtx) {
-	c.HijackSetNoResponse(true)
-	c.Hijack(func(conn net.Conn) { _ = conn.Close() })
-}
-
-// maxSilence bounds how long StoreSilent blocks a call, so that tests end.
-const maxSilence = 5 * time.Second
-
-// awaitFaultChange blocks while f is the injected fault, for maxSilence at most.
-func (s *Store) awaitFaultChange(f StoreFault) {
-	deadline := time.After(maxSilence)
-	for {
-		s.mu.Lock()
-		same, changed := s.fault == f, s.changed
-		s.mu.Unlock()
-		if !same {
-			return
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			return
-		}
-	}
-}
-
 func (s *Store) dispatch(c *fasthttp.RequestCtx) {
 	path := string(c.Path())
 	keptID, isKeepAlive := strings.CutPrefix(path, "/kv-keep/")
@@ -273,7 +185,7 @@
 		s.serveRange(c)
 	case path == "/kv-watch":
 		s.serveWatch(c)
-	case path == "/kv-txn":
+	case path == txnPath:
 		s.serveTxn(c)
 	case path == "/kv-lease":
 		s.serveLease(c)
@@ -371,84 +283,6 @@
 	return events
 }
 
-// txn is the body of a transaction: its puts and deletes take effect only if
-// each key in Conditions has the given revision, 0 for a missing key.
-type txn struct {
-	Conditions []struct {
-		Key      string `json:"key"`
-		Revision int64  `json:"revision"`
-	} `json:"expected-rev"`
-	Puts []struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-		Lease int64  `json:"lease"`
-	} `json:"puts"`
-	Deletes []string `json:"deletes"`
-}
-
-// maxTxnEntries is the maximum number of conditions, puts and deletes in a
-// transaction.
-const maxTxnEntries = 32
-
-func (s *Store) serveTxn(c *fasthttp.RequestCtx) {
-	var t txn
-	if json.Unmarshal(c.PostBody(), &t) != nil || len(t.Conditions)+len(t.Puts)+len(t.Deletes) > maxTxnEntries {
-		c.SetStatusCode(fasthttp.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLeases()
-	if conflict := s.conflictItems(t); conflict != nil {
-		c.SetStatusCode(fasthttp.StatusPreconditionFailed)
-		replyJSON(c, struct {
-			Items []Item `json:"items"`
-		}{conflict})
-		return
-	}
-	for _, p := range t.Puts {
-		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
-			c.SetStatusCode(fasthttp.StatusForbidden)
-			return
-		}
-		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			c.SetStatusCode(fasthttp.StatusNotFound)
-			return
-		}
-	}
-	s.revision++
-	s.writes++
-	for _, p := range t.Puts {
-		s.put(p.Key, p.Value, p.Lease)
-	}
-	for _, key := range t.Deletes {
-		s.remove(key)
-	}
-	s.wakeWatches()
-	replyJSON(c, struct {
-		Revision int64 `json:"revision"`
-	}{s.revision})
-}
-
-// conflictItems returns the current items of all conditions if one of them
-// fails, and nil otherwise. The caller holds s.mu.
-func (s *Store) conflictItems(t txn) []Item {
-	var items []Item
-	failed := false
-	for _, condition := range t.Conditions {
-		item, ok := s.items[condition.Key]
-		if !ok {
-			item = Item{Key: condition.Key}
-		}
-		failed = failed || item.Revision != condition.Revision
-		items = append(items, item)
-	}
-	if !failed {
-		return nil
-	}
-	return items
-}
-
 func (s *Store) serveLease(c *fasthttp.RequestCtx) {
 	var request struct {
 		TTL int64 `json:"ttl-ms"`
