scheduler: write its own records on condition of their revision

Cause: the roster of workers was written whole, on the condition of the lease only. A write without an answer is repeated, with more workers meanwhile; when the store carries out the first one seconds later, its condition still holds and the older roster replaces the newer one. The scheduler doesn't notice, because the workers stay recorded in its memory. The next scheduler does not know the missing workers, does not wait for them and starts their tasks again.

The same on related paths: the list of ordered machines (a successor would order a machine too early), the state of a wave (a completed one is shown as running again, begun upkeep is forgotten), the counts of pending jobs, and the removal of ended jobs (a late one removes a later job with the same ID).

Removals expect the creation revision of each job, six jobs to a write instead of seven. A refusal because the lease is gone ends the term here too.

--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -118,6 +118,8 @@
 	Announced Announcement
 	// PublishedBegun is the number of begun members in the stored progress.
 	PublishedBegun int
+	// Revision is the revision of the stored progress, 0 if there is none.
+	Revision int64
 	// Publishing is true while the state is being written. RetryAt is the
 	// earliest time of the next write.
 	Publishing bool
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -172,7 +172,7 @@
 		}
 		var r waveRecord
 		err = json.Unmarshal(item.Value, &r)
-		return scheduler.WaveProgressRead{Wave: number, Begun: r.Begun, Completed: r.Completed}, wrapKey(err, item.Key)
+		return scheduler.WaveProgressRead{Wave: number, Begun: r.Begun, Completed: r.Completed, Revision: item.Revision}, wrapKey(err, item.Key)
 	}
 	switch item.Key {
 	case leaderKey:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -66,13 +66,27 @@
 	return found
 }
 
-func (r *runner) storeRoster(a scheduler.StoreRoster) scheduler.Event {
-	_, err := r.client.Write(platform.Txn{
-		Conditions: []platform.Condition{leaderCondition(a.Fence)},
-		Puts:       []platform.Put{{Key: rosterKey, Value: encodeJSON(a.Members)}},
+// writeRecord writes a record of the scheduler's own, and further keys with it. The
+// condition is that the record has the revision expected in the store.
+func (r *runner) writeRecord(fence int64, name string, expected int64, record platform.Put, others ...platform.Put) scheduler.RecordResult {
+	revision, err := r.client.Write(platform.Txn{
+		Conditions: []platform.Condition{leaderCondition(fence), {Key: record.Key, Revision: expected}},
+		Puts:       append([]platform.Put{record}, others...),
 	}, storeTimeout)
-	r.logFailure("worker roster not stored", err)
-	return scheduler.RosterStored{Fence: a.Fence, Members: a.Members, OK: err == nil}
+	r.logFailure(name+" not stored", err)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return scheduler.RecordResult{Revision: revision}
+	case errors.As(err, &conflict):
+		return scheduler.RecordResult{Outcome: conflictOutcome(conflict, fence), Revision: conflict.Revision(record.Key)}
+	}
+	return scheduler.RecordResult{Outcome: scheduler.StoreFailed}
+}
+
+func (r *runner) storeRoster(a scheduler.StoreRoster) scheduler.Event {
+	result := r.writeRecord(a.Fence, "worker roster", a.Expected, platform.Put{Key: rosterKey, Value: encodeJSON(a.Members)})
+	return scheduler.RosterStored{Fence: a.Fence, Members: a.Members, Result: result}
 }
 
 // readProgress lists the progress of all jobs. An entry that cannot be decoded is
@@ -99,27 +113,21 @@
 }
 
 func (r *runner) storePending(a scheduler.StorePending) scheduler.Event {
-	_, err := r.client.Write(platform.Txn{
-		Conditions: []platform.Condition{leaderCondition(a.Fence)},
-		Puts:       []platform.Put{{Key: pendingKey, Value: encodeJSON(pendingRecord{a.Counts, a.AsOf})}},
-	}, storeTimeout)
-	r.logFailure("numbers of pending jobs not stored", err)
-	return scheduler.PendingStored{Fence: a.Fence, OK: err == nil}
+	put := platform.Put{Key: pendingKey, Value: encodeJSON(pendingRecord{a.Counts, a.AsOf})}
+	return scheduler.PendingStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "numbers of pending jobs", a.Expected, put)}
 }
 
 func (r *runner) storeMachineOrders(a scheduler.StoreMachineOrders) scheduler.Event {
-	_, err := r.client.Write(platform.Txn{
-		Conditions: []platform.Condition{leaderCondition(a.Fence)},
-		Puts:       []platform.Put{{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}},
-	}, storeTimeout)
-	r.logFailure("machine orders not stored", err)
-	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, OK: err == nil}
+	put := platform.Put{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}
+	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
 }
 
 func (r *runner) removeJobs(a scheduler.RemoveJobs) {
 	txn := platform.Txn{Conditions: []platform.Condition{leaderCondition(a.Fence)}}
-	for _, id := range a.Jobs {
-		txn.Deletes = append(txn.Deletes, jobKey+string(id), progressKey+string(id), legacyProgressKey+string(id), cancelKey+string(id))
+	for _, j := range a.Jobs {
+		id := string(j.ID)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: jobKey + id, Revision: j.Revision})
+		txn.Deletes = append(txn.Deletes, jobKey+id, progressKey+id, legacyProgressKey+id, cancelKey+id)
 	}
 	_, err := r.client.Write(txn, storeTimeout)
 	r.logFailure("ended jobs not removed", err)
@@ -127,13 +135,7 @@
 
 func (r *runner) publishWave(a scheduler.PublishWave) scheduler.Event {
 	key, value := platform.EncodeWaveStatus(a.Wave, a.Completed)
-	_, err := r.client.Write(platform.Txn{
-		Conditions: []platform.Condition{leaderCondition(a.Fence)},
-		Puts: []platform.Put{
-			{Key: key, Value: value},
-			{Key: waveKey + strconv.FormatInt(a.Wave, decimal), Value: encodeJSON(waveRecord{a.Begun, a.Completed})},
-		},
-	}, storeTimeout)
-	r.logFailure("wave status not published", err)
-	return scheduler.WavePublished{Wave: a.Wave, Completed: a.Completed, Begun: len(a.Begun), OK: err == nil}
+	record := platform.Put{Key: waveKey + strconv.FormatInt(a.Wave, decimal), Value: encodeJSON(waveRecord{a.Begun, a.Completed})}
+	result := r.writeRecord(a.Fence, "wave status", a.Expected, record, platform.Put{Key: key, Value: value})
+	return scheduler.WavePublished{Wave: a.Wave, Fence: a.Fence, Completed: a.Completed, Begun: len(a.Begun), Result: result}
 }
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -77,3 +77,55 @@
 		t.Errorf("outcome %v, want %v", result.Outcome, scheduler.StoreLeaseLost)
 	}
 }
+
+// TestLateRecordWriteIsRefused guards against a write of one of the scheduler's records
+// that the store carries out after a newer one.
+func TestLateRecordWriteIsRefused(t *testing.T) {
+	store, r := startStore(t)
+	fence := takeLease(t, r)
+	roster := func(members ...scheduler.RosterMember) scheduler.Action {
+		return scheduler.StoreRoster{Fence: fence, Members: members}
+	}
+	for _, c := range []struct {
+		key          string
+		older, newer scheduler.Action
+	}{
+		{rosterKey, roster(scheduler.RosterMember{ID: "i-1"}), roster(scheduler.RosterMember{ID: "i-1"}, scheduler.RosterMember{ID: "i-2"})},
+		{machineOrdersKey, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a"}}, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a", "b"}}},
+		{pendingKey, scheduler.StorePending{Fence: fence, AsOf: 3}, scheduler.StorePending{Fence: fence, AsOf: 4}},
+		{waveKey + "1", scheduler.PublishWave{Fence: fence, Wave: 1}, scheduler.PublishWave{Fence: fence, Wave: 1, Completed: true}},
+	} {
+		store.SetWriteFault(func([]string) site.StoreFault { return site.StoreHeld })
+		r.perform(c.older)
+		store.SetWriteFault(nil)
+		r.perform(c.newer)
+		newest, _ := store.Get(c.key)
+		statuses := store.CarryOutHeld()
+		if after, _ := store.Get(c.key); len(statuses) != 1 || statuses[0] != fasthttp.StatusPreconditionFailed || after.Revision != newest.Revision {
+			t.Errorf("%s: the late write got status %v and left %s", c.key, statuses, after.Value)
+		}
+	}
+}
+
+// TestLateRemovalKeepsLaterJob guards against the loss of an accepted job whose ID an
+// older job had, which a removal without an answer removes.
+func TestLateRemovalKeepsLaterJob(t *testing.T) {
+	store, r := startStore(t)
+	fence := takeLease(t, r)
+	key := jobKey + "a"
+	store.Put(key, "older")
+	older, _ := store.Get(key)
+	remove := scheduler.RemoveJobs{Fence: fence, Jobs: []scheduler.JobRemoval{{ID: "a", Revision: older.Revision}}}
+	store.SetWriteFault(func([]string) site.StoreFault { return site.StoreHeld })
+	r.perform(remove)
+	store.SetWriteFault(nil)
+	r.perform(remove)
+	if _, ok := store.Get(key); ok {
+		t.Fatal("the job was not removed")
+	}
+	store.Put(key, "later")
+	store.CarryOutHeld()
+	if _, ok := store.Get(key); !ok {
+		t.Error("the late removal has removed the later job")
+	}
+}
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -106,13 +106,22 @@
 type StoreRoster struct {
 	Fence   int64
 	Members []RosterMember
+	// Expected is the revision that the list must have in the store, 0 for none.
+	Expected int64
 }
 
 // RemoveJobs removes ended jobs from the store. It has no result of its own: the
 // removals arrive as JobRemoved.
 type RemoveJobs struct {
 	Fence int64
-	Jobs  []job.ID
+	Jobs  []JobRemoval
+}
+
+// JobRemoval names a job to remove. Revision is that of its creation: a removal that is
+// carried out late must not remove a later job with the same ID.
+type JobRemoval struct {
+	ID       job.ID
+	Revision int64
 }
 
 // ListMachines reads the list of machines. The result is MachinesListed.
@@ -141,6 +150,9 @@
 	// Begun are the machines whose upkeep has begun.
 	Begun []string
 	Fence int64
+	// Expected is the revision that the wave's progress must have in the store, 0 for
+	// none.
+	Expected int64
 }
 
 // CloseWorker closes the connections to a worker that was removed.
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -116,6 +116,7 @@
 	Wave      int64
 	Begun     []string
 	Completed bool
+	Revision  int64
 }
 
 func (c WaveProgressRead) apply(s *Scheduler, now time.Time) {
@@ -126,6 +127,7 @@
 }
 
 func (c WaveProgressRead) applyTo(w *upkeep.Wave, now time.Time) {
+	w.Revision = max(w.Revision, c.Revision)
 	w.MergeBegun(c.Begun, now)
 	announced := upkeep.AnnouncedRunning
 	if c.Completed {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -300,7 +300,7 @@
 	// each of its orders has ended by this time, even on workers whose clock rate
 	// is off by up to worker.ClockError percent.
 	predecessorOrdersEnd := now.Add(s.options.MaxTaskLease*(100+worker.ClockError+1)/100 + worker.LeaseMargin)
-	s.roster.writing = false
+	s.roster.writes = recordWrites{revision: s.roster.revision}
 	for _, m := range s.roster.members {
 		w := worker.New(worker.Description{ID: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre})
 		w.Listed = false
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -26,9 +26,9 @@
 	// removalMargin is added to the time for which the state of an ended job must
 	// stay readable.
 	removalMargin = 5 * time.Second
-	// removalBatch is the largest number of jobs removed in one write, which deletes
-	// four keys of each.
-	removalBatch = 7
+	// removalBatch is the largest number of jobs removed in one write, which has a
+	// condition and deletes four keys of each.
+	removalBatch = 6
 )
 
 // flushState is the queue of job progress to store.
@@ -235,10 +235,10 @@
 	}
 	s.flush.removeAt = now.Add(removalInterval)
 	before := now.Add(-s.options.StatusRetention - removalMargin).UnixMilli()
-	var old []job.ID
+	var old []JobRemoval
 	for id, j := range s.jobs.all() {
 		if j.Stored.State.Final() && j.Stored.EndedAt < before && len(old) < removalBatch {
-			old = append(old, id)
+			old = append(old, JobRemoval{id, j.Revision})
 		}
 	}
 	if len(old) > 0 {
--- a/internal/scheduler/machine_orders.go
+++ b/internal/scheduler/machine_orders.go
@@ -44,6 +44,8 @@
 	Fence    int64
 	Epoch    int
 	Machines []string
+	// Expected is the revision that the list must have in the store, 0 for none.
+	Expected int64
 }
 
 func (StoreMachineOrders) isAction() {}
@@ -52,7 +54,7 @@
 type MachineOrdersStored struct {
 	Fence    int64
 	Machines []string
-	OK       bool
+	Result   RecordResult
 }
 
 // Apply implements Event.
@@ -61,9 +63,7 @@
 		return
 	}
 	o := &s.machineOps.orders
-	o.writing = false
-	if !e.OK {
-		o.retryAt = now.Add(machineOrdersRetryDelay)
+	if !s.finishRecordWrite(&o.writes, e.Result, machineOrdersRetryDelay, now) {
 		return
 	}
 	o.stored = make(map[string]bool, len(e.Machines))
@@ -83,16 +83,15 @@
 	// decidedAt is when this scheduler last decided to order a machine.
 	decidedAt map[string]time.Time
 	// stored are the machines in the stored list, nil before the first write.
-	stored  map[string]bool
-	writing bool
-	retryAt time.Time
+	stored map[string]bool
+	writes recordWrites
 }
 
 // inheritMachineOrders returns the machines that earlier schedulers may have ordered
 // shortly before this term. If the last one has not written the list, it may be of a
 // version without it, and every machine is taken as ordered.
 func (s *Scheduler) inheritMachineOrders() machineOrders {
-	o := machineOrders{inherited: make(map[string]bool), decidedAt: make(map[string]time.Time)}
+	o := machineOrders{inherited: make(map[string]bool), decidedAt: make(map[string]time.Time), writes: recordWrites{revision: s.storedOrders.Revision}}
 	epoch := s.election.authority.Epoch
 	o.inheritedAll = epoch > 0 && s.storedOrders.Epoch != epoch-1
 	for _, name := range s.storedOrders.Machines {
@@ -133,11 +132,7 @@
 // beginning of a term.
 func (s *Scheduler) stepMachineOrders(now time.Time) {
 	o := &s.machineOps.orders
-	if o.writing || !s.authorized(now) || !s.machineOrdersMissing() {
-		return
-	}
-	if now.Before(o.retryAt) {
-		s.requestTick(o.retryAt)
+	if !s.machineOrdersMissing() || !s.mayWriteRecord(&o.writes, now) {
 		return
 	}
 	keep := s.options.MachineOpGap + orderEffectMargin + lease.SafetyMargin
@@ -149,8 +144,10 @@
 	if now.Before(s.machineOps.notBefore) {
 		maps.Copy(names, o.inherited)
 	}
-	o.writing = true
-	s.act(StoreMachineOrders{Fence: s.fence(), Epoch: s.election.authority.Epoch, Machines: slices.Sorted(maps.Keys(names))})
+	o.writes.writing = true
+	s.act(StoreMachineOrders{
+		Fence: s.fence(), Epoch: s.election.authority.Epoch, Machines: slices.Sorted(maps.Keys(names)), Expected: o.writes.revision,
+	})
 }
 
 func (s *Scheduler) machineOrdersMissing() bool {
--- a/internal/scheduler/pending.go
+++ b/internal/scheduler/pending.go
@@ -21,9 +21,8 @@
 	// accepted later.
 	stored PendingRead
 	recent []*job.Job
-	// writing is set while a write is under way. writeAt is when the next one may be
-	// sent.
-	writing bool
+	writes recordWrites
+	// writeAt is when the next write may be sent.
 	writeAt time.Time
 }
 
@@ -36,7 +35,7 @@
 
 // startLeading counts the jobs at the beginning of a term.
 func (p *pendingJobs) startLeading(jobs *orderedMap[job.ID, *job.Job]) {
-	p.counts, p.writing, p.writeAt = make(map[string]int), false, time.Time{}
+	p.counts, p.writes, p.writeAt = make(map[string]int), recordWrites{revision: p.stored.Revision}, time.Time{}
 	for _, j := range jobs.all() {
 		p.add(j, +1)
 	}
@@ -91,14 +90,16 @@
 	Fence  int64
 	Counts map[string]int
 	AsOf   int64
+	// Expected is the revision that the counts must have in the store, 0 for none.
+	Expected int64
 }
 
 func (StorePending) isAction() {}
 
 // PendingStored is the result of StorePending.
 type PendingStored struct {
-	Fence int64
-	OK    bool
+	Fence  int64
+	Result RecordResult
 }
 
 // Apply implements Event.
@@ -106,16 +107,13 @@
 	if !s.leading || e.Fence != s.fence() {
 		return
 	}
-	s.pending.writing = false
-	if !e.OK {
-		s.pending.writeAt = now.Add(pendingInterval)
-	}
+	s.finishRecordWrite(&s.pending.writes, e.Result, pendingInterval, now)
 }
 
 // stepPending stores the counts if they have changed.
 func (s *Scheduler) stepPending(now time.Time) {
 	p := &s.pending
-	if p.writing || !s.authorized(now) || len(p.recent) == 0 && maps.Equal(p.counts, p.stored.Counts) {
+	if len(p.recent) == 0 && maps.Equal(p.counts, p.stored.Counts) || !s.mayWriteRecord(&p.writes, now) {
 		return
 	}
 	if now.Before(p.writeAt) {
@@ -123,6 +121,6 @@
 		return
 	}
 	maps.DeleteFunc(p.counts, func(_ string, n int) bool { return n == 0 })
-	p.writing, p.writeAt = true, now.Add(pendingInterval)
-	s.act(StorePending{Fence: s.fence(), Counts: maps.Clone(p.counts), AsOf: s.election.syncedRevision})
+	p.writes.writing, p.writeAt = true, now.Add(pendingInterval)
+	s.act(StorePending{Fence: s.fence(), Counts: maps.Clone(p.counts), AsOf: s.election.syncedRevision, Expected: p.writes.revision})
 }
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -21,11 +21,10 @@
 // roster is the stored list of workers that may run tasks, and the state of writing
 // it.
 type roster struct {
+	// members is the list as it was last read, revision its revision.
 	members  []RosterMember
 	revision int64
-	writing  bool
-	// retryAt is when the next write may be sent after one that failed.
-	retryAt time.Time
+	writes   recordWrites
 }
 
 // rosterRetryDelay is the delay after a write that failed.
@@ -35,7 +34,7 @@
 type RosterStored struct {
 	Fence   int64
 	Members []RosterMember
-	OK      bool
+	Result  RecordResult
 }
 
 // Apply implements Event.
@@ -43,9 +42,7 @@
 	if !s.leading || e.Fence != s.fence() {
 		return
 	}
-	s.roster.writing = false
-	if !e.OK {
-		s.roster.retryAt = now.Add(rosterRetryDelay)
+	if !s.finishRecordWrite(&s.roster.writes, e.Result, rosterRetryDelay, now) {
 		return
 	}
 	for _, m := range e.Members {
@@ -62,11 +59,7 @@
 	for _, w := range s.workers.all() {
 		missing = missing || !w.Recorded
 	}
-	if !missing || s.roster.writing || !s.authorized(now) {
-		return
-	}
-	if now.Before(s.roster.retryAt) {
-		s.requestTick(s.roster.retryAt)
+	if !missing || !s.mayWriteRecord(&s.roster.writes, now) {
 		return
 	}
 	members := make([]RosterMember, 0, s.workers.len())
@@ -74,8 +67,8 @@
 		members = append(members, RosterMember{w.ID, w.Address, w.Service, w.DataCentre})
 	}
 	slices.SortFunc(members, func(a, b RosterMember) int { return cmp.Compare(a.ID, b.ID) })
-	s.roster.writing = true
-	s.act(StoreRoster{Fence: s.fence(), Members: members})
+	s.roster.writes.writing = true
+	s.act(StoreRoster{Fence: s.fence(), Members: members, Expected: s.roster.writes.revision})
 }
 
 // updateWorker adds or updates a worker from its entry in the store's list.
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -222,24 +222,22 @@
 	case StoreProgress:
 		n.storeProgress(a)
 	case StoreRoster:
-		ok := false
-		n.storeCall(func() { ok = w.store.write(a.Fence, map[string]any{"roster": a.Members}, nil) },
-			func() { n.apply(RosterStored{a.Fence, a.Members, ok}) }, func() { n.apply(RosterStored{a.Fence, a.Members, false}) })
+		n.writeRecord(a.Fence, "roster", a.Members, a.Expected, func(r RecordResult) Event { return RosterStored{a.Fence, a.Members, r} })
 	case ReadProgress:
 		listed := ProgressListed{Fence: a.Fence}
 		n.storeCall(func() {
 			listed.OK, listed.Progress = true, w.store.progress()
 		}, func() { n.apply(listed) }, func() { n.apply(ProgressListed{Fence: a.Fence}) })
 	case StorePending:
-		ok := false
-		n.storeCall(func() {
-			ok = w.store.write(a.Fence, map[string]any{"pending": PendingRead{Counts: a.Counts, AsOf: a.AsOf}}, nil)
-		}, func() { n.apply(PendingStored{a.Fence, ok}) }, func() { n.apply(PendingStored{a.Fence, false}) })
+		n.writeRecord(a.Fence, "pending", PendingRead{Counts: a.Counts, AsOf: a.AsOf}, a.Expected, func(r RecordResult) Event { return PendingStored{a.Fence, r} })
 	case StoreMachineOrders:
-		ok := false
-		n.storeCall(func() {
-			ok = !w.loseMachineOrderLists && w.store.write(a.Fence, map[string]any{"orders": MachineOrdersRead{Epoch: a.Epoch, Machines: a.Machines}}, nil)
-		}, func() { n.apply(MachineOrdersStored{a.Fence, a.Machines, ok}) }, func() { n.apply(MachineOrdersStored{a.Fence, a.Machines, false}) })
+		if w.loseMachineOrderLists {
+			n.reply(MachineOrdersStored{a.Fence, a.Machines, RecordResult{Outcome: StoreFailed}})
+			return
+		}
+		n.writeRecord(a.Fence, "orders", MachineOrdersRead{Epoch: a.Epoch, Machines: a.Machines}, a.Expected, func(r RecordResult) Event {
+			return MachineOrdersStored{a.Fence, a.Machines, r}
+		})
 	case ListMachines:
 		n.later(2*w.latency(), func() {
 			list := w.listMachines()
@@ -258,13 +256,13 @@
 			return MoveAnswered{a.Machine, a.Pool, a.Fence, o, r}
 		})
 	case PublishWave:
-		n.storeCall(func() {
-			if a.Completed {
-				w.checkWave(a.Wave)
-			}
-			w.store.write(a.Fence, map[string]any{"wave/" + strconv.FormatInt(a.Wave, 10): WaveProgressRead{a.Wave, a.Begun, a.Completed}}, nil)
-		}, func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), true}) },
-			func() { n.apply(WavePublished{a.Wave, a.Completed, len(a.Begun), false}) })
+		if a.Completed {
+			w.checkWave(a.Wave)
+		}
+		progress := WaveProgressRead{Wave: a.Wave, Begun: a.Begun, Completed: a.Completed}
+		n.writeRecord(a.Fence, "wave/"+strconv.FormatInt(a.Wave, 10), progress, a.Expected, func(r RecordResult) Event {
+			return WavePublished{a.Wave, a.Fence, a.Completed, len(a.Begun), r}
+		})
 	case RequestAdvice:
 		n.advise(a)
 	case SetPace:
@@ -275,6 +273,19 @@
 	}
 }
 
+// writeRecord simulates a write of one of the scheduler's records. Answer returns the
+// event of its result.
+func (n *simNode) writeRecord(fence int64, key string, value any, expected int64, answer func(RecordResult) Event) {
+	var result RecordResult
+	if key == n.w.lateRecord {
+		n.w.after(lateRecordDelay, func() { n.w.store.writeRecord(fence, key, value, expected) })
+		n.later(600*time.Millisecond, func() { n.apply(answer(RecordResult{Outcome: StoreFailed})) })
+		return
+	}
+	n.storeCall(func() { result = n.w.store.writeRecord(fence, key, value, expected) },
+		func() { n.apply(answer(result)) }, func() { n.apply(answer(RecordResult{Outcome: StoreFailed})) })
+}
+
 // storeCall simulates a call to the store, which may be down or unreachable.
 func (n *simNode) storeCall(effect, answered, lost func()) {
 	if n.cutOff || n.w.store.down {
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -121,6 +121,19 @@
 	return true
 }
 
+// writeRecord is write for one record of the scheduler, which must have the revision
+// expected, 0 for none.
+func (s *simStore) writeRecord(fence int64, key string, value any, expected int64) RecordResult {
+	if s.write(fence, map[string]any{key: value}, map[string]int64{key: expected}) {
+		return RecordResult{Revision: s.revision}
+	}
+	if leader, ok := s.get("leader"); !ok || leader.revision != fence {
+		return RecordResult{Outcome: StoreLeaseLost}
+	}
+	item, _ := s.get(key)
+	return RecordResult{Outcome: StoreConflict, Revision: item.revision}
+}
+
 func (s *simStore) writeProgress(a StoreProgress, e *ProgressStored) {
 	puts, expected := make(map[string]any), make(map[string]int64)
 	for _, p := range a.Writes {
@@ -208,7 +221,10 @@
 	case EpochRead:
 		value.Revision = item.revision
 		return JobsPart, value
-	case WaveProgressRead, QuarantineRead, HandoverRead:
+	case WaveProgressRead:
+		value.Revision = item.revision
+		return JobsPart, value
+	case QuarantineRead, HandoverRead:
 		return JobsPart, value.(Change)
 	case PendingRead:
 		value.Revision = item.revision
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -64,8 +64,13 @@
 	crashes, furtherStarts map[string]int
 	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
 	loseMachineOrderLists bool
+	// lateRecord names a record of the scheduler whose writes get no answer and are
+	// carried out after lateRecordDelay; empty for none.
+	lateRecord string
 }
 
+const lateRecordDelay = 3 * time.Second
+
 type timedCall struct {
 	at       time.Time
 	sequence int
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -19,13 +19,13 @@
 	case ReadProgress:
 		return ProgressListed{Fence: a.Fence}
 	case StorePending:
-		return PendingStored{Fence: a.Fence}
+		return PendingStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreProgress:
 		return ProgressStored{Fence: a.Fence, Writes: a.Writes, Outcome: StoreFailed}
 	case StoreMachineOrders:
-		return MachineOrdersStored{Fence: a.Fence, Machines: a.Machines}
+		return MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreRoster:
-		return RosterStored{Fence: a.Fence, Members: a.Members}
+		return RosterStored{Fence: a.Fence, Members: a.Members, Result: RecordResult{Outcome: StoreFailed}}
 	case ListMachines:
 		return MachinesListed{SentAt: sentAt}
 	case OrderUpkeep:
@@ -33,7 +33,7 @@
 	case OrderMove:
 		return MoveAnswered{Machine: a.Machine, Pool: a.Pool, Fence: a.Fence, Outcome: MachineOpUnknown}
 	case PublishWave:
-		return WavePublished{Wave: a.Wave, Completed: a.Completed, Begun: len(a.Begun)}
+		return WavePublished{Wave: a.Wave, Fence: a.Fence, Completed: a.Completed, Begun: len(a.Begun), Result: RecordResult{Outcome: StoreFailed}}
 	case RequestAdvice:
 		return AdviceAnswered{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: sentAt}
 	}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -136,27 +136,33 @@
 		return
 	}
 	w.Publishing = true
-	s.act(PublishWave{Wave: w.Order.Wave, Completed: want == upkeep.AnnouncedCompleted, Begun: w.BegunMembers(), Fence: s.fence()})
+	s.act(PublishWave{Wave: w.Order.Wave, Completed: want == upkeep.AnnouncedCompleted, Begun: w.BegunMembers(), Fence: s.fence(), Expected: w.Revision})
 }
 
 // WavePublished is the result of PublishWave. Begun is the number of machines whose
 // upkeep was stored as begun.
 type WavePublished struct {
-	Wave      int64
-	Completed bool
-	Begun     int
-	OK        bool
+	Wave, Fence int64
+	Completed   bool
+	Begun       int
+	Result      RecordResult
 }
 
 // Apply implements Event.
 func (e WavePublished) Apply(s *Scheduler, now time.Time) {
 	w := s.waves.get(e.Wave)
-	if w == nil {
+	if !s.leading || w == nil || e.Fence != s.fence() {
 		return
 	}
 	w.Publishing = false
 	w.RetryAt = now.Add(publishInterval)
-	if !e.OK {
+	switch e.Result.Outcome {
+	case StoreDone, StoreConflict:
+		w.Revision = e.Result.Revision
+	case StoreLeaseLost:
+		s.stepDown("the store has another lease holder", now)
+	}
+	if e.Result.Outcome != StoreDone {
 		return
 	}
 	w.PublishedBegun = max(w.PublishedBegun, e.Begun)
