ingress: bar a submission whose cancellation is answered with 410

Cause: the cancellation of an unknown job was answered after one read of the store and stored nothing, and a submission is conditional on the absence of the job only.

Change: the cancellation of an unknown job is stored on condition that the job does not exist, and a submission is conditional on the absence of a cancellation. A submission that comes afterwards is answered with 410 and never runs. If the job was stored between the read and the write, it is read again and cancelled. The scheduler removes such cancellations after the time for which the state of a job stays readable.

Ruled out: taking the age of the submission at the node that accepts it, which doesn't bound when the store carries the write out.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,8 +54,12 @@
 	Unsettled
 	// NoQueue means that no queue matches the host and path.
 	NoQueue
-	// NoJob means that the queue has no such job.
+	// NoJob means that the queue has no such job, and that no earlier submission of it
+	// will be accepted if the request was a cancellation.
 	NoJob
+	// CancelledBefore means that the job was cancelled before it was stored. It never
+	// runs.
+	CancelledBefore
 	// BadKey means that the API key is unknown.
 	BadKey
 	// OtherTeam means that the job and the API key belong to different teams.
@@ -66,7 +70,7 @@
 	Unavailable
 )
 
-var codeNames = [...]string{"accepted", "shown", "withdrawn", "not-run", "unsettled", "no-queue", "no-job", "bad-key", "other-team", "invalid", "unavailable"}
+var codeNames = [...]string{"accepted", "shown", "withdrawn", "not-run", "unsettled", "no-queue", "no-job", "cancelled-before", "bad-key", "other-team", "invalid", "unavailable"}
 
 // String returns the name of the outcome in logs and metrics.
 func (c Code) String() string { return codeNames[c] }
@@ -123,16 +127,22 @@
 	NotStored
 	// WriteUnknown means that the write may have taken effect or may still do so.
 	WriteUnknown
-	// JobAbsent means that the job to cancel does not exist.
-	JobAbsent
+	// JobChanged means that nothing was stored, because the job to cancel was removed
+	// or stored since it was read.
+	JobChanged
+	// JobCancelled means that nothing was stored, because the job to store has been
+	// cancelled.
+	JobCancelled
 )
 
 // Store stores jobs. The parameter until is the caller's deadline. A Store is
 // safe for concurrent use.
 type Store interface {
-	// Accept stores a job unless a job with its ID exists, which counts as Stored.
+	// Accept stores a job unless a job with its ID exists, which counts as Stored, or
+	// the ID was cancelled.
 	Accept(j *job.Job, until time.Time) WriteResult
-	// Cancel stores the cancellation of the job with the given creation revision.
+	// Cancel stores the cancellation of the job with the given creation revision. With
+	// revision 0 the job must not exist, and cannot be stored afterwards.
 	Cancel(id job.ID, revision int64, until time.Time) WriteResult
 	// Read reads the present state of a job from the store. Known is false if the
 	// job does not exist.
@@ -249,6 +259,8 @@
 		return a.answer
 	case NotStored:
 		return a.refuse(NotRun, "the store does not take the job")
+	case JobCancelled:
+		return a.refuse(CancelledBefore, "the job was cancelled before it was accepted; it never runs")
 	}
 	return a.refuse(Unsettled, "the store has not confirmed the job")
 }
@@ -289,13 +301,18 @@
 	if answer != nil {
 		return *answer
 	}
+	if !view.Known {
+		return a.refuse(NoJob, noJobReason)
+	}
 	a.answer.Code, a.answer.State = Shown, view.State
 	return a.answer
 }
 
+const noJobReason = "no such job exists in this queue"
+
 // findJob returns the job that a request names, or the answer that refuses the
-// request. It reads the store if the node's copy does not contain the job, or does
-// not show its present state.
+// request. View.Known is false if the job does not exist. It reads the store if the
+// node's copy does not contain the job, or does not show its present state.
 func (s *Service) findJob(ctx context.Context, a *admission, r Request, now time.Time) (scheduler.JobView, *Answer) {
 	refuseWith := func(code Code, reason string) (scheduler.JobView, *Answer) {
 		answer := a.refuse(code, reason)
@@ -321,8 +338,11 @@
 	if err != nil {
 		return refuseWith(Unavailable, err.Error())
 	}
-	if !view.Known || view.Queue != a.queue.Name {
-		return refuseWith(NoJob, "no such job exists in this queue")
+	if !view.Known {
+		return scheduler.JobView{ID: id}, nil
+	}
+	if view.Queue != a.queue.Name {
+		return refuseWith(NoJob, noJobReason)
 	}
 	if view.Team != a.team && view.Team != "" {
 		return refuseWith(OtherTeam, "the job belongs to another team")
@@ -330,30 +350,43 @@
 	return view, nil
 }
 
+// maxCancelAttempts bounds how often a job that changes is read and cancelled again. A
+// job changes at most twice: it is stored once and removed once.
+const maxCancelAttempts = 3
+
 // Cancel cancels a job. It returns Withdrawn only after the store has confirmed
-// the write, or if the job has already ended.
+// the write, or if the job has already ended. It returns NoJob only after the store
+// has confirmed that the job cannot be stored later: the caller may cancel a submission
+// that was not answered, and whose write is still under way.
 func (s *Service) Cancel(ctx context.Context, r Request) Answer {
 	now := s.clock()
 	a := s.admit(r, now)
 	if a.queue == nil {
 		return a.answer
 	}
-	view, answer := s.findJob(ctx, &a, r, now)
-	if answer != nil {
-		return *answer
-	}
-	if view.State.Final() {
-		a.answer.Code, a.answer.State = Withdrawn, view.State
-		return a.answer
-	}
-	switch s.store.Cancel(view.ID, view.Revision, r.deadline(now)) {
-	case Stored:
-		a.answer.Code, a.answer.State = Withdrawn, job.Cancelled
-		return a.answer
-	case NotStored:
-		return a.refuse(NotRun, "the store refused the cancellation")
-	case JobAbsent:
-		return a.refuse(NoJob, "the job is no longer stored")
+	for range maxCancelAttempts {
+		view, answer := s.findJob(ctx, &a, r, now)
+		if answer != nil {
+			return *answer
+		}
+		if view.Known && view.State.Final() {
+			a.answer.Code, a.answer.State = Withdrawn, view.State
+			return a.answer
+		}
+		switch s.store.Cancel(view.ID, view.Revision, r.deadline(now)) {
+		case Stored:
+			if !view.Known {
+				return a.refuse(NoJob, noJobReason)
+			}
+			a.answer.Code, a.answer.State = Withdrawn, job.Cancelled
+			return a.answer
+		case JobChanged:
+			continue
+		case NotStored:
+			return a.refuse(NotRun, "the store refused the cancellation")
+		default:
+			return a.refuse(Unsettled, "the store has not confirmed the cancellation")
+		}
 	}
-	return a.refuse(Unsettled, "the store has not confirmed the cancellation")
+	return a.refuse(Unsettled, "the job changed while it was cancelled")
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,3 +127,60 @@
 		t.Errorf("%v", a.Code)
 	}
 }
+
+// racingStore holds a job that is stored between the read of its absence and its
+// cancellation.
+type racingStore struct {
+	fakeStore
+	stored    bool
+	cancelled []int64
+}
+
+func (s *racingStore) Read(id job.ID, _ time.Time) (scheduler.JobView, error) {
+	if !s.stored {
+		return scheduler.JobView{ID: id}, nil
+	}
+	return scheduler.JobView{ID: id, Known: true, StateKnown: true, Queue: "q", Team: "team", State: job.Queued, Revision: 7}, nil
+}
+
+func (s *racingStore) Cancel(_ job.ID, revision int64, _ time.Time) WriteResult {
+	s.cancelled = append(s.cancelled, revision)
+	if !s.stored {
+		s.stored = true
+		return JobChanged
+	}
+	return Stored
+}
+
+// TestCancelOfJobStoredMeanwhile guards against a cancellation that is answered with "no
+// such job" although the job was stored while it was served.
+func TestCancelOfJobStoredMeanwhile(t *testing.T) {
+	store := &racingStore{}
+	s := New(fakeControl{view: scheduler.JobView{ID: testJob}}, store, func() time.Time { return testNow }, 5*time.Second)
+	a := s.Cancel(t.Context(), Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"})
+	if a.Code != Withdrawn || a.State != job.Cancelled || !slices.Equal(store.cancelled, []int64{0, 7}) {
+		t.Errorf("%v %q after cancellations at revisions %v", a.Code, a.State, store.cancelled)
+	}
+}
+
+// unwritableStore has no jobs and does not confirm writes.
+type unwritableStore struct{ fakeStore }
+
+func (*unwritableStore) Read(id job.ID, _ time.Time) (scheduler.JobView, error) {
+	return scheduler.JobView{ID: id}, nil
+}
+
+func (*unwritableStore) Cancel(job.ID, int64, time.Time) WriteResult { return WriteUnknown }
+
+// TestAbsenceIsConfirmed guards against a cancellation that is answered with "no such
+// job" while a submission of it can still be stored.
+func TestAbsenceIsConfirmed(t *testing.T) {
+	s := New(fakeControl{view: scheduler.JobView{ID: testJob}}, &unwritableStore{}, func() time.Time { return testNow }, 5*time.Second)
+	r := Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"}
+	if a := s.Cancel(t.Context(), r); a.Code != Unsettled {
+		t.Errorf("cancellation: %v, want %v", a.Code, Unsettled)
+	}
+	if a := s.Show(t.Context(), r); a.Code != NoJob {
+		t.Errorf("state: %v, want %v", a.Code, NoJob)
+	}
+}
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -153,8 +153,11 @@
 			return scheduler.ProgressRead{ID: job.ID(id), Progress: p, Revision: item.Revision, Legacy: prefix == legacyProgressKey}, nil
 		}
 	}
-	if id, ok := strings.CutPrefix(item.Key, cancelKey); ok && !item.Removed {
-		return scheduler.CancelRead{ID: job.ID(id)}, nil
+	if id, ok := strings.CutPrefix(item.Key, cancelKey); ok {
+		if item.Removed {
+			return scheduler.CancelRemoved{ID: job.ID(id)}, nil
+		}
+		return scheduler.CancelRead{ID: job.ID(id), Revision: item.Revision}, nil
 	}
 	return decodeSchedulerRecord(item)
 }
--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -54,10 +54,18 @@
 	key := jobKey + string(id)
 	value := encodeCBOR(jobRecord{j.Terms, j.Spec, j.AcceptedAt})
 	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Revision: revisionAbsent}},
+		Conditions: []platform.Condition{{Key: key, Revision: revisionAbsent}, {Key: cancelKey + string(id), Revision: revisionAbsent}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
 	}
-	return s.writeUntilOutcomeKnown(id, txn, until, func(*platform.ConflictError) ingress.WriteResult { return ingress.Stored })
+	return s.writeUntilOutcomeKnown(id, txn, until, func(c *platform.ConflictError) ingress.WriteResult {
+		switch {
+		case c.Revision(key) != revisionAbsent:
+			return ingress.Stored
+		case c.Revision(cancelKey+string(id)) != revisionAbsent:
+			return ingress.JobCancelled
+		}
+		return ingress.WriteUnknown
+	})
 }
 
 // Cancel implements ingress.Store.
@@ -70,12 +78,10 @@
 		Puts: []platform.Put{{Key: cancelKey + string(id), Value: []byte("1")}},
 	}
 	return s.writeUntilOutcomeKnown(id, txn, until, func(c *platform.ConflictError) ingress.WriteResult {
-		for _, item := range c.Items {
-			if item.Key == cancelKey+string(id) && item.Revision != revisionAbsent {
-				return ingress.Stored
-			}
+		if c.Revision(cancelKey+string(id)) != revisionAbsent {
+			return ingress.Stored
 		}
-		return ingress.JobAbsent
+		return ingress.JobChanged
 	})
 }
 
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -168,6 +168,8 @@
 		return r.storeMachineOrders(a)
 	case scheduler.RemoveJobs:
 		r.removeJobs(a)
+	case scheduler.RemoveCancels:
+		r.removeCancels(a)
 	case scheduler.ListMachines:
 		sentAt := r.clock.Now()
 		machines, err := r.client.Machines(storeTimeout)
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -133,6 +133,17 @@
 	r.logFailure("ended jobs not removed", err)
 }
 
+func (r *runner) removeCancels(a scheduler.RemoveCancels) {
+	txn := platform.Txn{Conditions: []platform.Condition{leaderCondition(a.Fence)}}
+	for _, c := range a.Cancels {
+		key := cancelKey + string(c.ID)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: c.Revision})
+		txn.Deletes = append(txn.Deletes, key)
+	}
+	_, err := r.client.Write(txn, storeTimeout)
+	r.logFailure("cancellations not removed", err)
+}
+
 func (r *runner) publishWave(a scheduler.PublishWave) scheduler.Event {
 	key, value := platform.EncodeWaveStatus(a.Wave, a.Completed)
 	record := platform.Put{Key: waveKey + strconv.FormatInt(a.Wave, decimal), Value: encodeJSON(waveRecord{a.Begun, a.Completed})}
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -124,6 +124,19 @@
 	Revision int64
 }
 
+// RemoveCancels removes cancellations of jobs that are not stored. It has no result of
+// its own: the removals arrive as CancelRemoved.
+type RemoveCancels struct {
+	Fence   int64
+	Cancels []CancelRemoval
+}
+
+// CancelRemoval names a cancellation to remove. Revision is its own.
+type CancelRemoval struct {
+	ID       job.ID
+	Revision int64
+}
+
 // ListMachines reads the list of machines. The result is MachinesListed.
 type ListMachines struct{}
 
@@ -202,6 +215,7 @@
 func (StoreProgress) isAction()  {}
 func (StoreRoster) isAction()    {}
 func (RemoveJobs) isAction()     {}
+func (RemoveCancels) isAction()  {}
 func (ListMachines) isAction()   {}
 func (OrderUpkeep) isAction()    {}
 func (OrderMove) isAction()      {}
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -145,7 +145,7 @@
 		return
 	}
 	s.jobs.set(c.Job.ID, c.Job)
-	if s.earlyCancels[c.Job.ID] {
+	if _, cancelled := s.earlyCancels[c.Job.ID]; cancelled {
 		delete(s.earlyCancels, c.Job.ID)
 		c.Job.CancelAsked = true
 	}
@@ -192,12 +192,16 @@
 }
 
 // CancelRead reports that the store holds the cancellation of a job.
-type CancelRead struct{ ID job.ID }
+type CancelRead struct {
+	ID job.ID
+	// Revision is the revision of the cancellation.
+	Revision int64
+}
 
 func (c CancelRead) apply(s *Scheduler, now time.Time) {
 	j := s.jobs.get(c.ID)
 	if j == nil {
-		s.earlyCancels[c.ID] = true
+		s.earlyCancels[c.ID] = earlyCancel{c.Revision, now}
 		return
 	}
 	if j.CancelAsked {
@@ -210,6 +214,11 @@
 	}
 }
 
+// CancelRemoved reports that the store no longer holds the cancellation of a job.
+type CancelRemoved struct{ ID job.ID }
+
+func (c CancelRemoved) apply(s *Scheduler, _ time.Time) { delete(s.earlyCancels, c.ID) }
+
 // HolderRead reports the holder of the scheduler lease. Fence 0 means that nobody
 // holds it.
 type HolderRead struct {
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -29,6 +29,9 @@
 	// removalBatch is the largest number of jobs removed in one write, which has a
 	// condition and deletes four keys of each.
 	removalBatch = 6
+	// cancelRemovalBatch is the same for cancellations without a job, with a condition
+	// and a key of each.
+	cancelRemovalBatch = 15
 )
 
 // flushState is the queue of job progress to store.
@@ -244,4 +247,19 @@
 	if len(old) > 0 {
 		s.act(RemoveJobs{Fence: s.fence(), Jobs: old})
 	}
+	s.removeEarlyCancels(now)
+}
+
+// removeEarlyCancels removes cancellations of jobs that are not stored. They are kept for
+// as long as the state of a job, which is longer than a submission can be under way.
+func (s *Scheduler) removeEarlyCancels(now time.Time) {
+	var old []CancelRemoval
+	for id, c := range s.earlyCancels {
+		if now.Sub(c.readAt) > s.options.StatusRetention+removalMargin && len(old) < cancelRemovalBatch {
+			old = append(old, CancelRemoval{id, c.revision})
+		}
+	}
+	if len(old) > 0 {
+		s.act(RemoveCancels{Fence: s.fence(), Cancels: old})
+	}
 }
--- a/internal/scheduler/flush_test.go
+++ b/internal/scheduler/flush_test.go
@@ -88,3 +88,33 @@
 	t.Fatalf("no action %T", none)
 	return none
 }
+
+// TestCancelWithoutJobIsRemoved guards against cancellations of jobs that are never
+// stored, which stay in the store for good.
+func TestCancelWithoutJobIsRemoved(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 0)
+	const id = job.ID("00000000000000aa")
+	s.Apply(Synced{Part: JobsPart, Changes: []Change{CancelRead{ID: id, Revision: 5}}, SentAt: now}, now)
+	count := func() (n int) {
+		for _, a := range s.actions {
+			if r, ok := a.(RemoveCancels); ok && len(r.Cancels) == 1 && r.Cancels[0] == (CancelRemoval{id, 5}) {
+				n++
+			}
+		}
+		return n
+	}
+	s.Apply(Tick{}, now.Add(s.options.StatusRetention))
+	if count() != 0 {
+		t.Error("the cancellation is removed while a submission may be under way")
+	}
+	now = now.Add(s.options.StatusRetention + removalMargin + 2*removalInterval)
+	s.Apply(Tick{}, now)
+	if count() != 1 {
+		t.Error("the cancellation is not removed")
+	}
+	s.Apply(Synced{Part: JobsPart, Changes: []Change{CancelRemoved{ID: id}}, SentAt: now}, now)
+	s.Apply(Tick{}, now.Add(2*removalInterval))
+	if count() != 0 || len(s.earlyCancels) != 0 {
+		t.Error("the cancellation is removed again")
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -55,8 +55,9 @@
 	dataCentresOut      map[string]bool
 	jobs                *orderedMap[job.ID, *job.Job]
 	pending             pendingJobs
-	// earlyCancels are cancellations that were read before their job.
-	earlyCancels map[job.ID]bool
+	// earlyCancels are the cancellations of jobs that are not stored, or were read before
+	// their job.
+	earlyCancels map[job.ID]earlyCancel
 	fresh        [partCount]lease.Freshness
 	election     election
 
@@ -101,6 +102,13 @@
 	counts                 Counts
 }
 
+// earlyCancel is the stored cancellation of a job that is not known.
+type earlyCancel struct {
+	revision int64
+	// readAt is when this node first read it.
+	readAt time.Time
+}
+
 // Counts are the values for the metrics.
 type Counts struct {
 	// Totals since the process started.
@@ -116,7 +124,7 @@
 		quarantine:     newQuarantine(),
 		dataCentresOut: make(map[string]bool),
 		jobs:           newOrderedMap[job.ID, *job.Job](),
-		earlyCancels:   make(map[job.ID]bool),
+		earlyCancels:   make(map[job.ID]earlyCancel),
 		election:       election{releasedEpoch: -1},
 		workers:        newOrderedMap[string, *worker.Worker](),
 		unfinished:     newOrderedMap[job.ID, *job.Job](),
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -267,7 +267,7 @@
 		n.advise(a)
 	case SetPace:
 		n.call(func() { w.workerOf(a.Target.ID).setPace(a) }, func() {}, func() {})
-	case RemoveJobs, CloseWorker, JobMeasured, RefusalCounted:
+	case RemoveJobs, RemoveCancels, CloseWorker, JobMeasured, RefusalCounted:
 	default:
 		w.fail("action %T is not simulated", a)
 	}
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -239,7 +239,7 @@
 	case job.Progress:
 		return JobsPart, ProgressRead{ID: job.ID(strings.TrimPrefix(key, progressPrefix)), Progress: value, Revision: item.revision}
 	case cancelValue:
-		return JobsPart, CancelRead{value.id}
+		return JobsPart, CancelRead{value.id, item.revision}
 	case worker.Description:
 		return WorkersPart, WorkerListed{value}
 	}
