scheduler: end no sound job for lost workers

In the simulation also with workers that are cut off four times soon after a start: the runs lapse, the job fails. Jobs of one short task fail in both ways, too.

Cause: two crashes of workers under unproven runs of a task count as proof that the task is their cause. They counted for tasks that last; they counted when it was the same worker twice, to which the task went again because it was back first under the same id; and a worker that was silent until its lease expired and had left the list counted as crashed, although it was only cut off.

Change: a long-running task is never given up; lost starts in succession delay its next start, up to 3 s. Crashes count by the address of the worker, and a suspect prefers other addresses. The loss of a silent worker's runs is settled when its address is listed again: a later incarnation of the service has crashed, the same one was cut off.

Ruled out: ends reported as failed (long-running tasks have no limit on them); a final state taken from another job's write (the state is stored with its own key on its own revision).

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -23,6 +23,9 @@
 	// Single means that the run was kept apart, and was the only one on the worker that
 	// was not proven.
 	Single bool `cbor:"4,keyasint,omitempty"`
+	// Address is the worker's address. A worker that crashes again and again keeps it,
+	// also with a new id.
+	Address string `cbor:"5,keyasint,omitempty"`
 }
 
 // Isolation is how a task that may crash workers is kept apart from other tasks, so
@@ -46,8 +49,8 @@
 	// apart for its whole run. That takes a worker out of use for all others, and any
 	// task may be running on a machine that fails.
 	lateCrashesForIsolation = 2
-	// minCrashes is the number of crashes after which the users allow a task to be given
-	// up. They forbid a third start after three.
+	// minCrashes is the number of workers that must have crashed under a task before the
+	// users allow it to be given up. They forbid a third start after three.
 	minCrashes = 2
 	// maxCrashes is the number of crashes at which a task is given up as the single
 	// suspect, although its starts were not confirmed.
@@ -70,17 +73,46 @@
 // change the slice.
 func (t *Task) Crashes() []Crash { return t.Occurrence.Job.progress.Crashes[t.sharedOrdinal()] }
 
+// Delays of the next run of a long-running task after lost starts in succession. They
+// bound the damage of a task that crashes its workers, which is never given up.
+const (
+	firstLostStartDelay = 250 * time.Millisecond
+	maxLostStartDelay   = 3 * time.Second
+)
+
+// RecordLostStart records that a run which was not proven was lost with the worker at an
+// address, and may have caused that.
+func (t *Task) RecordLostStart(address string, now time.Time) {
+	t.lostStarts = append(t.lostStarts, address)
+	if n := len(t.lostStarts); t.Spec().LongRunning && n > 1 {
+		t.NotBefore = now.Add(min(firstLostStartDelay<<min(n-2, 8), maxLostStartDelay))
+	}
+}
+
+// RecordProven records that a run of the task is proven. A long-running task loses runs
+// with their workers in time; only those in succession make it a suspect.
+func (t *Task) RecordProven() {
+	if t.Spec().LongRunning {
+		t.lostStarts = nil
+	}
+}
+
+// LostAt reports whether a run of the task was lost with a worker at an address.
+func (t *Task) LostAt(address string) bool {
+	return slices.Contains(t.lostStarts, address) || slices.ContainsFunc(t.Crashes(), func(c Crash) bool { return c.Address == address })
+}
+
 // Suspected reports whether a worker has crashed, or may have crashed, under the task.
-func (t *Task) Suspected() bool { return t.LostStarts > 0 || len(t.Crashes()) > 0 }
+func (t *Task) Suspected() bool { return len(t.lostStarts) > 0 || len(t.Crashes()) > 0 }
 
 // Isolation returns how the next run of the task must be kept apart. A further run beside
 // one that is not proven starts because the worker of that one is silent, which may have
 // crashed.
 func (t *Task) Isolation() Isolation {
-	if len(t.Runs) == 0 && t.LostStarts == 0 && len(t.Occurrence.Job.progress.Crashes) == 0 {
+	if len(t.Runs) == 0 && len(t.lostStarts) == 0 && len(t.Occurrence.Job.progress.Crashes) == 0 {
 		return NotIsolated
 	}
-	early, late := t.LostStarts, 0
+	early, late := len(t.lostStarts), 0
 	for _, r := range t.Runs {
 		if !r.Proven() {
 			early++
@@ -104,21 +136,26 @@
 
 // CrashesWorkers reports whether the crashes show that the task is their cause. Alone
 // means that no other task ran on the worker that crashed last, and that the task was
-// kept apart there. Beside proven runs, one of which may be the cause, two certain
-// crashes as the single suspect are needed.
+// kept apart there. Beside proven runs, one of which may be the cause, two workers must
+// have crashed with the task as the single suspect. Crashes of one worker show no more
+// than that this worker crashes.
 func (t *Task) CrashesWorkers(alone bool) bool {
 	crashes := t.Crashes()
-	certain, single := 0, 0
+	certain, single := make(map[string]bool), make(map[string]bool)
 	var last Crash
 	for _, last = range crashes {
 		if last.Certain {
-			certain++
-			if last.Single {
-				single++
-			}
+			certain[last.Address] = true
+			single[last.Address] = single[last.Address] || last.Single
+		}
+	}
+	singles := 0
+	for _, isSingle := range single {
+		if isSingle {
+			singles++
 		}
 	}
-	return alone && last.Certain && certain >= minCrashes || single >= minCrashes || last.Single && len(crashes) >= maxCrashes
+	return alone && last.Certain && len(certain) >= minCrashes || singles >= minCrashes || last.Single && len(crashes) >= maxCrashes
 }
 
 // SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -59,9 +59,9 @@
 	FailedOn string
 	// NotBefore is the earliest start of the next run after a failure.
 	NotBefore time.Time
-	// LostStarts is the number of runs that were lost with workers which are silent, or
-	// which crashed under an earlier scheduler, and may have caused it.
-	LostStarts int
+	// lostStarts are the addresses of the workers with which runs were lost that may
+	// have caused it: the workers are silent, or their crash is not recorded.
+	lostStarts []string
 	done       bool
 }
 
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -39,7 +39,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i)
 		capacity := machine.Resources{MilliCores: 32000, MemoryMB: 65536}
-		w := worker.New(worker.Description{ID: id, Service: fmt.Sprintf("s%d", i%pools), DataCentre: "z", Labels: []string{"a", "r"}, Capacity: capacity})
+		w := worker.New(worker.Description{ID: id, Address: id, Service: fmt.Sprintf("s%d", i%pools), DataCentre: "z", Labels: []string{"a", "r"}, Capacity: capacity})
 		w.Answered, w.Recorded = true, true
 		w.RecordClock(1000, now)
 		s.workers.set(id, w)
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -23,44 +23,58 @@
 	runs = slices.DeleteFunc(slices.Clone(runs), func(r *job.Run) bool {
 		return r.Phase == job.RunAwaitingPlacement || r.Phase != job.RunActive && now.Sub(r.OrderedAt) < minRestartTime
 	})
-	s.recordPlacedCrash(w)
+	s.recordPlacedCrash(w, now)
 	unproven := slices.DeleteFunc(slices.Clone(runs), (*job.Run).Proven)
 	for _, r := range runs {
 		t := r.Task
 		j := t.Occurrence.Job
-		// Machines fail under each long-running task in time.
-		if t.Done() || j.Ended() || r.Proven() && t.Spec().LongRunning {
+		if t.Done() || j.Ended() {
 			continue
 		}
 		s.subject = jobRecord(j.ID)
-		isolated := r.Isolation != job.NotIsolated
-		t.RecordCrash(job.Crash{
-			Run: r.Number, Late: r.Proven(), Certain: r.Phase == job.RunActive,
-			Single: isolated && !r.Proven() && onlySuspect(t, unproven),
-		})
-		s.log("worker crashed under task", "job", j.ID, "task", t.Name().String(), "run", r.Number, "worker", w.ID,
-			"crashes", len(t.Crashes()), "proven", r.Proven(), "isolated", isolated, "runs", len(runs), "unproven", len(unproven))
-		if t.CrashesWorkers(isolated && onlySuspect(t, runs)) {
-			s.counts.GivenUp++
-			s.log("job given up", "job", j.ID, "task", t.Name().String(), "crashes", len(t.Crashes()))
-			s.endJob(j, job.Failed, now)
+		if t.Spec().LongRunning {
+			// Machines fail under each long-running task in time, and it has to run until
+			// it is cancelled.
+			if !r.Proven() {
+				t.RecordLostStart(w.Address, now)
+			}
 			continue
 		}
-		s.queueProgress(j)
+		isolated := r.Isolation != job.NotIsolated
+		s.recordTaskCrash(t, job.Crash{
+			Run: r.Number, Late: r.Proven(), Certain: r.Phase == job.RunActive,
+			Single: isolated && !r.Proven() && onlySuspect(t, unproven), Address: w.Address,
+		}, isolated && onlySuspect(t, runs), now)
 	}
 	s.subject = Record{WorkerRecord, w.ID}
 }
 
+// recordTaskCrash records the crash of a worker under a task, and gives up its job if the
+// task is shown to be the cause. Alone is the parameter of CrashesWorkers.
+func (s *Scheduler) recordTaskCrash(t *job.Task, c job.Crash, alone bool, now time.Time) {
+	j := t.Occurrence.Job
+	t.RecordCrash(c)
+	s.log("worker crashed under task", "job", j.ID, "task", t.Name().String(), "run", c.Run, "address", c.Address,
+		"crashes", len(t.Crashes()), "proven", c.Late, "confirmed", c.Certain, "single_suspect", c.Single, "alone", alone)
+	if t.CrashesWorkers(alone) {
+		s.counts.GivenUp++
+		s.log("job given up", "job", j.ID, "task", t.Name().String(), "crashes", len(t.Crashes()))
+		s.endJob(j, job.Failed, now)
+		return
+	}
+	s.queueProgress(j)
+}
+
 // recordPlacedCrash makes the tasks suspects that an earlier scheduler has placed on a
 // worker which has crashed: only that scheduler knew which of their runs were proven.
-func (s *Scheduler) recordPlacedCrash(w *worker.Worker) {
+func (s *Scheduler) recordPlacedCrash(w *worker.Worker, now time.Time) {
 	if s.unreconciled == 0 {
 		return
 	}
 	for j := range s.unfinishedJobs() {
 		j.EachTask(func(t *job.Task) {
 			if t.Unreconciled && !t.Spec().LongRunning && slices.Contains(t.PlacedWorkers(), w.ID) {
-				t.LostStarts++
+				t.RecordLostStart(w.Address, now)
 			}
 		})
 	}
@@ -71,19 +85,52 @@
 	return !slices.ContainsFunc(runs, func(r *job.Run) bool { return !r.Task.SameSuspect(t) })
 }
 
-// recordLostStarts records the unproven runs of a worker that is silent. It may have
-// crashed or be cut off, so that counts as a crash only if the run was kept apart and the
-// worker has left the list as well.
+// lostStart is an unproven run that was lost with a worker which is silent.
+type lostStart struct {
+	task  job.TaskName
+	crash job.Crash
+	// startedMillis is the start of the worker's incarnation.
+	startedMillis int64
+}
+
+// recordLostStarts records the unproven runs of a worker that is silent. It may be cut
+// off: whether it has crashed is known once its address is listed again.
 func (s *Scheduler) recordLostStarts(w *worker.Worker, now time.Time) {
-	if !w.Listed && w.HasProbation() {
-		s.recordCrash(w, w.Runs(), now)
+	unproven := slices.DeleteFunc(slices.Clone(w.Runs()), func(r *job.Run) bool { return r.Phase == job.RunAwaitingPlacement || r.Proven() })
+	for _, r := range unproven {
+		t := r.Task
+		t.RecordLostStart(w.Address, now)
+		if t.Spec().LongRunning {
+			continue
+		}
+		s.lostStarts[w.Address] = append(s.lostStarts[w.Address], lostStart{
+			task: t.Name(), startedMillis: w.StartedMillis, crash: job.Crash{
+				Run: r.Number, Certain: r.Phase == job.RunActive,
+				Single: r.Isolation != job.NotIsolated && onlySuspect(t, unproven), Address: w.Address,
+			},
+		})
+	}
+}
+
+// settleLostStarts records the crashes of an incarnation whose starts were lost, if a
+// later one of the same service is listed at its address.
+func (s *Scheduler) settleLostStarts(d worker.Description, now time.Time) {
+	lost, ok := s.lostStarts[d.Address]
+	if !ok {
 		return
 	}
-	for _, r := range w.Runs() {
-		if r.Phase != job.RunAwaitingPlacement && !r.Proven() {
-			r.Task.LostStarts++
+	delete(s.lostStarts, d.Address)
+	for _, l := range lost {
+		j := s.unfinished.get(l.task.Job)
+		if j == nil || j.Terms.Service != d.Service || d.StartedMillis <= l.startedMillis {
+			continue
+		}
+		if t := j.Task(l.task); t != nil && !t.Done() {
+			s.subject = jobRecord(j.ID)
+			s.recordTaskCrash(t, l.crash, false, now)
 		}
 	}
+	s.subject = Record{WorkerRecord, d.ID}
 }
 
 // runsMissing returns the runs of a worker that its report does not list.
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -10,6 +10,46 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
+// runCrashingTasks runs jobs of which some have a task that crashes each worker delay
+// after it has started it, with a takeover in between. A worker is away for downtime.
+func runCrashingTasks(t *testing.T, seed uint64, delay, downtime time.Duration, speculative bool) {
+	w := newSimulation(t, seed, 3)
+	w.crashDelay, w.downtime = delay, downtime
+	for i := range 8 {
+		w.addWorker(fmt.Sprintf("w%d", i), "s", "z", "r")
+	}
+	w.runFor(3 * time.Second)
+	step := job.Step{Count: 4, Need: machine.Resources{MilliCores: 700, MemoryMB: 100}, Estimate: 500 * time.Millisecond, Speculative: speculative}
+	var deadly, harmless []job.ID
+	for i := range 24 {
+		id := w.submit(i+1, job.Spec{Steps: []job.Step{step}})
+		if i%8 == 3 {
+			deadly = append(deadly, id)
+			w.deadly[job.TaskName{Job: id}.String()] = true
+		} else {
+			harmless = append(harmless, id)
+		}
+		w.runFor(100 * time.Millisecond)
+	}
+	for _, n := range w.nodes {
+		if n.guard.Scheduler().Leading() {
+			n.kill(2 * time.Second)
+			break
+		}
+	}
+	w.runFor(60*time.Second + 6*downtime)
+	for _, id := range deadly {
+		if state := w.state(id); state != job.Failed {
+			w.fail("job %s, which crashes its workers, is %s", id, state)
+		}
+	}
+	for _, id := range harmless {
+		if state := w.state(id); state != job.Completed {
+			w.fail("job %s, which only ran beside others that crash their workers, is %s", id, state)
+		}
+	}
+}
+
 // TestTaskThatCrashesWorkersIsGivenUp guards against a task that crashes one worker after
 // the other, also across takeovers, and against the end of jobs that only ran beside it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
@@ -18,47 +58,30 @@
 		delay time.Duration
 	}{{"at its start", 10 * time.Millisecond}, {"before its answer", 0}, {"while it runs", 400 * time.Millisecond}} {
 		for seed := range uint64(8) {
-			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
-				w := newSimulation(t, seed, 3)
-				w.crashDelay = c.delay
-				for i := range 8 {
-					w.addWorker(fmt.Sprintf("w%d", i), "s", "z", "r")
-				}
-				w.runFor(3 * time.Second)
-				step := job.Step{Count: 4, Need: machine.Resources{MilliCores: 700, MemoryMB: 100}, Estimate: 500 * time.Millisecond, Speculative: seed%2 == 0}
-				var deadly, harmless []job.ID
-				for i := range 24 {
-					id := w.submit(i+1, job.Spec{Steps: []job.Step{step}})
-					if i%8 == 3 {
-						deadly = append(deadly, id)
-						w.deadly[job.TaskName{Job: id}.String()] = true
-					} else {
-						harmless = append(harmless, id)
-					}
-					w.runFor(100 * time.Millisecond)
-				}
-				for _, n := range w.nodes {
-					if n.guard.Scheduler().Leading() {
-						n.kill(2 * time.Second)
-						break
-					}
-				}
-				w.runFor(60 * time.Second)
-				for _, id := range deadly {
-					if state := w.state(id); state != job.Failed {
-						w.fail("job %s, which crashes its workers, is %s", id, state)
-					}
-				}
-				for _, id := range harmless {
-					if state := w.state(id); state != job.Completed {
-						w.fail("job %s, which only ran beside others that crash their workers, is %s", id, state)
-					}
-				}
-			})
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) { runCrashingTasks(t, seed, c.delay, 0, seed%2 == 0) })
 		}
 	}
 }
 
+// longDowntime is longer than a task lease, with its margins.
+const longDowntime = 9 * time.Second
+
+// TestTaskThatCrashesWorkersForLongIsGivenUp guards against crashes that do not count
+// because the worker is back only after its lease, when its runs have been taken as lost.
+func TestTaskThatCrashesWorkersForLongIsGivenUp(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runCrashingTasks(t, seed, 10*time.Millisecond, longDowntime, false) })
+	}
+}
+
+// TestSpeculativeTaskThatCrashesWorkersForLongIsGivenUp is the same for tasks that get
+// copies beside the run on a silent worker.
+func TestSpeculativeTaskThatCrashesWorkersForLongIsGivenUp(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runCrashingTasks(t, seed, 10*time.Millisecond, longDowntime, true) })
+	}
+}
+
 // TestReplacedWorkerIsNoCrash guards against jobs that are given up because their starts
 // were sent to workers whose addresses had gone to others: three jobs were shown as failed
 // when 48 workers were replaced at once.
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -296,6 +296,7 @@
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
+	s.lostStarts = make(map[string][]lostStart)
 	// The previous scheduler sent no order after its lease had ended. The effect of
 	// each of its orders has ended by this time, even on workers whose clock rate
 	// is off by up to worker.ClockError percent.
@@ -346,5 +347,5 @@
 	}
 	s.workers = newOrderedMap[string, *worker.Worker]()
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
-	s.usage, s.unreconciled, s.awaitedWorkers, s.deferredStarts = nil, 0, nil, nil
+	s.usage, s.unreconciled, s.awaitedWorkers, s.deferredStarts, s.lostStarts = nil, 0, nil, nil, nil
 }
--- /dev/null
+++ b/internal/scheduler/lost_workers_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+)
+
+// runningOn returns the worker that runs a task and for how long, nil if none does.
+func (w *simulation) runningOn(name job.TaskName) (*simWorker, time.Duration) {
+	for _, x := range w.workers {
+		if run := x.running[name.String()]; run != nil && !x.dead && !x.silent {
+			return x, w.now.Sub(run.startedAt)
+		}
+	}
+	return nil, 0
+}
+
+// disturbStarts calls disturb count times, each time with the worker on which a run of
+// the task has begun shortly before.
+func (w *simulation) disturbStarts(name job.TaskName, count int, disturb func(*simWorker)) {
+	for end := w.now.Add(60 * time.Second); count > 0 && w.now.Before(end); {
+		w.runFor(10 * time.Millisecond)
+		if x, age := w.runningOn(name); x != nil && age >= 100*time.Millisecond && age < 200*time.Millisecond {
+			disturb(x)
+			count--
+		}
+	}
+	if count > 0 {
+		w.fail("the task was not started %d times more", count)
+	}
+}
+
+// TestLostWorkersEndNoSoundJob guards against a job that is shown as failed although none
+// of its runs has failed, because workers crash or are cut off soon after they start it:
+// long-running jobs were ended after two crashes of one worker.
+func TestLostWorkersEndNoSoundJob(t *testing.T) {
+	cutOff := func(w *simulation) func(*simWorker) {
+		return func(x *simWorker) {
+			x.silent = true
+			w.store.remove("worker/" + x.description.ID)
+		}
+	}
+	crash := func(w *simulation) func(*simWorker) { return func(x *simWorker) { w.crash(x.description.ID) } }
+	for _, c := range []struct {
+		name     string
+		spec     job.Step
+		count    int
+		disturb  func(w *simulation) func(*simWorker)
+		sameOnly bool
+	}{
+		{"long-running, workers crash", newLongRunningStep(5, 1, 1), 5, crash, false},
+		{"long-running, workers are cut off", newLongRunningStep(5, 1, 1), 4, cutOff, false},
+		{"one task, workers are cut off", newStep(1, 1000, 2000), 4, cutOff, false},
+		{"one task, one worker crashes", newStep(1, 1000, 2000), 4, crash, true},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
+				w := newSimulation(t, seed, 2)
+				for i := range 12 {
+					w.addWorker(fmt.Sprintf("w%02d", i), "s", fmt.Sprintf("z%d", i%3), "r")
+				}
+				w.runFor(time.Second)
+				id := w.submit(1, job.Spec{Steps: []job.Step{c.spec}})
+				task := job.TaskName{Job: id}
+				if c.sameOnly {
+					flapping := ""
+					for end := w.now.Add(20 * time.Second); w.now.Before(end); w.runFor(10 * time.Millisecond) {
+						x, age := w.runningOn(task)
+						if x == nil || age < 100*time.Millisecond || age >= 200*time.Millisecond || flapping != "" && x.description.ID != flapping {
+							continue
+						}
+						flapping = x.description.ID
+						w.crash(flapping)
+					}
+				} else {
+					w.disturbStarts(task, c.count, c.disturb(w))
+				}
+				w.runFor(20 * time.Second)
+				if c.spec.LongRunning {
+					w.expectRunning(id)
+				} else {
+					w.expectEnded([]job.ID{id})
+				}
+			})
+		}
+	}
+}
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -76,6 +76,7 @@
 	if s.machineOps.retired[d.ID] {
 		return
 	}
+	s.settleLostStarts(d, now)
 	w := s.workers.get(d.ID)
 	if w == nil {
 		w = worker.New(d)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -84,10 +84,12 @@
 	// deferredStarts are, by job, the runs whose start is sent once the store holds
 	// their placement.
 	deferredStarts map[job.ID][]*job.Run
-	unfinished     *orderedMap[job.ID, *job.Job]
-	flush          flushState
-	place          placeState
-	waves          *orderedMap[int64, *upkeep.Wave]
+	// lostStarts are, by address, the unproven runs that were lost with silent workers.
+	lostStarts map[string][]lostStart
+	unfinished *orderedMap[job.ID, *job.Job]
+	flush      flushState
+	place      placeState
+	waves      *orderedMap[int64, *upkeep.Wave]
 	// waveProgress is the stored progress of each wave.
 	waveProgress map[int64]WaveProgressRead
 	// storedOrders is the stored list of machines that may have been ordered lately.
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -295,7 +295,11 @@
 	old.running = make(map[string]*simRun)
 	w.log("%s crashes", id)
 	d := old.description
-	w.after(time.Duration(200+w.random.IntN(2000))*time.Millisecond, func() { w.addWorker(id, d.Service, d.DataCentre, d.Labels[1]) })
+	downtime := w.downtime
+	if downtime == 0 {
+		downtime = time.Duration(200+w.random.IntN(2000)) * time.Millisecond
+	}
+	w.after(downtime, func() { w.addWorker(id, d.Service, d.DataCentre, d.Labels[1]) })
 }
 
 // simMachine is a simulated machine. It gets a new worker after each upkeep or move.
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -59,8 +59,10 @@
 	// deadly are the tasks that crash their worker crashDelay after their start,
 	// crashes the workers that crashed under each, furtherStarts its starts after
 	// three of them.
-	deadly                 map[string]bool
-	crashDelay             time.Duration
+	deadly     map[string]bool
+	crashDelay time.Duration
+	// downtime is how long a crashed worker is away, 0 for a random time of up to 2.2 s.
+	downtime               time.Duration
 	crashes, furtherStarts map[string]int
 	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
 	loseMachineOrderLists bool
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -95,6 +95,9 @@
 		}
 	}
 	r.ReportedAt = now
+	if r.Proven() {
+		r.Task.RecordProven()
+	}
 	if report.Percent != r.ProgressPercent {
 		r.ProgressPercent, r.ProgressAt = report.Percent, now
 	}
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -120,6 +120,9 @@
 	}
 	if isolation != job.NotIsolated {
 		cost += int64(len(w.Runs())) * endangeredRunPenalty
+		if t.LostAt(w.Address) {
+			cost += failedWorkerPenalty
+		}
 	}
 	if spec.Rack != "" && w.Rack() != spec.Rack {
 		cost += slowPenalty
