platform: take no entry with impossible values for a worker

Operators of similar systems saw machines that ended again and again, or no longer followed the list of workers, after another writer had left one odd entry: deeply nested, with a number too large, or with a port out of range.

Records of the scheduler that cannot be decoded were applied with zero values, such as an epoch of 0; only a holder without a name is kept, because the lease is held.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -163,52 +163,70 @@
 }
 
 // decodeSchedulerRecord decodes the records that the scheduler writes for
-// itself. It returns nil for any other key.
+// itself. It returns nil for any other key, and for a value that cannot be decoded.
 func decodeSchedulerRecord(item platform.Item) (scheduler.Change, error) {
+	if item.Key == leaderKey && !item.Removed {
+		return decodeHolder(item)
+	}
+	change, err := decodeRecord(item)
+	if err != nil {
+		return nil, wrapKey(err, item.Key)
+	}
+	return change, nil
+}
+
+// decodeHolder decodes the holder of the scheduler's lease. For a value that cannot be
+// decoded it returns both the error and a holder without a name: the lease is held.
+func decodeHolder(item platform.Item) (scheduler.Change, error) {
+	holder := scheduler.HolderRead{Fence: item.Revision, Lease: item.Lease}
+	var r leaderRecord
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return holder, wrapKey(err, item.Key)
+	}
+	holder.Holder, holder.Address, holder.Process, holder.CPUShare = r.Holder, r.Address, r.Process, r.CPUShare
+	return holder, nil
+}
+
+// decodeRecord is decodeSchedulerRecord for all keys but that of a holder. With an error,
+// the change is of no use.
+func decodeRecord(item platform.Item) (scheduler.Change, error) {
 	if name, ok := strings.CutPrefix(item.Key, quarantineKey); ok {
 		return decodeQuarantine(name, item)
 	}
 	if text, ok := strings.CutPrefix(item.Key, waveKey); ok && !item.Removed {
 		number, err := strconv.ParseInt(text, decimal, 64)
 		if err != nil {
-			return nil, errors.Wrapf(err, "key %s", item.Key)
+			return nil, err
 		}
 		var r waveRecord
 		err = json.Unmarshal(item.Value, &r)
-		return scheduler.WaveProgressRead{Wave: number, Begun: r.Begun, Completed: r.Completed, Revision: item.Revision}, wrapKey(err, item.Key)
+		return scheduler.WaveProgressRead{Wave: number, Begun: r.Begun, Completed: r.Completed, Revision: item.Revision}, err
 	}
 	switch item.Key {
 	case leaderKey:
-		if item.Removed {
-			return scheduler.HolderRead{}, nil
-		}
-		var r leaderRecord
-		err := json.Unmarshal(item.Value, &r)
-		return scheduler.HolderRead{
-			Holder: r.Holder, Address: r.Address, Process: r.Process, Fence: item.Revision, Lease: item.Lease, CPUShare: r.CPUShare,
-		}, wrapKey(err, item.Key)
+		return scheduler.HolderRead{}, nil
 	case epochKey:
 		epoch, err := strconv.Atoi(string(item.Value))
-		return scheduler.EpochRead{Epoch: epoch, Revision: item.Revision}, wrapKey(err, item.Key)
+		return scheduler.EpochRead{Epoch: epoch, Revision: item.Revision}, err
 	case releaseKey:
 		epoch, err := strconv.Atoi(string(item.Value))
-		return scheduler.LeaseReleaseRead{Epoch: epoch}, wrapKey(err, item.Key)
+		return scheduler.LeaseReleaseRead{Epoch: epoch}, err
 	case handoverKey:
 		var handover handoverRecord
 		err := json.Unmarshal(item.Value, &handover)
-		return scheduler.HandoverRead{Fence: handover.Fence}, wrapKey(err, item.Key)
+		return scheduler.HandoverRead{Fence: handover.Fence}, err
 	case pendingKey:
 		var pending pendingRecord
 		err := json.Unmarshal(item.Value, &pending)
-		return scheduler.PendingRead{Counts: pending.Counts, AsOf: pending.AsOf, Revision: item.Revision}, wrapKey(err, item.Key)
+		return scheduler.PendingRead{Counts: pending.Counts, AsOf: pending.AsOf, Revision: item.Revision}, err
 	case machineOrdersKey:
 		var orders machineOrdersRecord
 		err := json.Unmarshal(item.Value, &orders)
-		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, wrapKey(err, item.Key)
+		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, err
 	case rosterKey:
 		var members []scheduler.RosterMember
 		err := json.Unmarshal(item.Value, &members)
-		return scheduler.RosterRead{Members: members, Revision: item.Revision}, wrapKey(err, item.Key)
+		return scheduler.RosterRead{Members: members, Revision: item.Revision}, err
 	}
 	return nil, nil
 }
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -82,10 +82,15 @@
 	if err != nil {
 		panic("site: encode value: " + err.Error())
 	}
+	s.PutBytes(key, data)
+}
+
+// PutBytes is Put for a value that is already encoded, or is not JSON.
+func (s *Store) PutBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.put(key, data, 0)
+	s.put(key, value, 0)
 	s.wakeWatches()
 }
 
