--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -169,6 +169,7 @@
 	{"scheduler: job ended", "it was ended"},
 	{"scheduler: job failed", "a task used up its attempts"},
 	{"request: submit not-run", "it was refused and has not run"},
+	{"request: submit cancelled-before", "it was cancelled before it was stored and never runs"},
 	{"request: submit unsettled", "the store did not confirm it"},
 	{"request: submit bad-key", "its key is not known"},
 	{"request: submit no-queue", "no queue matches it"},
