scheduler: check in the simulation that ready tasks start

The simulation checked only that jobs end, after a minute.

The users' rule is sampled every 250 ms now: a job with nothing running for 3 s, after 4 s without faults, while a ready task fits twice into the free room and the team and the workers are under half of what they may use.

--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -150,6 +150,11 @@
 			w.after(4*time.Second, func() { x.failing = false })
 		}
 	}},
+	{"history dropped", func(w *simulation) {
+		for _, n := range w.nodes {
+			n.seenRevision = 0
+		}
+	}},
 	{"data centre out", func(w *simulation) {
 		w.store.put("out", DataCentreChanged{"z1", true}, 0)
 		w.after(4*time.Second, func() { w.store.put("out", DataCentreChanged{"z1", false}, 0) })
@@ -181,6 +186,7 @@
 // two faults. The second fault may begin before the first has ended.
 func runFaultPair(t *testing.T, seed uint64, first, second fault) {
 	w := newFleet(t, seed, 3, 5, 3)
+	w.watchLiveness()
 	w.runFor(time.Second)
 	longRunning := w.submit(1<<40, job.Spec{Steps: []job.Step{newLongRunningStep(3, 1, 1)}})
 	ids := w.submitLoad(1, 60, 120*time.Millisecond)
@@ -199,20 +205,28 @@
 	}
 }
 
+// faultSeeds returns the number of seeds for each case of a test, from
+// CROCUS_FAULT_SEEDS, 1 by default.
+func faultSeeds(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("CROCUS_FAULT_SEEDS")
+	if text == "" {
+		return 1
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 // TestFaultMatrix runs every pair of faults and checks the rules of
 // docs/PROOFS.md: one run of a task at a time, the order of steps, team and
 // worker limits, attempts, durable ends, waves within their limit, and no job
 // left unfinished. CROCUS_FAULT_SEEDS is the number of seeds for each pair, 1
 // by default.
 func TestFaultMatrix(t *testing.T) {
-	seeds := uint64(1)
-	if text := os.Getenv("CROCUS_FAULT_SEEDS"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		seeds = n
-	}
+	seeds := faultSeeds(t)
 	for i, first := range faults {
 		for k, second := range faults {
 			t.Run(first.name+" then "+second.name, func(t *testing.T) {
