scheduler: remove old jobs as fast as they come

Operators would see the store and the memory of every node grow without end: ended jobs are removed from the store once their state need not be readable any longer, but only six to seven a second, while a large fleet accepts about 60.

Up to 20 writes a second of six jobs each remove them now. TestOldJobsAreRemovedAsFastAsTheyCome: 6 of 100 in one step before.

--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
@@ -29,6 +30,9 @@
 	// removalBatch is the largest number of jobs removed in one write, which has a
 	// condition and deletes four keys of each.
 	removalBatch = 6
+	// maxRemovalWrites is the largest number of such writes at a time. Together they
+	// remove more jobs than the largest fleet accepts in removalInterval, about 60.
+	maxRemovalWrites = 20
 	// cancelRemovalBatch is the same for cancellations without a job, with a condition
 	// and a key of each.
 	cancelRemovalBatch = 15
@@ -240,12 +244,12 @@
 	before := now.Add(-s.options.StatusRetention - removalMargin).UnixMilli()
 	var old []JobRemoval
 	for id, j := range s.jobs.all() {
-		if j.Stored.State.Final() && j.Stored.EndedAt < before && len(old) < removalBatch {
+		if j.Stored.State.Final() && j.Stored.EndedAt < before && len(old) < removalBatch*maxRemovalWrites {
 			old = append(old, JobRemoval{id, j.Revision})
 		}
 	}
-	if len(old) > 0 {
-		s.act(RemoveJobs{Fence: s.fence(), Jobs: old})
+	for batch := range slices.Chunk(old, removalBatch) {
+		s.act(RemoveJobs{Fence: s.fence(), Jobs: batch})
 	}
 	s.removeEarlyCancels(now)
 }
--- a/internal/scheduler/flush_test.go
+++ b/internal/scheduler/flush_test.go
@@ -118,3 +118,28 @@
 		t.Error("the cancellation is removed again")
 	}
 }
+
+// TestOldJobsAreRemovedAsFastAsTheyCome guards against ended jobs that stay in the store
+// and in the memory of every node, because fewer are removed than are accepted.
+func TestOldJobsAreRemovedAsFastAsTheyCome(t *testing.T) {
+	const jobs = 100
+	s, now := newLoadedScheduler(1, 1, jobs)
+	for _, j := range s.jobs.all() {
+		j.Stored.State, j.Stored.EndedAt = job.Completed, now.UnixMilli()
+	}
+	removed := make(map[job.ID]bool)
+	for _, a := range s.Apply(Tick{}, now.Add(s.options.StatusRetention+removalMargin+removalInterval)) {
+		if r, ok := a.(RemoveJobs); ok {
+			// A write has at most 32 entries: the lease, and five for each job.
+			if len(r.Jobs) > 6 {
+				t.Errorf("%d jobs in one write", len(r.Jobs))
+			}
+			for _, j := range r.Jobs {
+				removed[j.ID] = true
+			}
+		}
+	}
+	if len(removed) != jobs {
+		t.Errorf("%d of %d old jobs are removed in one step", len(removed), jobs)
+	}
+}
