scheduler: await a lost worker once over several takeovers

A scheduler stores for how much longer each worker that has been silent for 1 s may run something, as a duration that another node counts from the moment at which it reads it. While the store may hold an entry, the worker gets no order that extends its lease; when it answers again, the entry is removed first.

Ruled out: the end of the lease as a time of day (clocks differ and jump), each extension of a lease in the store (hundreds of writes a second), removal from the placements (only after the wait, which no scheduler of the series reached).

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -52,8 +52,12 @@
 	// Answered means that the worker has answered this scheduler, and therefore
 	// rejects orders of all earlier schedulers.
 	Answered bool
-	// Silent is set while the last poll was not answered.
-	Silent bool
+	// Silent is set while the last poll was not answered, SilentSince is when that began.
+	Silent      bool
+	SilentSince time.Time
+	// SilencePromised means that the store may hold the time until which the worker can
+	// run something, so that it gets no order which extends that time.
+	SilencePromised bool
 	// Polling is true while a poll is in flight.
 	Polling bool
 	// NextPollAt is when the next poll is due.
@@ -179,7 +183,7 @@
 
 // Usable reports whether new tasks may be started on the worker.
 func (w *Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.history.isSetAside(now)
+	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.SilencePromised && !w.history.isSetAside(now)
 }
 
 // RunsLongRunningTask reports whether a run on the worker lasts until its job is
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -35,6 +36,8 @@
 	// quarantineKey is followed by the kind and the name of a record.
 	quarantineKey = jobsPrefix + "q/"
 	rosterKey     = jobsPrefix + "roster"
+	// silencesKey holds for how much longer silent workers may run something.
+	silencesKey = jobsPrefix + "silent"
 	// machineOrdersKey holds the machines that may have been ordered lately.
 	machineOrdersKey = jobsPrefix + "orders"
 	// decimal is the base of the numbers in keys and values.
@@ -90,6 +93,27 @@
 	Machines []string `json:"machines"`
 }
 
+// silencesRecord is the stored form of scheduler.SilencesRead, in milliseconds by worker.
+type silencesRecord struct {
+	LeftMillis map[string]int64 `json:"left_ms"`
+}
+
+func newSilencesRecord(left map[string]time.Duration) silencesRecord {
+	r := silencesRecord{LeftMillis: make(map[string]int64, len(left))}
+	for id, d := range left {
+		r.LeftMillis[id] = int64((d + time.Millisecond - 1) / time.Millisecond)
+	}
+	return r
+}
+
+func (r silencesRecord) durations() map[string]time.Duration {
+	left := make(map[string]time.Duration, len(r.LeftMillis))
+	for id, ms := range r.LeftMillis {
+		left[id] = time.Duration(ms) * time.Millisecond
+	}
+	return left
+}
+
 // encodeCBOR returns the CBOR encoding of a record. It panics if value cannot be
 // encoded, which does not occur with the records of this package.
 func encodeCBOR(value any) []byte {
@@ -223,6 +247,10 @@
 		var orders machineOrdersRecord
 		err := json.Unmarshal(item.Value, &orders)
 		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, err
+	case silencesKey:
+		var silences silencesRecord
+		err := json.Unmarshal(item.Value, &silences)
+		return scheduler.SilencesRead{Left: silences.durations(), Revision: item.Revision}, err
 	case rosterKey:
 		var members []scheduler.RosterMember
 		err := json.Unmarshal(item.Value, &members)
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -160,6 +160,8 @@
 		return r.storeProgress(a)
 	case scheduler.StoreRoster:
 		return r.storeRoster(a)
+	case scheduler.StoreSilences:
+		return r.storeSilences(a)
 	case scheduler.ReadProgress:
 		return r.readProgress(a)
 	case scheduler.StorePending:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -89,6 +89,11 @@
 	return scheduler.RosterStored{Fence: a.Fence, Members: a.Members, Result: result}
 }
 
+func (r *runner) storeSilences(a scheduler.StoreSilences) scheduler.Event {
+	put := platform.Put{Key: silencesKey, Value: encodeJSON(newSilencesRecord(a.Left))}
+	return scheduler.SilencesStored{Fence: a.Fence, Left: a.Left, Result: r.writeRecord(a.Fence, "silences of workers", a.Expected, put)}
+}
+
 // readProgress lists the progress of all jobs. An entry that cannot be decoded is
 // logged and left out.
 func (r *runner) readProgress(a scheduler.ReadProgress) scheduler.Event {
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -93,6 +94,7 @@
 		{rosterKey, roster(scheduler.RosterMember{ID: "i-1"}), roster(scheduler.RosterMember{ID: "i-1"}, scheduler.RosterMember{ID: "i-2"})},
 		{machineOrdersKey, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a"}}, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a", "b"}}},
 		{pendingKey, scheduler.StorePending{Fence: fence, AsOf: 3}, scheduler.StorePending{Fence: fence, AsOf: 4}},
+		{silencesKey, scheduler.StoreSilences{Fence: fence, Left: map[string]time.Duration{"i-1": time.Second}}, scheduler.StoreSilences{Fence: fence}},
 		{waveKey + "1", scheduler.PublishWave{Fence: fence, Wave: 1}, scheduler.PublishWave{Fence: fence, Wave: 1, Completed: true}},
 	} {
 		store.SetWriteFault(func([]string) site.StoreFault { return site.StoreHeld })
@@ -129,3 +131,22 @@
 		t.Error("the late removal has removed the later job")
 	}
 }
+
+// TestSilencesAreReadBack guards against a stored silence that is read as shorter than it
+// is: tasks of that worker would start elsewhere while they run.
+func TestSilencesAreReadBack(t *testing.T) {
+	store, r := startStore(t)
+	left := map[string]time.Duration{"i-1": 5*time.Second + time.Microsecond, "i-2": 0}
+	r.perform(scheduler.StoreSilences{Fence: takeLease(t, r), Left: left})
+	item, _ := store.Get(silencesKey)
+	change, err := decodeJobsItem(platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	read, ok := change.(scheduler.SilencesRead)
+	if err != nil || !ok || read.Revision != item.Revision || len(read.Left) != len(left) {
+		t.Fatalf("read %+v, error %v", change, err)
+	}
+	for id, d := range left {
+		if got := read.Left[id]; got < d || got > d+time.Millisecond {
+			t.Errorf("%s: %v is read as %v", id, d, got)
+		}
+	}
+}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -302,11 +302,12 @@
 	// is off by up to worker.ClockError percent.
 	predecessorOrdersEnd := now.Add(s.options.MaxTaskLease*(100+worker.ClockError+1)/100 + worker.LeaseMargin)
 	s.roster.writes = recordWrites{revision: s.roster.revision}
+	s.silences.startLeading(now)
 	for _, m := range s.roster.members {
-		w := worker.New(worker.Description{ID: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre})
+		w := s.newWorker(worker.Description{ID: m.ID, Address: m.Address, Service: m.Service, DataCentre: m.DataCentre})
 		w.Listed = false
 		w.Recorded = true
-		w.ExtendExpiryTo(predecessorOrdersEnd)
+		w.ExtendExpiryTo(s.silences.expiry(m.ID, predecessorOrdersEnd))
 		s.workers.set(m.ID, w)
 	}
 	for id, d := range s.listed.all() {
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -79,7 +79,7 @@
 	s.settleLostStarts(d, now)
 	w := s.workers.get(d.ID)
 	if w == nil {
-		w = worker.New(d)
+		w = s.newWorker(d)
 		s.workers.set(d.ID, w)
 		w.NextPollAt = now
 		s.log("worker met", "worker", d.ID, "service", d.Service, "datacentre", d.DataCentre, "rack", w.Rack())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -75,6 +75,7 @@
 	expiredEntries   map[string]time.Time
 	storeRecoveredAt time.Time
 	roster           roster
+	silences         silences
 	usage            map[string]machine.Resources
 	// unreconciled counts the tasks that may have a run that an earlier scheduler
 	// started. awaitedWorkers are the workers that have to report before such tasks
@@ -213,6 +214,7 @@
 func (s *Scheduler) stepSlow(now time.Time) {
 	s.stepExpiredEntries(now)
 	s.stepRoster(now)
+	s.stepSilences(now)
 	s.stepRuns(now)
 	s.stepPacing(now)
 	s.stepWaves(now)
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -223,6 +223,8 @@
 		n.storeProgress(a)
 	case StoreRoster:
 		n.writeRecord(a.Fence, "roster", a.Members, a.Expected, func(r RecordResult) Event { return RosterStored{a.Fence, a.Members, r} })
+	case StoreSilences:
+		n.writeRecord(a.Fence, "silent", SilencesRead{Left: a.Left}, a.Expected, func(r RecordResult) Event { return SilencesStored{a.Fence, a.Left, r} })
 	case ReadProgress:
 		listed := ProgressListed{Fence: a.Fence}
 		n.storeCall(func() {
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -224,6 +224,9 @@
 	case WaveProgressRead:
 		value.Revision = item.revision
 		return JobsPart, value
+	case SilencesRead:
+		value.Revision = item.revision
+		return JobsPart, value
 	case QuarantineRead, HandoverRead:
 		return JobsPart, value.(Change)
 	case PendingRead:
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -26,6 +26,8 @@
 		return MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreRoster:
 		return RosterStored{Fence: a.Fence, Members: a.Members, Result: RecordResult{Outcome: StoreFailed}}
+	case StoreSilences:
+		return SilencesStored{Fence: a.Fence, Left: a.Left, Result: RecordResult{Outcome: StoreFailed}}
 	case ListMachines:
 		return MachinesListed{SentAt: sentAt}
 	case OrderUpkeep:
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -96,7 +96,7 @@
 		if w.HasUnacknowledgedEnds() {
 			q.Wait = 0
 		}
-		if len(w.Runs()) > 0 {
+		if len(w.Runs()) > 0 && !w.SilencePromised {
 			q.HoldUntil = w.ClockAt(now) + s.options.TaskLease.Milliseconds()
 			w.ExtendExpiry(now, s.options.TaskLease)
 		}
@@ -147,7 +147,9 @@
 		if !w.Silent {
 			s.log("worker silent", "worker", w.ID, "service", w.Service, "runs", len(w.Runs()), "lease_left_ms", max(0, w.ExpiresAt().Sub(now)).Milliseconds())
 		}
-		w.Silent = true
+		if !w.Silent {
+			w.Silent, w.SilentSince = true, now
+		}
 		w.NextPollAt = now.Add(silentPollInterval)
 		s.place.roundNeeded = true
 	case PollNotSent:
