scheduler: keep stored silences until the worker answers

A new scheduler replaced the stored silences as soon as it began, because it had not yet seen the workers silent for 1 s; after a second takeover within that time the wait began anew.

Entries are kept until the worker answers and stored again each second while they are not over. Workers that are gone are stored only if runs were lost with them, so that moves of idle machines cost no write. A lost start is settled as a crash only if the start of its worker's incarnation is known.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -122,7 +122,7 @@
 	delete(s.lostStarts, d.Address)
 	for _, l := range lost {
 		j := s.unfinished.get(l.task.Job)
-		if j == nil || j.Terms.Service != d.Service || d.StartedMillis <= l.startedMillis {
+		if j == nil || j.Terms.Service != d.Service || l.startedMillis == 0 || d.StartedMillis <= l.startedMillis {
 			continue
 		}
 		if t := j.Task(l.task); t != nil && !t.Done() {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -77,6 +77,9 @@
 // longer.
 func (s *Scheduler) loseRuns(w *worker.Worker, reason string, now time.Time) {
 	s.setOrphanedRuns(w, nil)
+	if len(w.Runs()) > 0 {
+		s.silences.dropped[w.ID] = true
+	}
 	for _, r := range w.Runs() {
 		key := worker.KeyOf(r)
 		s.counts.Lost++
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -19,6 +19,9 @@
 	silenceDelay = time.Second
 	// silenceInterval is the least time between two writes.
 	silenceInterval = 200 * time.Millisecond
+	// silenceRefresh is the time after which a silence that is not over is stored again:
+	// a node that starts later counts the time from its first read.
+	silenceRefresh = time.Second
 	// clockRateMargin is the part, one in this number, by which a stored time is
 	// extended, because the clocks of two nodes may differ in rate.
 	clockRateMargin = 100
@@ -70,15 +73,19 @@
 	promised map[string]bool
 	// stored are the workers whose silence the store holds, true for those that can run
 	// nothing any longer.
-	stored  map[string]bool
+	stored map[string]bool
+	// dropped are the workers that are gone and with which runs were lost.
+	dropped map[string]bool
 	writes  recordWrites
 	writeAt time.Time
+	// refreshAt is when silences that are not over are stored again.
+	refreshAt time.Time
 }
 
 // startLeading keeps the promises of the earlier schedulers.
 func (q *silences) startLeading(now time.Time) {
-	q.promised, q.stored = make(map[string]bool), make(map[string]bool)
-	q.writes, q.writeAt = recordWrites{revision: q.revision}, time.Time{}
+	q.promised, q.stored, q.dropped = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	q.writes, q.writeAt, q.refreshAt = recordWrites{revision: q.revision}, time.Time{}, now.Add(silenceRefresh)
 	for id, until := range q.until {
 		q.promised[id], q.stored[id] = true, !now.Before(until)
 	}
@@ -119,15 +126,15 @@
 	}
 }
 
-// stepSilences stores the silences if a worker has become silent or answers again, or if
-// the time of one has passed.
+// stepSilences stores the silences if a worker has become silent or answers again, if the
+// time of one has passed, and at the latest after silenceRefresh.
 func (s *Scheduler) stepSilences(now time.Time) {
 	q := &s.silences
 	left := s.currentSilences(now)
 	changed := len(left) != len(q.stored)
 	for id, d := range left {
 		over, stored := q.stored[id]
-		changed = changed || !stored || over != (d == 0)
+		changed = changed || !stored || over != (d == 0) || d > 0 && !now.Before(q.refreshAt)
 	}
 	if !changed || !s.mayWriteRecord(&q.writes, now) {
 		return
@@ -136,7 +143,7 @@
 		s.requestTick(q.writeAt)
 		return
 	}
-	q.writes.writing, q.writeAt = true, now.Add(silenceInterval)
+	q.writes.writing, q.writeAt, q.refreshAt = true, now.Add(silenceInterval), now.Add(silenceRefresh)
 	for id := range left {
 		q.promised[id] = true
 		if w := s.workers.get(id); w != nil {
@@ -147,15 +154,18 @@
 }
 
 // currentSilences returns the silent workers among those for which a successor would
-// wait, with the time for which each may still run something.
+// wait, with the time for which each may still run something. A worker whose silence was
+// stored by an earlier scheduler stays among them until it answers.
 func (s *Scheduler) currentSilences(now time.Time) map[string]time.Duration {
 	left := make(map[string]time.Duration)
 	for _, m := range s.roster.members {
 		w := s.workers.get(m.ID)
 		switch {
 		case w == nil:
-			left[m.ID] = 0
-		case w.Silent && now.Sub(w.SilentSince) >= silenceDelay:
+			if s.silences.dropped[m.ID] {
+				left[m.ID] = 0
+			}
+		case w.SilencePromised && (w.Silent || !w.Answered), w.Silent && now.Sub(w.SilentSince) >= silenceDelay:
 			left[m.ID] = max(0, w.ExpiresAt().Sub(now))
 		}
 	}
