scheduler: remove a silence whose write got no answer

Found while reading the diff: if the write of a worker's silence got no answer and the worker answered again, nothing was written any more, because the store was not known to hold the silence, and the worker got no tasks for good. TestSilenceStoredWithoutAnswerIsRemoved fails without the change.

Every worker whose silence the store may hold counts as a reason to write until a write without it is confirmed. The field is named LeaseFrozen for its effect.

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -137,8 +137,8 @@
 // CrashesWorkers reports whether the crashes show that the task is their cause. Alone
 // means that no other task ran on the worker that crashed last, and that the task was
 // kept apart there. Beside proven runs, one of which may be the cause, two workers must
-// have crashed with the task as the single suspect. Crashes of one worker show no more
-// than that this worker crashes.
+// have crashed with the task as the single suspect. Crashes of one worker may be the fault
+// of that worker.
 func (t *Task) CrashesWorkers(alone bool) bool {
 	crashes := t.Crashes()
 	certain, single := make(map[string]bool), make(map[string]bool)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,8 +54,8 @@
 	Unsettled
 	// NoQueue means that no queue matches the host and path.
 	NoQueue
-	// NoJob means that the queue has no such job, and that no earlier submission of it
-	// will be accepted if the request was a cancellation.
+	// NoJob means that the queue has no such job. After a cancellation it also means that
+	// the job cannot be stored later.
 	NoJob
 	// CancelledBefore means that the job was cancelled before it was stored. It never
 	// runs.
@@ -356,8 +356,8 @@
 
 // Cancel cancels a job. It returns Withdrawn only after the store has confirmed
 // the write, or if the job has already ended. It returns NoJob only after the store
-// has confirmed that the job cannot be stored later: the caller may cancel a submission
-// that was not answered, and whose write is still under way.
+// has confirmed that the job cannot be stored later: the caller may cancel a job whose
+// acceptance was not answered and whose write is still under way.
 func (s *Service) Cancel(ctx context.Context, r Request) Answer {
 	now := s.clock()
 	a := s.admit(r, now)
--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -55,9 +55,9 @@
 	// Silent is set while the last poll was not answered, SilentSince is when that began.
 	Silent      bool
 	SilentSince time.Time
-	// SilencePromised means that the store may hold the time until which the worker can
-	// run something, so that it gets no order which extends that time.
-	SilencePromised bool
+	// LeaseFrozen means that the store may hold for how much longer the worker can run
+	// something, so that it gets no order which extends that time.
+	LeaseFrozen bool
 	// Polling is true while a poll is in flight.
 	Polling bool
 	// NextPollAt is when the next poll is due.
@@ -183,7 +183,7 @@
 
 // Usable reports whether new tasks may be started on the worker.
 func (w *Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.SilencePromised && !w.history.isSetAside(now)
+	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.LeaseFrozen && !w.history.isSetAside(now)
 }
 
 // RunsLongRunningTask reports whether a run on the worker lasts until its job is
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -11,7 +11,7 @@
 )
 
 // runCrashingTasks runs jobs of which some have a task that crashes each worker delay
-// after it has started it, with a takeover in between. A worker is away for downtime.
+// after it has started it, with a takeover in between. A crashed worker is down for downtime.
 func runCrashingTasks(t *testing.T, seed uint64, delay, downtime time.Duration, speculative bool) {
 	w := newSimulation(t, seed, 3)
 	w.crashDelay, w.downtime = delay, downtime
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -255,7 +255,7 @@
 }
 
 // removeEarlyCancels removes cancellations of jobs that are not stored. They are kept for
-// as long as the state of a job, which is longer than a submission can be under way.
+// as long as the state of a job, which is longer than a write of the job can be under way.
 func (s *Scheduler) removeEarlyCancels(now time.Time) {
 	var old []CancelRemoval
 	for id, c := range s.earlyCancels {
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -68,9 +68,9 @@
 	until    map[string]time.Time
 	revision int64
 
-	// The remaining fields are used by the active scheduler. promised are the workers
-	// whose silence the store may hold: they get no order that extends their lease.
-	promised map[string]bool
+	// The remaining fields are used by the active scheduler. frozen are the workers whose
+	// silence the store may hold: they get no order that extends their lease.
+	frozen map[string]bool
 	// stored are the workers whose silence the store holds, true for those that can run
 	// nothing any longer.
 	stored map[string]bool
@@ -82,12 +82,12 @@
 	refreshAt time.Time
 }
 
-// startLeading keeps the promises of the earlier schedulers.
+// startLeading takes over the stored silences at the beginning of a term.
 func (q *silences) startLeading(now time.Time) {
-	q.promised, q.stored, q.dropped = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	q.frozen, q.stored, q.dropped = make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	q.writes, q.writeAt, q.refreshAt = recordWrites{revision: q.revision}, time.Time{}, now.Add(silenceRefresh)
 	for id, until := range q.until {
-		q.promised[id], q.stored[id] = true, !now.Before(until)
+		q.frozen[id], q.stored[id] = true, !now.Before(until)
 	}
 }
 
@@ -113,13 +113,13 @@
 	for id, left := range e.Left {
 		q.stored[id] = left == 0
 	}
-	for id := range q.promised {
+	for id := range q.frozen {
 		if _, ok := e.Left[id]; ok {
 			continue
 		}
-		delete(q.promised, id)
+		delete(q.frozen, id)
 		if w := s.workers.get(id); w != nil {
-			w.SilencePromised = false
+			w.LeaseFrozen = false
 			w.NextPollAt = now
 			s.place.roundNeeded = true
 		}
@@ -131,7 +131,11 @@
 func (s *Scheduler) stepSilences(now time.Time) {
 	q := &s.silences
 	left := s.currentSilences(now)
-	changed := len(left) != len(q.stored)
+	changed := false
+	for id := range q.frozen {
+		_, silent := left[id]
+		changed = changed || !silent
+	}
 	for id, d := range left {
 		over, stored := q.stored[id]
 		changed = changed || !stored || over != (d == 0) || d > 0 && !now.Before(q.refreshAt)
@@ -145,9 +149,9 @@
 	}
 	q.writes.writing, q.writeAt, q.refreshAt = true, now.Add(silenceInterval), now.Add(silenceRefresh)
 	for id := range left {
-		q.promised[id] = true
+		q.frozen[id] = true
 		if w := s.workers.get(id); w != nil {
-			w.SilencePromised = true
+			w.LeaseFrozen = true
 		}
 	}
 	s.act(StoreSilences{Fence: s.fence(), Left: left, Expected: q.writes.revision})
@@ -165,7 +169,7 @@
 			if s.silences.dropped[m.ID] {
 				left[m.ID] = 0
 			}
-		case w.SilencePromised && (w.Silent || !w.Answered), w.Silent && now.Sub(w.SilentSince) >= silenceDelay:
+		case w.LeaseFrozen && (w.Silent || !w.Answered), w.Silent && now.Sub(w.SilentSince) >= silenceDelay:
 			left[m.ID] = max(0, w.ExpiresAt().Sub(now))
 		}
 	}
@@ -175,6 +179,6 @@
 // newWorker returns a worker that has not been polled yet.
 func (s *Scheduler) newWorker(d worker.Description) *worker.Worker {
 	w := worker.New(d)
-	w.SilencePromised = s.silences.promised[d.ID]
+	w.LeaseFrozen = s.silences.frozen[d.ID]
 	return w
 }
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -78,3 +78,26 @@
 		})
 	}
 }
+
+// TestSilenceStoredWithoutAnswerIsRemoved guards against a worker that gets no tasks any
+// longer, because the write of its silence got no answer and it answers again.
+func TestSilenceStoredWithoutAnswerIsRemoved(t *testing.T) {
+	w := newFleet(t, 1, 1, 1, 0)
+	w.runFor(time.Second)
+	first := w.submit(1, job.Spec{Steps: []job.Step{newStep(1, 1000, 6000)}})
+	w.runFor(500 * time.Millisecond)
+	x, _ := w.runningOn(job.TaskName{Job: first})
+	w.lateRecord = "silent"
+	x.silent = true
+	w.runFor(2500 * time.Millisecond)
+	x.silent = false
+	w.lateRecord = ""
+	second := w.submit(2, job.Spec{Steps: []job.Step{newStep(1, 1000, 300)}})
+	w.runFor(1500 * time.Millisecond)
+	w.expectEnded([]job.ID{second})
+	w.runFor(lateRecordDelay)
+	if item, ok := w.store.get("silent"); ok && len(item.value.(SilencesRead).Left) > 0 {
+		w.fail("the store holds %+v of a worker that answers", item.value)
+	}
+	w.expectEnded([]job.ID{first})
+}
--- a/internal/scheduler/sim_liveness_test.go
+++ b/internal/scheduler/sim_liveness_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// calm reports whether no fault is under way. A worker that is away counts as one.
+// calm reports whether no fault is under way. A worker that is down counts as one.
 func (w *simulation) calm() bool {
 	if !w.faultFree() {
 		return false
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -61,7 +61,7 @@
 	// three of them.
 	deadly     map[string]bool
 	crashDelay time.Duration
-	// downtime is how long a crashed worker is away, 0 for a random time of up to 2.2 s.
+	// downtime is how long a crashed worker is down, 0 for a random time of up to 2.2 s.
 	downtime               time.Duration
 	crashes, furtherStarts map[string]int
 	// loseMachineOrderLists makes the store not receive the lists of ordered machines.
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -96,7 +96,7 @@
 		if w.HasUnacknowledgedEnds() {
 			q.Wait = 0
 		}
-		if len(w.Runs()) > 0 && !w.SilencePromised {
+		if len(w.Runs()) > 0 && !w.LeaseFrozen {
 			q.HoldUntil = w.ClockAt(now) + s.options.TaskLease.Milliseconds()
 			w.ExtendExpiry(now, s.options.TaskLease)
 		}
