scheduler: stop the rest of a gang whose member is refused

Members of a gang that have started wait for one whose start was refused, until they end alone; the gang cannot be placed again before.

The refusal of a start stops the other members, like every other loss of a run. TestRefusedStartStopsRestOfGang fails without it: none of three is stopped.

--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -145,6 +145,7 @@
 		return
 	}
 	s.removeRun(w, r)
+	s.stopRestOfGang(r, now)
 	r.Task.FailedOn = w.ID
 	r.Task.NotBefore = now.Add(taskRetryDelay)
 	switch {
