scheduler: skip run numbers that a worker has seen

A long-running task that fails in a loop under one scheduler uses more than the 1,000 run numbers by which schedulers differ. The next scheduler begins below, and its workers refuse every start as old, one number after the other, for hundreds of starts.

A refusal as old skips 1,000 numbers of the task or its gang.

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -256,6 +256,15 @@
 	return s.gangRun
 }
 
+// SkipRunNumbers leaves out the next n run numbers of a task or its gang, because its worker
+// has seen higher ones.
+func (t *Task) SkipRunNumbers(n int) {
+	t.LastRun += n
+	if t.Spec().Gang {
+		t.Occurrence.steps[t.Step].gangRun += n
+	}
+}
+
 // NextRun assigns the next run number of a task. The number is above epochBase,
 // which is at least as high as any number that an earlier scheduler assigned.
 func (t *Task) NextRun(epochBase int) int {
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -156,6 +156,9 @@
 		s.listed.delete(w.ID)
 	case e.Refusal == worker.RefusedFence:
 		s.stepDownFenced("worker "+w.ID, now)
+	case e.Refusal == worker.RefusedStaleRun:
+		// An earlier scheduler has assigned more numbers than runsPerEpoch.
+		r.Task.SkipRunNumbers(runsPerEpoch)
 	case e.Refusal == worker.RefusedResources || e.Refusal == worker.RefusedExpired:
 		// The recorded state of the worker is wrong: poll it before anything else
 		// starts there.
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -64,3 +64,28 @@
 		}
 	}
 }
+
+// TestRunNumbersPassThoseOfEarlierScheduler guards against a task that is refused hundreds
+// of times, because an earlier scheduler has started it more often than numbers separate
+// two schedulers.
+func TestRunNumbersPassThoseOfEarlierScheduler(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s, now := newLoadedScheduler(1, 1, 0)
+		step := smallStep(1)
+		step.Gang = gang
+		j, starts := s.addJob(t, step, now)
+		// The worker has seen this number.
+		seen := starts[0].Order.Run + 3*runsPerEpoch/2
+		attempts := 1
+		for ; starts[0].Order.Run <= seen && attempts < 10; attempts++ {
+			s.refuseStart(starts[0], worker.RefusedStaleRun, now)
+			now = now.Add(taskRetryDelay)
+			if starts = s.startPlaced(j, now); len(starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(starts))
+			}
+		}
+		if attempts > 3 {
+			t.Errorf("gang %v: run %d after %d attempts, the worker has seen %d", gang, starts[0].Order.Run, attempts, seen)
+		}
+	}
+}
