scheduler: start nothing by the entry of an earlier incarnation

A worker that starts again under its id may be of another kind.

A worker is used when its entry is that of the incarnation that answers. TestNoStartOnIncarnationWithoutEntry fails without it.

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -55,6 +55,9 @@
 	// Silent is set while the last poll was not answered, SilentSince is when that began.
 	Silent      bool
 	SilentSince time.Time
+	// EntryStartedMillis is the start of the incarnation that wrote Description, 0 if it is
+	// not known. A later one may be of another kind.
+	EntryStartedMillis int64
 	// LeaseFrozen means that the store may hold for how much longer the worker can run
 	// something, so that it gets no order which extends that time.
 	LeaseFrozen bool
@@ -183,7 +186,8 @@
 
 // Usable reports whether new tasks may be started on the worker.
 func (w *Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.LeaseFrozen && !w.history.isSetAside(now)
+	return w.Listed && w.Answered && w.Recorded && !w.Draining && !w.Reserved && !w.Silent && !w.LeaseFrozen && !w.history.isSetAside(now) &&
+		(w.EntryStartedMillis == 0 || w.EntryStartedMillis >= w.StartedMillis)
 }
 
 // RunsLongRunningTask reports whether a run on the worker lasts until its job is
--- a/internal/scheduler/roster.go
+++ b/internal/scheduler/roster.go
@@ -84,6 +84,7 @@
 		w.NextPollAt = now
 		s.log("worker met", "worker", d.ID, "service", d.Service, "datacentre", d.DataCentre, "rack", w.Rack())
 	}
+	w.EntryStartedMillis = d.StartedMillis
 	if d.StartedMillis != 0 && w.StartedMillis != 0 && d.StartedMillis > w.StartedMillis {
 		// A new incarnation. No task starts there until its report lists its runs.
 		// StartedMillis is changed by that report, not here.
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -89,3 +89,31 @@
 		}
 	}
 }
+
+// TestNoStartOnIncarnationWithoutEntry guards against a start on a worker of another kind:
+// it has started again under its id, and its entry is still that of the incarnation before.
+func TestNoStartOnIncarnationWithoutEntry(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 0)
+	entry := worker.Description{
+		ID: "i-0", Address: "i-0", Service: "s0", DataCentre: "z", Labels: []string{"a", "r"}, StartedMillis: 5,
+		Capacity: machine.Resources{MilliCores: 32000, MemoryMB: 65536},
+	}
+	s.updateWorker(entry, now)
+	report := func(started int64) {
+		s.Apply(WorkerAnswered{Worker: "i-0", Fence: s.fence(), SentAt: now, Report: worker.Report{ClockMillis: 1000, StartedMillis: started}}, now)
+	}
+	report(5)
+	report(9)
+	step := smallStep(1)
+	step.Label = "a"
+	j, starts := s.addJob(t, step, now)
+	if len(starts) != 0 {
+		t.Errorf("a task starts by the entry of the incarnation before")
+	}
+	entry.StartedMillis, entry.Labels = 9, []string{"a", "r"}
+	s.updateWorker(entry, now)
+	report(9)
+	if starts = s.startPlaced(j, now); len(starts) != 1 {
+		t.Errorf("%d starts after the entry was written, want 1", len(starts))
+	}
+}
