scheduler: keep the end of a task whose occurrence opens later

A new scheduler whose clock is behind that of its predecessor took the end of a task of an occurrence that is not due by its own clock as that of no task, and acknowledged it; the task ran again when it was due (rules LOST, TWICE).

TestEndOfOccurrenceThatOpensLaterIsKept fails without it (LOST).

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -161,6 +161,12 @@
 	return j.DueAt(j.nextOccurrence), true
 }
 
+// NotOpenedYet reports whether the job has the task, in an occurrence that was not opened
+// yet.
+func (j *Job) NotOpenedYet(n TaskName) bool {
+	return n.Occurrence >= j.nextOccurrence && n.Occurrence < j.Occurrences() && n.Step < len(j.Spec.Steps) && n.Index < j.Spec.Steps[n.Step].Count
+}
+
 // openOccurrence builds an occurrence and its tasks. When the progress shows
 // that all its tasks are done, it counts the occurrence as completed and
 // returns nil.
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -98,10 +98,15 @@
 }
 
 // applyEnd applies the end of a run that a worker reports. An end that was applied
-// before is ignored.
-func (s *Scheduler) applyEnd(w *worker.Worker, end worker.EndReport, now time.Time) {
+// before is ignored. It returns false if the end must be applied later: the task's
+// occurrence is not due yet by this node's clock, which is behind that of the scheduler
+// that has started the run.
+func (s *Scheduler) applyEnd(w *worker.Worker, end worker.EndReport, now time.Time) bool {
+	if j := s.jobs.get(end.Task.Job); j != nil && !j.Ended() && j.NotOpenedYet(end.Task) {
+		return false
+	}
 	if !w.ApplyEnd(end.Number) {
-		return
+		return true
 	}
 	s.counts.Ends++
 	s.subject = jobRecord(end.Task.Job)
@@ -114,7 +119,7 @@
 	if j == nil || j.Ended() {
 		// The worker must keep the end until the job's final state is stored.
 		w.AwaitDurable(end.Number, j)
-		return
+		return true
 	}
 	s.log("task ended", "job", j.ID, "task", end.Task.String(), "run", end.Run, "worker", w.ID, "how", end.Reason)
 	if t := j.Task(end.Task); t != nil && !t.Done() {
@@ -122,6 +127,7 @@
 	}
 	s.queueProgress(j)
 	w.AwaitDurable(end.Number, j)
+	return true
 }
 
 // applyEndReason updates an open task from the end of one of its runs.
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,27 @@
 		t.Errorf("%d starts after the entry was written, want 1", len(starts))
 	}
 }
+
+// TestEndOfOccurrenceThatOpensLaterIsKept guards against a task that runs again when its
+// occurrence is due by this node's clock, because the end of its run was acknowledged
+// before.
+func TestEndOfOccurrenceThatOpensLaterIsKept(t *testing.T) {
+	w := newFleet(t, 11, 1, 2, 0)
+	spec := job.Spec{Steps: []job.Step{newStep(1, 1000, 100)}, Times: 2, FirstDue: w.now.UnixMilli(), Interval: 4 * time.Second}
+	id := w.submit(1, spec)
+	x := w.workers[w.listMachines()[0].Worker]
+	name := job.TaskName{Job: id, Occurrence: 1}
+	w.store.put("s/"+string(id), job.Progress{State: job.Running, Placed: map[int][]string{1: {x.description.ID}}}, 0)
+	x.running[name.String()] = &simRun{task: name, run: 1, startedAt: w.now}
+	x.endRun(name.String(), worker.EndDone)
+	w.runFor(9 * time.Second)
+	w.expectEnded([]job.ID{id})
+	if x.stoppedRuns[name.String()] != 1 {
+		w.fail("the task ran again as run %d", x.stoppedRuns[name.String()])
+	}
+	for _, line := range w.trace {
+		if strings.Contains(line, "starts "+name.String()) {
+			w.fail("the task was started again")
+		}
+	}
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -188,11 +188,15 @@
 	}
 	w.Answered, w.Silent = true, false
 	w.RecordClock(e.Report.ClockMillis, now)
+	w.NextPollAt = now.Add(s.pollInterval())
 	for _, end := range e.Report.Ended {
-		s.applyEnd(w, end, now)
+		if !s.applyEnd(w, end, now) {
+			// The worker answers at once as long as it has an end.
+			w.NextPollAt = now.Add(ackTimeout)
+			break
+		}
 	}
 	s.matchRuns(w, e, now)
-	w.NextPollAt = now.Add(s.pollInterval())
 }
 
 // pollInterval returns the delay between an answer and the next poll, at which the
