scheduler: place filler tasks in a pool without free cores

A full pool is left out for jobs without filler tasks only. TestFillerTasksStartInFullPool fails without it: 0 of 2 start.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -84,6 +84,11 @@
 	return slices.ContainsFunc(j.Spec.Steps, func(s Step) bool { return s.LongRunning })
 }
 
+// Fills reports whether the job has a step of filler tasks.
+func (j *Job) Fills() bool {
+	return slices.ContainsFunc(j.Spec.Steps, func(s Step) bool { return s.Filler })
+}
+
 // State returns the state to report to callers. It reflects only what the
 // store holds. A stored cancellation takes effect immediately.
 func (j *Job) State() State {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -107,10 +107,12 @@
 			waiting = true
 			continue
 		}
+		full := false
 		for _, candidate := range ranked[service] {
-			if pool.Empty() {
+			full = full || pool.Empty()
+			if full && !candidate.job.Fills() {
 				waiting = true
-				break
+				continue
 			}
 			s.subject = jobRecord(candidate.job.ID)
 			if s.placeJob(candidate.job, pool, now) {
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// TestFillerTasksStartInFullPool guards against filler tasks that wait while all cores of
+// their pool are taken: they use what the other tasks leave.
+func TestFillerTasksStartInFullPool(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 0)
+	whole := smallStep(1)
+	whole.Need.MilliCores = 32000
+	if _, starts := s.addJob(t, whole, now); len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	filler := smallStep(2)
+	filler.Filler, filler.LongRunning = true, true
+	j := job.New("00000000000000fe", job.Terms{Queue: "s0", Service: "s0", Attempts: 3, Stretch: 1.6}, job.Spec{Steps: []job.Step{filler}}, now.UnixMilli(), 2)
+	s.jobs.set(j.ID, j)
+	s.trackJob(j)
+	if starts := s.startPlaced(j, now); len(starts) != 2 {
+		t.Errorf("%d filler tasks start, want 2", len(starts))
+	}
+}
+
 // TestEndOfOccurrenceThatOpensLaterIsKept guards against a task that runs again when its
 // occurrence is due by this node's clock, because the end of its run was acknowledged
 // before.
