node: let the answers of a stopping node end their connections

From the withdrawal of readiness on, answers carry Connection: close, so callers go to other nodes before the shutdown and few connections are left for it. TestStoppingNodeEndsConnections fails without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 	}()
 
 	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.maxConfigAge())
-	callersServer := n.newServer(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained))
+	callersServer := n.newServer(n.closeWhileDraining(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained)))
 	readinessServer := n.newServer(platform.ReadyHandler(n.ready))
 	if err := n.serve(group, callersServer, n.settings.CallersAddress); err != nil {
 		return err
@@ -300,6 +300,18 @@
 	return now.Sub(asOf) < maxReadyStaleness
 }
 
+// closeWhileDraining makes the answers of a stopping node end their connections. Its
+// callers otherwise use them until the shutdown closes those on which no request is being
+// served, also one whose request has arrived and was not read yet.
+func (n *node) closeWhileDraining(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		handler(c)
+		if n.draining.Load() {
+			c.SetConnectionClose()
+		}
+	}
+}
+
 // shutdown fails the readiness checks, serves requests for drainDelay while the
 // load balancer reacts, and then waits for the requests in flight.
 func (n *node) shutdown(callersServer *fasthttp.Server) {
