--- a/internal/standin/site/store_faults.go
+++ b/internal/standin/site/store_faults.go
@@ -71,13 +71,6 @@
 	return statuses
 }
 
-// Held returns the number of calls that StoreHeld keeps.
-func (s *Store) Held() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.held)
-}
-
 // faultOf returns the fault of a call.
 func (s *Store) faultOf(c *fasthttp.RequestCtx) StoreFault {
 	s.mu.Lock()
