--- /dev/null
+++ b/review/_rig2/main.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Bounds of the rules, from the pages.
+const (
+	finishTime  = 14 * time.Second        // finish_s
+	calmTime    = 3 * time.Second         // of the rule LOST
+	pendingLate = 5000 * time.Millisecond // visible_ms + 2 s
+	// watchTime is how long a job that does not run is watched after a rule is broken.
+	watchTime = 40 * time.Second
+)
+
+var errNotRun = errors.New("the case could not run")
+
+// scripts are the scripts by name. Each returns how the rule was broken, or "".
+var scripts = map[string]struct {
+	nodes, workers int
+	play           func(d *deployment) (string, error)
+}{
+	"starved": {3, 7, starved},
+	"giveup":  {3, 7, giveUp},
+	"pending": {3, 7, pending},
+}
+
+func main() {
+	script, ok := scripts[os.Args[1]]
+	if !ok || len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: review-rig-2 SCRIPT RECORD")
+		os.Exit(2)
+	}
+	d, err := newDeployment(script.nodes, script.workers)
+	broken := ""
+	if err == nil {
+		broken, err = script.play(d)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if d != nil {
+			d.note("the case could not run: %v", err)
+			_ = d.finish(os.Args[2], "")
+		}
+		os.Exit(2)
+	}
+	os.Exit(d.finish(os.Args[2], broken))
+}
+
+// state returns the state that a node shows of a job.
+func (d *deployment) state(n *node, id string) string {
+	status, text := d.call(n, "GET", id, nil)
+	var answer struct {
+		State string `json:"state"`
+	}
+	if status != 200 || json.Unmarshal([]byte(text), &answer) != nil {
+		return ""
+	}
+	return answer.State
+}
+
+// crashUnder crashes the worker that runs a task once the run is at least as old as age,
+// and starts it again under the same id after down.
+func (d *deployment) crashUnder(name string, age, down time.Duration) (*worker, error) {
+	var w *worker
+	if !d.await(15*time.Second, func() bool {
+		found, since := d.where(name)
+		w = found
+		return w != nil && time.Since(since) >= age
+	}) {
+		return nil, errNotRun
+	}
+	w.crash()
+	time.Sleep(down)
+	return w, w.start()
+}
+
+// starved: two workers crash in turn under a task. Every worker of the service runs a
+// task that lasts, as well.
+func starved(d *deployment) (string, error) {
+	const lasting, job = "00000000000000a1", "00000000000000b2"
+	if !d.submit(lasting, len(d.workers), 2000, 0, map[string]any{"long-running": true, "anti-affinity": 1, "may-miss": 1}) {
+		return "", errNotRun
+	}
+	if !d.await(15*time.Second, func() bool { return d.inUse() == int64(len(d.workers))*2000 }) {
+		return "", errNotRun
+	}
+	if !d.submit(job, 1, 4000, 6*time.Second, nil) {
+		return "", errNotRun
+	}
+	const name = job + ".0.0.0"
+	if d.trouble {
+		for range 2 {
+			if _, err := d.crashUnder(name, 1500*time.Millisecond, 1500*time.Millisecond); err != nil {
+				return "", err
+			}
+		}
+	}
+	d.note("the traffic has ended")
+	time.Sleep(finishTime)
+	for end := time.Now().Add(calmTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if w, _ := d.where(name); w != nil || d.inUse() >= int64(len(d.workers))*workerCPU/2 || d.inUse() >= teamCap/2 || d.roomFor(4000) < 2 {
+			d.note("calm ends")
+			break
+		}
+	}
+	state := ""
+	for _, n := range d.nodes {
+		state = d.state(n, job)
+	}
+	if w, _ := d.where(name); w == nil && state != "completed" {
+		broken := fmt.Sprintf("LOST: %v after the end of the traffic the job %s is shown as %q and nothing of it runs, though %d more such tasks fit, %d of %d milli-cores of the service are in use and the tenant may use %d",
+			finishTime+calmTime, job, state, d.roomFor(4000), d.inUse(), len(d.workers)*workerCPU, teamCap)
+		if d.await(watchTime, func() bool { w, _ := d.where(name); return w != nil }) {
+			d.note("the job runs again")
+		} else {
+			d.note("the job has not run in %v more", watchTime)
+		}
+		return broken, nil
+	}
+	return "", nil
+}
+
+// roomFor returns how many tasks of a size fit on the workers that are up.
+func (d *deployment) roomFor(cpu int64) int64 {
+	var n int64
+	for _, w := range d.workers {
+		w.mu.Lock()
+		if w.up {
+			n += (w.capacity - w.inUse()) / cpu
+		}
+		w.mu.Unlock()
+	}
+	return n
+}
+
+// giveUp: two workers crash in turn under a sound task.
+func giveUp(d *deployment) (string, error) {
+	const job = "00000000000000c3"
+	if !d.submit(job, 1, 4000, 10*time.Second, nil) {
+		return "", errNotRun
+	}
+	const name = job + ".0.0.0"
+	if d.trouble {
+		for i := range 2 {
+			if _, err := d.crashUnder(name, time.Duration(100+i*2900)*time.Millisecond, 1500*time.Millisecond); err != nil {
+				return "", err
+			}
+		}
+	}
+	time.Sleep(finishTime)
+	for _, n := range d.nodes {
+		if state := d.state(n, job); state == "failed" {
+			return "LOST: the job is shown as failed, and no run of it has ended so", nil
+		}
+	}
+	return "", nil
+}
+
+// pending: a worker crashes for good, and jobs are submitted just then. The other
+// workers are in use.
+func pending(d *deployment) (string, error) {
+	const batch, small = "00000000000000d4", "00000000000000e5"
+	if !d.submit(batch, len(d.workers)-1, workerCPU, 90*time.Second, nil) || !d.submit(small, 1, 2000, 90*time.Second, nil) {
+		return "", errNotRun
+	}
+	if !d.await(15*time.Second, func() bool { return d.inUse() == int64(len(d.workers)-1)*workerCPU+2000 }) {
+		return "", errNotRun
+	}
+	time.Sleep(2 * time.Second)
+	w, _ := d.where(small + ".0.0.0")
+	if d.trouble {
+		w.loseForGood()
+	}
+	const jobs = 8
+	var ids []string
+	for i := range jobs {
+		id := fmt.Sprintf("00000000000000f%d", i)
+		ids = append(ids, id)
+		if !d.submit(id, 1, 2000, 400*time.Millisecond, nil) {
+			return "", errNotRun
+		}
+	}
+	accepted := time.Now()
+	time.Sleep(pendingLate + 500*time.Millisecond)
+	broken := ""
+	for time.Since(accepted) < 20*time.Second {
+		begun := map[string]bool{}
+		d.mu.Lock()
+		for _, r := range d.runs {
+			begun[r.task[:16]] = true
+		}
+		d.mu.Unlock()
+		notBegun := 0
+		for _, id := range ids {
+			if r, _ := d.where(id + ".0.0.0"); r == nil && !begun[id] {
+				notBegun++
+			}
+		}
+		for _, n := range d.nodes {
+			status, text := d.call(n, "GET", "", nil)
+			var answer struct {
+				Pending int `json:"pending"`
+			}
+			if status != 200 || json.Unmarshal([]byte(text), &answer) != nil {
+				continue
+			}
+			if 2*answer.Pending < notBegun {
+				broken = fmt.Sprintf("MIXED: %s gives %d as pending, %v after %d submissions were accepted that haven't begun", n.name, answer.Pending, time.Since(accepted).Round(time.Millisecond), notBegun)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	for _, id := range ids[:2] {
+		d.state(d.nodes[0], id)
+	}
+	return broken, nil
+}
