--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -31,8 +31,6 @@
 	start, end   time.Time
 	how          string
 	duration     time.Duration
-	endNumber    int64
-	noted        bool // its end was taken note of: last-seen has reached it
 	timer        *time.Timer
 }
 
@@ -58,7 +56,6 @@
 	closed      map[string]int
 	ended       [][]any
 	lastEnd     int64
-	listed      []*run
 	changed     chan struct{}
 	seq         int
 	stopBeating chan struct{}
@@ -74,7 +71,7 @@
 	w.mu.Lock()
 	w.up, w.startedAt, w.fence = true, time.Now(), 0
 	w.born = w.startedAt.UnixMilli()
-	w.running, w.closed, w.ended, w.lastEnd, w.listed = map[string]*run{}, map[string]int{}, nil, 0, nil
+	w.running, w.closed, w.ended, w.lastEnd = map[string]*run{}, map[string]int{}, nil, 0
 	w.changed, w.stopBeating, w.dark = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	w.leaseUntil = time.Time{}
 	mux := http.NewServeMux()
@@ -267,8 +264,7 @@
 	w.closed[name] = max(w.closed[name], r.number)
 	w.lastEnd++
 	w.ended = append(w.ended, []any{w.lastEnd, name, r.number, how, ""})
-	r.end, r.how, r.endNumber = time.Now(), how, w.lastEnd
-	w.listed = append(w.listed, r)
+	r.end, r.how = time.Now(), how
 	w.d.addRun(r)
 	w.d.note("run %s %d ends on %s: %s", name, r.number, w.id, how)
 	close(w.changed)
@@ -304,10 +300,6 @@
 	if c.Until > 0 {
 		w.extendLease(c.Until)
 	}
-	for len(w.listed) > 0 && w.listed[0].endNumber <= c.LastSeen {
-		w.listed[0].noted = true
-		w.listed = w.listed[1:]
-	}
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= c.LastSeen {
 		w.ended = w.ended[1:]
 	}
