review: case 6 shows that the rest of the step starves, too

A task that waits for a worker of its own also keeps back the tasks behind it in its step, which have never run.

--- a/review/_rig2/deployment.go
+++ b/review/_rig2/deployment.go
@@ -27,7 +27,6 @@
 	host, prefix, apiKey = "review.example", "/review/", "key-of-the-team"
 	service, team        = "service", "team"
 	workerCPU            = 32_000
-	teamCap              = 400_000
 )
 
 // deployment is a running deployment with its stand-ins.
@@ -36,6 +35,8 @@
 	dir     string
 	binary  string
 	trouble bool
+	// teamCap is the tenant's cap in milli-cores.
+	teamCap int64
 	started time.Time
 	client  *http.Client
 	nodes   []*node
@@ -54,14 +55,14 @@
 }
 
 // newDeployment starts the stand-ins and the nodes, and waits until all nodes are ready.
-func newDeployment(nodes, workers int) (*deployment, error) {
+func newDeployment(nodes, workers int, teamCap int64) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{
 		store: site.NewStore(), dir: dir, binary: os.Getenv("REVIEW_NODE"), trouble: os.Getenv("TROUBLE") != "0",
-		started: time.Now(), client: &http.Client{Timeout: 4 * time.Second},
+		teamCap: teamCap, started: time.Now(), client: &http.Client{Timeout: 4 * time.Second},
 	}
 	d.note("trouble %v", d.trouble)
 	d.store.SetFault(site.StoreNoFault, 4*time.Millisecond)
@@ -124,7 +125,7 @@
 			"priority": 1, "service": service, "attempts": 3, "stretch": 1.6,
 		}},
 		"services": []any{map[string]any{"name": service, "admission-check": true}},
-		"tenants":  []any{map[string]any{"name": team, "api-keys": []string{apiKey}, "weight": 10, "cap": map[string]int64{"cpu": teamCap}}},
+		"tenants":  []any{map[string]any{"name": team, "api-keys": []string{apiKey}, "weight": 10, "cap": map[string]int64{"cpu": d.teamCap}}},
 		"limits":   map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 }
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -22,11 +22,12 @@
 // scripts are the scripts by name. Each returns how the rule was broken, or "".
 var scripts = map[string]struct {
 	nodes, workers int
+	teamCap        int64
 	play           func(d *deployment) (string, error)
 }{
-	"starved": {3, 7, starved},
-	"giveup":  {3, 7, giveUp},
-	"pending": {3, 7, pending},
+	"starved": {3, 7, 80_000, starved},
+	"giveup":  {3, 7, 400_000, giveUp},
+	"pending": {3, 7, 400_000, pending},
 }
 
 func main() {
@@ -35,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-rig-2 SCRIPT RECORD")
 		os.Exit(2)
 	}
-	d, err := newDeployment(script.nodes, script.workers)
+	d, err := newDeployment(script.nodes, script.workers, script.teamCap)
 	broken := ""
 	if err == nil {
 		broken, err = script.play(d)
@@ -65,73 +66,101 @@
 
 // crashUnder crashes the worker that runs a task once the run is at least as old as age,
 // and starts it again under the same id after down.
-func (d *deployment) crashUnder(name string, age, down time.Duration) (*worker, error) {
+func (d *deployment) crashUnder(name string, age, down time.Duration) error {
 	var w *worker
 	if !d.await(15*time.Second, func() bool {
 		found, since := d.where(name)
 		w = found
 		return w != nil && time.Since(since) >= age
 	}) {
-		return nil, errNotRun
+		return errNotRun
 	}
 	w.crash()
 	time.Sleep(down)
-	return w, w.start()
+	return w.start()
 }
 
-// starved: two workers crash in turn under a task. Every worker of the service runs a
-// task that lasts, as well.
+// starved: two workers crash in turn under one task of a submission whose other tasks
+// wait for the tenant's cap. Every worker of the service runs a task that lasts, as well.
 func starved(d *deployment) (string, error) {
-	const lasting, job = "00000000000000a1", "00000000000000b2"
+	const (
+		lasting, job = "00000000000000a1", "00000000000000b2"
+		count, cpu   = 14, 8000
+	)
 	if !d.submit(lasting, len(d.workers), 2000, 0, map[string]any{"long-running": true, "anti-affinity": 1, "may-miss": 1}) {
 		return "", errNotRun
 	}
 	if !d.await(15*time.Second, func() bool { return d.inUse() == int64(len(d.workers))*2000 }) {
 		return "", errNotRun
 	}
-	if !d.submit(job, 1, 4000, 6*time.Second, nil) {
+	if !d.submit(job, count, cpu, 6*time.Second, nil) {
 		return "", errNotRun
 	}
-	const name = job + ".0.0.0"
 	if d.trouble {
 		for range 2 {
-			if _, err := d.crashUnder(name, 1500*time.Millisecond, 1500*time.Millisecond); err != nil {
+			if err := d.crashUnder(job+".0.0.0", time.Second, time.Second); err != nil {
 				return "", err
 			}
 		}
 	}
 	d.note("the traffic has ended")
 	time.Sleep(finishTime)
-	for end := time.Now().Add(calmTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if w, _ := d.where(name); w != nil || d.inUse() >= int64(len(d.workers))*workerCPU/2 || d.inUse() >= teamCap/2 || d.roomFor(4000) < 2 {
-			d.note("calm ends")
-			break
-		}
+	never, left, _ := d.tasksOf(job, count)
+	calm := left > 0
+	for end := time.Now().Add(calmTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		_, _, running := d.tasksOf(job, count)
+		calm = calm && running == 0 && d.inUse() < int64(len(d.workers))*workerCPU/2 && d.inUse() < d.teamCap/2 && d.roomFor(cpu) >= 2*left
 	}
 	state := ""
 	for _, n := range d.nodes {
 		state = d.state(n, job)
 	}
-	if w, _ := d.where(name); w == nil && state != "completed" {
-		broken := fmt.Sprintf("LOST: %v after the end of the traffic the job %s is shown as %q and nothing of it runs, though %d more such tasks fit, %d of %d milli-cores of the service are in use and the tenant may use %d",
-			finishTime+calmTime, job, state, d.roomFor(4000), d.inUse(), len(d.workers)*workerCPU, teamCap)
-		if d.await(watchTime, func() bool { w, _ := d.where(name); return w != nil }) {
-			d.note("the job runs again")
-		} else {
-			d.note("the job has not run in %v more", watchTime)
+	if !calm || state == "completed" {
+		return "", nil
+	}
+	broken := fmt.Sprintf("LOST: %v after the end of the traffic the submission %s is shown as %q, and for 3 s nothing of it has run: %d of its %d tasks are left, %d of them never started, though %d such tasks fit, %d of %d milli-cores of the service are in use and the tenant may use %d",
+		finishTime+calmTime, job, state, left, count, never, d.roomFor(cpu), d.inUse(), len(d.workers)*workerCPU, d.teamCap)
+	if d.await(watchTime, func() bool { _, _, running := d.tasksOf(job, count); return running > 0 }) {
+		d.note("the submission runs again")
+	} else {
+		d.note("nothing of the submission has run in %v more", watchTime)
+	}
+	return broken, nil
+}
+
+// tasksOf returns how many tasks of a submission with one step have never started, how
+// many are left to be done, and how many are running.
+func (d *deployment) tasksOf(id string, count int) (never, left, running int) {
+	started, done := map[string]bool{}, map[string]bool{}
+	d.mu.Lock()
+	for _, r := range d.runs {
+		started[r.task] = true
+		done[r.task] = done[r.task] || r.how == "done"
+	}
+	d.mu.Unlock()
+	for i := range count {
+		name := fmt.Sprintf("%s.0.0.%d", id, i)
+		w, _ := d.where(name)
+		if w != nil {
+			running++
+		}
+		if w == nil && !started[name] {
+			never++
+		}
+		if !done[name] {
+			left++
 		}
-		return broken, nil
 	}
-	return "", nil
+	return never, left, running
 }
 
 // roomFor returns how many tasks of a size fit on the workers that are up.
-func (d *deployment) roomFor(cpu int64) int64 {
-	var n int64
+func (d *deployment) roomFor(cpu int64) int {
+	n := 0
 	for _, w := range d.workers {
 		w.mu.Lock()
 		if w.up {
-			n += (w.capacity - w.inUse()) / cpu
+			n += int((w.capacity - w.inUse()) / cpu)
 		}
 		w.mu.Unlock()
 	}
@@ -147,7 +176,7 @@
 	const name = job + ".0.0.0"
 	if d.trouble {
 		for i := range 2 {
-			if _, err := d.crashUnder(name, time.Duration(100+i*2900)*time.Millisecond, 1500*time.Millisecond); err != nil {
+			if err := d.crashUnder(name, time.Duration(100+i*2900)*time.Millisecond, 1500*time.Millisecond); err != nil {
 				return "", err
 			}
 		}
