review: case 6, an ended task starts again after lost store answers

A write of progress without an answer, refused when it is repeated, leaves the scheduler with the store's revision and the older progress. If that node loses the lease then and is the scheduler again later, it starts tasks again that ended done.

--- a/review/_rig2/deployment.go
+++ b/review/_rig2/deployment.go
@@ -45,6 +45,91 @@
 	mu     sync.Mutex
 	record strings.Builder
 	runs   []*run
+	// judge decides about a call of a node to the store, nil to answer all. Seen is called
+	// after the answer to a write. Both are called with mu held.
+	judge func(node string, keys []string) verdict
+	seen  func(node string, keys []string, status int)
+}
+
+// verdict is what the store does with one call.
+type verdict int
+
+const (
+	answer verdict = iota
+	// loseAnswer carries the call out and does not answer it.
+	loseAnswer
+	// turnAway neither carries the call out nor answers it.
+	turnAway
+)
+
+// silence is how long a connection stays open after a call that is not answered. The
+// nodes give up long before.
+const silence = 20 * time.Second
+
+// serveStore passes a node's calls to the store as judge decides.
+func (d *deployment) serveStore(name string) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		var keys []string
+		if string(c.Path()) == "/kv-txn" {
+			var body struct {
+				Puts []struct {
+					Key string `json:"key"`
+				} `json:"puts"`
+			}
+			_ = json.Unmarshal(c.PostBody(), &body)
+			for _, p := range body.Puts {
+				keys = append(keys, p.Key)
+			}
+		}
+		v := answer
+		d.mu.Lock()
+		if d.judge != nil {
+			v = d.judge(name, keys)
+		}
+		d.mu.Unlock()
+		if v != turnAway {
+			d.store.Serve(c)
+		}
+		if v == answer {
+			d.mu.Lock()
+			if d.seen != nil && keys != nil {
+				d.seen(name, keys, c.Response.StatusCode())
+			}
+			d.mu.Unlock()
+			return
+		}
+		time.Sleep(silence)
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(conn net.Conn) { _ = conn.Close() })
+	}
+}
+
+// leader returns the name of the node that holds the scheduler's lease.
+func (d *deployment) leader() string {
+	item, ok := d.store.Get("cj/leader")
+	if !ok {
+		return ""
+	}
+	var value struct {
+		Holder string `json:"holder"`
+	}
+	_ = json.Unmarshal(item.Value, &value)
+	return value.Holder
+}
+
+// restart stops a node with SIGTERM and starts it again when it has exited.
+func (d *deployment) restart(name string) error {
+	for _, n := range d.nodes {
+		if n.name != name {
+			continue
+		}
+		d.note("TROUBLE: %s gets SIGTERM", name)
+		_ = n.command.Process.Signal(syscall.SIGTERM)
+		<-n.exited
+		d.note("TROUBLE: %s starts again", name)
+		return d.run(n)
+	}
+	return errNotRun
 }
 
 // node is one node process.
@@ -66,10 +151,6 @@
 	}
 	d.note("trouble %v", d.trouble)
 	d.store.SetFault(site.StoreNoFault, 4*time.Millisecond)
-	storeAddress, err := serve(d.store.Serve)
-	if err != nil {
-		return d, err
-	}
 	machines, err := serve(d.serveMachines)
 	if err != nil {
 		return d, err
@@ -87,7 +168,12 @@
 		d.workers = append(d.workers, w)
 	}
 	for i := range nodes {
-		if err := d.startNode(fmt.Sprintf("edge-%d", i+1), zones[i%len(zones)], storeAddress, machines); err != nil {
+		name := fmt.Sprintf("edge-%d", i+1)
+		storeAddress, err := serve(d.serveStore(name))
+		if err != nil {
+			return d, err
+		}
+		if err := d.startNode(name, zones[i%len(zones)], storeAddress, machines); err != nil {
 			return d, err
 		}
 	}
@@ -156,7 +242,7 @@
 
 // startNode starts a node with settings like those of a small deployment.
 func (d *deployment) startNode(name, zone, store, machines string) error {
-	n := &node{name: name, settings: filepath.Join(d.dir, name+".json"), exited: make(chan struct{})}
+	n := &node{name: name, settings: filepath.Join(d.dir, name+".json")}
 	var err error
 	if n.front, err = site.FreeAddress(); err != nil {
 		return err
@@ -187,7 +273,13 @@
 	if err := os.WriteFile(n.settings, settings, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, name+".log"))
+	d.nodes = append(d.nodes, n)
+	return d.run(n)
+}
+
+// run starts the process of a node.
+func (d *deployment) run(n *node) error {
+	log, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -198,11 +290,12 @@
 	if err := n.command.Start(); err != nil {
 		return err
 	}
+	exited, command := make(chan struct{}), n.command
+	n.exited = exited
 	go func() {
-		_ = n.command.Wait()
-		close(n.exited)
+		_ = command.Wait()
+		close(exited)
 	}()
-	d.nodes = append(d.nodes, n)
 	return nil
 }
 
@@ -225,6 +318,10 @@
 func (d *deployment) note(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteLocked(format, args...)
+}
+
+func (d *deployment) noteLocked(format string, args ...any) {
 	fmt.Fprintf(&d.record, "%8.3f s  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -245,18 +342,29 @@
 	return false
 }
 
-// payload is the text of a job whose tasks run for a time, 0 until they are stopped, on
-// a number of milli-cores.
-func payload(duration time.Duration, cpu int64) string {
-	return fmt.Sprintf("%d %d", duration.Milliseconds(), cpu)
+// payload is the text of a job whose tasks need a number of milli-cores and run for a
+// time for each step, 0 until they are stopped.
+func payload(cpu int64, durations ...time.Duration) string {
+	text := strconv.FormatInt(cpu, 10)
+	for _, d := range durations {
+		text += " " + strconv.FormatInt(d.Milliseconds(), 10)
+	}
+	return text
 }
 
-// taskOf parses a payload.
-func (d *deployment) taskOf(text string) task {
-	duration, cpu, _ := strings.Cut(text, " ")
-	ms, _ := strconv.Atoi(duration)
-	need, _ := strconv.ParseInt(cpu, 10, 64)
-	return task{time.Duration(ms) * time.Millisecond, need}
+// taskOf parses the payload of a task. Its name ends with the numbers of its step and its
+// index.
+func taskOf(text, name string) task {
+	fields, parts := strings.Fields(text), strings.Split(name, ".")
+	number := func(list []string, i int) int64 {
+		if i >= len(list) {
+			return 0
+		}
+		n, _ := strconv.ParseInt(list[i], 10, 64)
+		return n
+	}
+	step := int(number(parts, 2))
+	return task{time.Duration(number(fields, 1+step)) * time.Millisecond, number(fields, 0)}
 }
 
 // call sends a client's request and records its answer. Status 0 means none.
@@ -284,7 +392,7 @@
 	return response.StatusCode, string(text)
 }
 
-// submit submits a job of one step, and retries like a client.
+// submit submits a job of one step.
 func (d *deployment) submit(id string, count int, cpu int64, duration time.Duration, more map[string]any) bool {
 	step := map[string]any{"count": count, "cpu": cpu, "mem-mb": 64}
 	if duration > 0 {
@@ -293,7 +401,11 @@
 	for k, v := range more {
 		step[k] = v
 	}
-	body := map[string]any{"spec": payload(duration, cpu), "steps": []any{step}}
+	return d.post(id, map[string]any{"spec": payload(cpu, duration), "steps": []any{step}})
+}
+
+// post submits a job, and retries like a client.
+func (d *deployment) post(id string, body map[string]any) bool {
 	for i := range 5 {
 		if status, _ := d.call(d.nodes[i%len(d.nodes)], "POST", id, body); status == 200 {
 			return true
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 }{
 	"starved": {3, 7, 80_000, starved},
 	"giveup":  {3, 7, 400_000, giveUp},
+	"again":   {3, 7, 400_000, again},
 	"pending": {3, 7, 400_000, pending},
 }
 
@@ -249,3 +251,91 @@
 	}
 	return broken, nil
 }
+
+// again: an answer of the store to the scheduler is lost, then the store turns the
+// scheduler away for some seconds, and later the other nodes are restarted in turn until
+// it is the scheduler again.
+func again(d *deployment) (string, error) {
+	const job = "00000000000000a9"
+	const short, progress = job + ".0.0.0", "cs/" + job
+	first := d.leader()
+	if d.trouble {
+		d.disruptStore(first, progress, short)
+	}
+	steps := []any{
+		map[string]any{"count": 1, "cpu": 2000, "mem-mb": 64, "est-runtime-ms": 1500},
+		map[string]any{"count": 6, "cpu": 2000, "mem-mb": 64, "est-runtime-ms": 80_000},
+	}
+	if !d.post(job, map[string]any{"spec": payload(2000, 1500*time.Millisecond, 80*time.Second), "steps": steps}) {
+		return "", errNotRun
+	}
+	if d.trouble {
+		if !d.await(12*time.Second, func() bool { return d.leader() != "" && d.leader() != first }) {
+			return "", errNotRun
+		}
+		d.note("%s is the scheduler", d.leader())
+		time.Sleep(8 * time.Second)
+		for range 4 {
+			if d.leader() == first {
+				break
+			}
+			if err := d.restart(d.leader()); err != nil {
+				return "", err
+			}
+			time.Sleep(3 * time.Second)
+		}
+		d.note("%s is the scheduler", d.leader())
+	}
+	time.Sleep(8 * time.Second)
+	d.state(d.nodes[0], job)
+	var done *run
+	d.mu.Lock()
+	for _, r := range d.runs {
+		if r.task == short && r.how == "done" && done == nil {
+			done = r
+		}
+	}
+	runs := append([]*run(nil), d.runs...)
+	d.mu.Unlock()
+	if done == nil {
+		return "", errNotRun
+	}
+	for _, r := range runs {
+		if r.task == short && r.start.After(done.end) && done.noted {
+			return fmt.Sprintf("TWICE: run %d of %s starts %.3f s after its run %d has ended done, an end that was taken note of", r.number, short, r.start.Sub(done.end).Seconds(), done.number), nil
+		}
+	}
+	return "", nil
+}
+
+// disruptStore loses the answer to a node's first write of a job's progress after a task
+// has ended, answers the second one, and then turns the node away for turnedAway.
+func (d *deployment) disruptStore(node, progress, task string) {
+	const turnedAway = 5 * time.Second
+	lost := false
+	var until time.Time
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.judge = func(name string, keys []string) verdict {
+		if name != node {
+			return answer
+		}
+		if time.Now().Before(until) {
+			return turnAway
+		}
+		ended := slices.ContainsFunc(d.runs, func(r *run) bool { return r.task == task })
+		if !lost && ended && slices.Contains(keys, progress) {
+			lost = true
+			d.noteLocked("TROUBLE: store: the write of %s to %v is carried out and not answered", name, keys)
+			return loseAnswer
+		}
+		return answer
+	}
+	d.seen = func(name string, keys []string, status int) {
+		if name == node && lost && until.IsZero() && slices.Contains(keys, progress) {
+			until = time.Now().Add(turnedAway)
+			d.noteLocked("store: the write of %s to %v is answered %d", name, keys, status)
+			d.noteLocked("TROUBLE: store: %s gets no answer for %v", name, turnedAway)
+		}
+	}
+}
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -31,7 +31,11 @@
 	start, end   time.Time
 	how          string
 	duration     time.Duration
-	timer        *time.Timer
+	endNumber    int64
+	// lapsed means that the lease lapsed after the end, noted that last-seen has reached
+	// the end before that. Both are guarded by worker.mu.
+	lapsed, noted bool
+	timer         *time.Timer
 }
 
 // worker is a stand-in for a worker of the users' platform. It keeps to PROTOCOL.md:
@@ -56,6 +60,7 @@
 	closed      map[string]int
 	ended       [][]any
 	lastEnd     int64
+	listed      []*run
 	changed     chan struct{}
 	seq         int
 	stopBeating chan struct{}
@@ -71,7 +76,7 @@
 	w.mu.Lock()
 	w.up, w.startedAt, w.fence = true, time.Now(), 0
 	w.born = w.startedAt.UnixMilli()
-	w.running, w.closed, w.ended, w.lastEnd = map[string]*run{}, map[string]int{}, nil, 0
+	w.running, w.closed, w.ended, w.lastEnd, w.listed = map[string]*run{}, map[string]int{}, nil, 0, nil
 	w.changed, w.stopBeating, w.dark = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	w.leaseUntil = time.Time{}
 	mux := http.NewServeMux()
@@ -219,7 +224,7 @@
 	if r := w.running[c.Task]; r != nil && r.number == c.Run {
 		return 200, w.answer(nil)
 	}
-	t := w.d.taskOf(c.Spec)
+	t := taskOf(c.Spec, c.Task)
 	switch {
 	case c.Run <= w.closed[c.Task] || w.running[c.Task] != nil:
 		w.extendLease(c.Until)
@@ -264,7 +269,8 @@
 	w.closed[name] = max(w.closed[name], r.number)
 	w.lastEnd++
 	w.ended = append(w.ended, []any{w.lastEnd, name, r.number, how, ""})
-	r.end, r.how = time.Now(), how
+	r.end, r.how, r.endNumber = time.Now(), how, w.lastEnd
+	w.listed = append(w.listed, r)
 	w.d.addRun(r)
 	w.d.note("run %s %d ends on %s: %s", name, r.number, w.id, how)
 	close(w.changed)
@@ -290,6 +296,9 @@
 		if time.Now().Before(w.leaseUntil) {
 			return
 		}
+		for _, r := range w.listed {
+			r.lapsed = true
+		}
 		for name := range w.running {
 			w.endRun(name, "lapsed")
 		}
@@ -300,6 +309,12 @@
 	if c.Until > 0 {
 		w.extendLease(c.Until)
 	}
+	for len(w.listed) > 0 && w.listed[0].endNumber <= c.LastSeen {
+		r := w.listed[0]
+		r.noted = !r.lapsed
+		w.d.note("the end of run %s %d is taken note of on %s, fencing token %d", r.task, r.number, w.id, c.Fence)
+		w.listed = w.listed[1:]
+	}
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= c.LastSeen {
 		w.ended = w.ended[1:]
 	}
