--- a/review/_rig2/deployment.go
+++ b/review/_rig2/deployment_test.go
@@ -1,7 +1,7 @@
-// Command review-rig-2 plays the scripts of the second review: it starts nodes as
+// Package rig2 plays the scripts of the second review: it starts nodes as
 // separate processes against small stand-ins of the users' platform on loopback
 // addresses, and records what was sent, answered and run.
-package main
+package rig2
 
 import (
 	"bytes"
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker_test.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"encoding/json"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-rig-2 ./review/_rig2
+go test -c -o target/review-rig-2 ./review/_rig2
