--- a/review/_rig2/main_test.go
+++ b/review/_rig2/main_test.go
@@ -264,17 +264,17 @@
 // scheduler away for some seconds, and later the other nodes are restarted in turn until
 // it is the scheduler again.
 func again(d *deployment) (string, error) {
-	const job = "00000000000000a9"
+	const job, cpu = "00000000000000a9", 400
 	const short, progress = job + ".0.0.0", "cs/" + job
 	first := d.leader()
 	if d.trouble {
 		d.disruptStore(first, progress, short)
 	}
 	steps := []any{
-		map[string]any{"count": 1, "cpu": 2000, "mem-mb": 64, "est-runtime-ms": 1500},
-		map[string]any{"count": 6, "cpu": 2000, "mem-mb": 64, "est-runtime-ms": 80_000},
+		map[string]any{"count": 1, "cpu": cpu, "mem-mb": 64, "est-runtime-ms": 1500},
+		map[string]any{"count": 60, "cpu": cpu, "mem-mb": 64, "est-runtime-ms": 80_000},
 	}
-	if !d.post(job, map[string]any{"spec": payload(2000, 1500*time.Millisecond, 80*time.Second), "steps": steps}) {
+	if !d.post(job, map[string]any{"spec": payload(cpu, 1500*time.Millisecond, 80*time.Second), "steps": steps}) {
 		return "", errNotRun
 	}
 	if d.trouble {
