scheduler: take over stored progress with its revision

The write of the end was carried out and its answer lost; the repeated write was refused; then the store turned the scheduler away. In this node's next term the task was open again.

Cause: the refusal set the job's StoredRevision and left Stored as it was. At the beginning of a term only progress of a newer revision is read, so the job was rebuilt from older progress than the store's. Ruled out: a write of the scheduler in between (it stored nothing of the job), an incomplete read.

The answer to a refused write now carries the stored progress, which is taken over with its revision. Progress that cannot be decoded is logged and the last one that was read is kept.

TestTaskDoneInRefusedWriteIsNotStartedAgain fails without the change ("the task that ended as done is open in the second term"). The tests of the refused write in internal/node name the progress as well; TestConflictThatNamesOtherKeys now also expects the error of the value that cannot be decoded.

--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"io"
-	"maps"
 	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
@@ -46,8 +46,9 @@
 		t.Errorf("outcome %v", outcome)
 	}
 	want := map[job.ID]scheduler.FoundProgress{"a": {Revision: 9}}
-	if found := foundProgress(conflict, nil); !maps.Equal(found, want) {
-		t.Errorf("found %v, want %v", found, want)
+	found, err := foundProgress(conflict, nil)
+	if diff := cmp.Diff(want, found); diff != "" || err == nil {
+		t.Errorf("error %v, found %s", err, diff)
 	}
 }
 
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -34,7 +34,8 @@
 		result.Revision = revision
 	case errors.As(err, &conflict):
 		result.Outcome = conflictOutcome(conflict, a.Fence)
-		result.Found = foundProgress(conflict, values)
+		result.Found, err = foundProgress(conflict, values)
+		r.logFailure("stored progress not decoded", err)
 	default:
 		r.logFailure("progress not stored", err)
 		result.Outcome = scheduler.StoreFailed
@@ -51,19 +52,25 @@
 	return scheduler.StoreConflict
 }
 
-// foundProgress returns the stored progress that a conflict names. Values are the
-// values that the failed write would have put, by key.
-func foundProgress(c *platform.ConflictError, values map[string][]byte) map[job.ID]scheduler.FoundProgress {
+// foundProgress returns the stored progress that a conflict names, and the errors of
+// the values that cannot be decoded. Values are the values that the failed write would
+// have put, by key.
+func foundProgress(c *platform.ConflictError, values map[string][]byte) (map[job.ID]scheduler.FoundProgress, error) {
 	found := make(map[job.ID]scheduler.FoundProgress, len(c.Items))
+	var failures error
 	for _, item := range c.Items {
 		id, isProgress := strings.CutPrefix(item.Key, progressKey)
 		if !isProgress || item.Revision == revisionAbsent {
 			continue
 		}
+		progress, err := decodeProgress(item)
+		failures = errors.Join(failures, err)
 		value, written := values[item.Key]
-		found[job.ID(id)] = scheduler.FoundProgress{Revision: item.Revision, Same: written && sameValue(item, value)}
+		found[job.ID(id)] = scheduler.FoundProgress{
+			Revision: item.Revision, Same: written && sameValue(item, value), Progress: progress, Readable: err == nil,
+		}
 	}
-	return found
+	return found, failures
 }
 
 // writeRecord writes a record of the scheduler's own, and further keys with it. The
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
@@ -61,9 +62,11 @@
 	}
 	b.Progress.State = job.Running
 	result := store(a, b, scheduler.ProgressWrite{Job: "c", Progress: placed})
-	want := map[job.ID]scheduler.FoundProgress{"a": {Revision: revisionA, Same: true}, "b": {Revision: revisionB}}
-	if result.Outcome != scheduler.StoreConflict || len(result.Found) != 2 || result.Found["a"] != want["a"] || result.Found["b"] != want["b"] {
-		t.Errorf("outcome %v, found %v, want %v", result.Outcome, result.Found, want)
+	want := map[job.ID]scheduler.FoundProgress{
+		"a": {Revision: revisionA, Same: true, Progress: placed, Readable: true}, "b": {Revision: revisionB, Progress: placed, Readable: true},
+	}
+	if diff := cmp.Diff(want, result.Found); result.Outcome != scheduler.StoreConflict || diff != "" {
+		t.Errorf("outcome %v, found %s", result.Outcome, diff)
 	}
 }
 
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -158,6 +158,9 @@
 	Revision int64
 	// Same means that it is the progress of the write.
 	Same bool
+	// Progress is the stored progress, Readable whether it could be decoded.
+	Progress job.Progress
+	Readable bool
 }
 
 // Apply implements Event.
@@ -201,9 +204,7 @@
 			settled++
 			continue
 		}
-		if j := s.jobs.get(w.Job); j != nil {
-			j.StoredRevision = found.Revision
-		}
+		s.applyFound(w.Job, found)
 		s.requeueProgress(w.Job)
 	}
 	if !explained {
@@ -212,6 +213,23 @@
 	s.log("progress write refused", "jobs", len(e.Writes), "found", len(e.Found), "stored_before", settled, "explained", explained)
 }
 
+// applyFound records the progress that the store holds of a job. The progress is taken
+// with its revision: a later term reads only newer revisions and rebuilds the job from
+// what is kept here. If it is not readable, the last one that was read is kept.
+func (s *Scheduler) applyFound(id job.ID, found FoundProgress) {
+	j := s.jobs.get(id)
+	if j == nil {
+		return
+	}
+	s.subject = jobRecord(id)
+	j.StoredRevision = found.Revision
+	if found.Readable {
+		s.pending.add(j, -1)
+		j.Stored = found.Progress
+		s.pending.add(j, +1)
+	}
+}
+
 // applyStored records that the store holds the progress of a write, sends the starts
 // that waited for it and queues what has changed since.
 func (s *Scheduler) applyStored(w ProgressWrite, revision int64, now time.Time) {
--- a/internal/scheduler/flush_test.go
+++ b/internal/scheduler/flush_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 )
 
 // TestRefusedWriteIsSettledForEachJob guards against jobs of a refused write that are
@@ -48,6 +49,39 @@
 	}
 }
 
+// TestTaskDoneInRefusedWriteIsNotStartedAgain guards against a scheduler that keeps the
+// store's revision of a job beside older progress: in its next term it starts ended tasks.
+func TestTaskDoneInRefusedWriteIsNotStartedAgain(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 1)
+	s.placeRound(now)
+	s.flushProgress(now)
+	write := lastAction[StoreProgress](t, s).Writes[0]
+	s.Apply(ProgressStored{Fence: s.fence(), Writes: []ProgressWrite{write}, Revision: 5}, now)
+	j := s.jobs.get(write.Job)
+	now = now.Add(time.Second)
+	ended := j.Task(job.TaskName{Job: j.ID})
+	s.finishTask(j, ended, now)
+	s.queueProgress(j)
+	s.flushProgress(now)
+	lost := lastAction[StoreProgress](t, s).Writes[0]
+	s.Apply(ProgressStored{Fence: s.fence(), Writes: []ProgressWrite{lost}, Outcome: StoreFailed}, now)
+	now = now.Add(time.Second)
+	s.flushProgress(now)
+	repeated := lastAction[StoreProgress](t, s).Writes[0]
+	s.Apply(ProgressStored{Fence: s.fence(), Writes: []ProgressWrite{repeated}, Outcome: StoreConflict, Found: map[job.ID]FoundProgress{
+		j.ID: {Revision: 6, Progress: lost.Progress, Readable: true},
+	}}, now)
+	s.stepDown("test", now)
+	s.election.authority = lease.Grant(7, 2, 2, now, time.Hour, now)
+	s.Apply(ProgressListed{Fence: 7, OK: true, Progress: []ProgressRead{{ID: j.ID, Progress: lost.Progress, Revision: 6}}}, now)
+	if !s.Leading() {
+		t.Fatal("the second term has not begun")
+	}
+	if !j.Task(job.TaskName{Job: j.ID}).Done() {
+		t.Error("the task that ended as done is open in the second term")
+	}
+}
+
 // TestProgressAtExpectedRevisionIsStoredAgain guards against progress that counts as
 // stored because the store holds the same, while an earlier write without an answer can
 // still replace it.
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -153,7 +153,8 @@
 	e.Outcome, e.Found = StoreConflict, make(map[job.ID]FoundProgress)
 	for _, p := range a.Writes {
 		if item, ok := s.get("s/" + string(p.Job)); ok {
-			e.Found[p.Job] = FoundProgress{Revision: item.revision, Same: cmp.Equal(item.value, p.Progress, cmpopts.EquateEmpty())}
+			found := item.value.(job.Progress)
+			e.Found[p.Job] = FoundProgress{Revision: item.revision, Same: cmp.Equal(found, p.Progress, cmpopts.EquateEmpty()), Progress: found, Readable: true}
 		}
 	}
 }
