scheduler: compare the stored progress of a refused write by value

The job was written again, and the starts that wait for it were delayed.

The scheduler compares the decoded progress. The node no longer takes part in that decision.

In the tests of flush.go the found progress takes the place of the flag, with the same expectations. No figure of callers was measured for this change alone.

--- a/internal/contract/job/progress.go
+++ b/internal/contract/job/progress.go
@@ -66,6 +66,16 @@
 	return c
 }
 
+// Equal reports whether two records describe the same progress. A missing map is equal to
+// an empty one.
+func (p *Progress) Equal(q *Progress) bool {
+	return p.State == q.State && p.EndedAt == q.EndedAt && slices.Equal(p.Done, q.Done) &&
+		maps.EqualFunc(p.FailedRuns, q.FailedRuns, slices.Equal[[]int]) &&
+		maps.Equal(p.Saved, q.Saved) &&
+		maps.EqualFunc(p.Placed, q.Placed, slices.Equal[[]string]) &&
+		maps.EqualFunc(p.Crashes, q.Crashes, slices.Equal[[]Crash])
+}
+
 func (p *Progress) isDone(ordinal int) bool {
 	return ordinal/8 < len(p.Done) && p.Done[ordinal/8]&(1<<(ordinal%8)) != 0
 }
--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -46,7 +46,7 @@
 		t.Errorf("outcome %v", outcome)
 	}
 	want := map[job.ID]scheduler.FoundProgress{"a": {Revision: 9}}
-	found, err := foundProgress(conflict, nil)
+	found, err := foundProgress(conflict)
 	if diff := cmp.Diff(want, found); diff != "" || err == nil {
 		t.Errorf("error %v, found %s", err, diff)
 	}
--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -177,6 +176,3 @@
 	p, err := decodeProgress(item)
 	return p.State, err
 }
-
-// sameValue reports whether item holds exactly the value that a write put.
-func sameValue(item platform.Item, value []byte) bool { return bytes.Equal(item.Value, value) }
--- a/internal/node/lease_calls.go
+++ b/internal/node/lease_calls.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -95,7 +96,7 @@
 // that it already holds this claim's value.
 func claimRevision(c *platform.ConflictError, value []byte) (int64, bool) {
 	for _, item := range c.Items {
-		if item.Key == leaderKey && sameValue(item, value) {
+		if item.Key == leaderKey && bytes.Equal(item.Value, value) {
 			return item.Revision, true
 		}
 	}
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -19,12 +19,10 @@
 
 func (r *runner) storeProgress(a scheduler.StoreProgress) scheduler.Event {
 	txn := platform.Txn{Conditions: []platform.Condition{leaderCondition(a.Fence)}}
-	values := make(map[string][]byte, len(a.Writes))
 	for _, w := range a.Writes {
 		key := progressKey + string(w.Job)
-		values[key] = encodeCBOR(w.Progress)
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: w.Expected})
-		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: values[key]})
+		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: encodeCBOR(w.Progress)})
 	}
 	result := scheduler.ProgressStored{Fence: a.Fence, Writes: a.Writes}
 	revision, err := r.client.Write(txn, storeTimeout)
@@ -34,7 +32,7 @@
 		result.Revision = revision
 	case errors.As(err, &conflict):
 		result.Outcome = conflictOutcome(conflict, a.Fence)
-		result.Found, err = foundProgress(conflict, values)
+		result.Found, err = foundProgress(conflict)
 		r.logFailure("stored progress not decoded", err)
 	default:
 		r.logFailure("progress not stored", err)
@@ -53,9 +51,8 @@
 }
 
 // foundProgress returns the stored progress that a conflict names, and the errors of
-// the values that cannot be decoded. Values are the values that the failed write would
-// have put, by key.
-func foundProgress(c *platform.ConflictError, values map[string][]byte) (map[job.ID]scheduler.FoundProgress, error) {
+// the values that cannot be decoded.
+func foundProgress(c *platform.ConflictError) (map[job.ID]scheduler.FoundProgress, error) {
 	found := make(map[job.ID]scheduler.FoundProgress, len(c.Items))
 	var failures error
 	for _, item := range c.Items {
@@ -65,10 +62,7 @@
 		}
 		progress, err := decodeProgress(item)
 		failures = errors.Join(failures, err)
-		value, written := values[item.Key]
-		found[job.ID(id)] = scheduler.FoundProgress{
-			Revision: item.Revision, Same: written && sameValue(item, value), Progress: progress, Readable: err == nil,
-		}
+		found[job.ID(id)] = scheduler.FoundProgress{Revision: item.Revision, Progress: progress, Readable: err == nil}
 	}
 	return found, failures
 }
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -63,13 +63,29 @@
 	b.Progress.State = job.Running
 	result := store(a, b, scheduler.ProgressWrite{Job: "c", Progress: placed})
 	want := map[job.ID]scheduler.FoundProgress{
-		"a": {Revision: revisionA, Same: true, Progress: placed, Readable: true}, "b": {Revision: revisionB, Progress: placed, Readable: true},
+		"a": {Revision: revisionA, Progress: placed, Readable: true}, "b": {Revision: revisionB, Progress: placed, Readable: true},
 	}
 	if diff := cmp.Diff(want, result.Found); result.Outcome != scheduler.StoreConflict || diff != "" {
 		t.Errorf("outcome %v, found %s", result.Outcome, diff)
 	}
 }
 
+// TestRepeatedProgressWriteIsRecognized guards against stored progress that counts as other
+// progress, and is written again, because its maps were encoded in another order.
+func TestRepeatedProgressWriteIsRecognized(t *testing.T) {
+	_, r := startStore(t)
+	write := scheduler.ProgressWrite{Job: "a", Progress: job.Progress{State: job.Running, Placed: make(map[int][]string), Saved: map[int]string{}}}
+	for i := range 40 {
+		write.Progress.Placed[i] = []string{"i-1"}
+	}
+	store := scheduler.StoreProgress{Fence: takeLease(t, r), Writes: []scheduler.ProgressWrite{write}}
+	r.perform(store)
+	found := r.perform(store).(scheduler.ProgressStored).Found["a"]
+	if !found.Readable || !found.Progress.Equal(&write.Progress) {
+		t.Errorf("the stored progress %v is not that of the write", found)
+	}
+}
+
 // TestWriteWithoutLeaseIsNoConflict guards against a scheduler that goes on after its
 // lease has ended: the store's answer then lacks the key of the lease.
 func TestWriteWithoutLeaseIsNoConflict(t *testing.T) {
--- a/internal/scheduler/flush.go
+++ b/internal/scheduler/flush.go
@@ -156,8 +156,6 @@
 // FoundProgress is the stored progress of a job.
 type FoundProgress struct {
 	Revision int64
-	// Same means that it is the progress of the write.
-	Same bool
 	// Progress is the stored progress, Readable whether it could be decoded.
 	Progress job.Progress
 	Readable bool
@@ -199,7 +197,7 @@
 		explained = explained || found.Revision != w.Expected
 		// A write without an answer that expects the same revision may still replace
 		// the stored progress if its revision is the expected one.
-		if found.Same && found.Revision > w.Expected {
+		if found.Revision > w.Expected && found.Readable && found.Progress.Equal(&w.Progress) {
 			s.applyStored(w, found.Revision, now)
 			settled++
 			continue
--- a/internal/scheduler/flush_test.go
+++ b/internal/scheduler/flush_test.go
@@ -24,8 +24,10 @@
 		t.Fatalf("%d jobs in the write, want 4", len(write.Writes))
 	}
 	s.actions = nil
+	written := func(i int) job.Progress { return write.Writes[i].Progress }
 	s.Apply(ProgressStored{Fence: write.Fence, Writes: write.Writes, Outcome: StoreConflict, Found: map[job.ID]FoundProgress{
-		first.ID: {Revision: 7, Same: true}, second.ID: {Revision: 9, Same: true}, changed.ID: {Revision: 8},
+		first.ID: {Revision: 7, Progress: written(0), Readable: true}, second.ID: {Revision: 9, Progress: written(1), Readable: true},
+		changed.ID: {Revision: 8, Progress: job.Progress{State: job.Queued}, Readable: true},
 	}}, now)
 	for _, c := range []struct {
 		name     string
@@ -92,7 +94,7 @@
 	write := lastAction[StoreProgress](t, s)
 	write.Writes[0].Expected = 6
 	s.Apply(ProgressStored{Fence: write.Fence, Writes: write.Writes, Outcome: StoreConflict, Found: map[job.ID]FoundProgress{
-		write.Writes[0].Job: {Revision: 6, Same: true},
+		write.Writes[0].Job: {Revision: 6, Progress: write.Writes[0].Progress, Readable: true},
 	}}, now)
 	if j := s.jobs.get(write.Writes[0].Job); j.PlacementDurable() || !s.flush.inQueue[j.ID] {
 		t.Error("the progress counts as stored")
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -6,9 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"github.com/google/go-cmp/cmp/cmpopts"
-
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
@@ -153,8 +150,7 @@
 	e.Outcome, e.Found = StoreConflict, make(map[job.ID]FoundProgress)
 	for _, p := range a.Writes {
 		if item, ok := s.get("s/" + string(p.Job)); ok {
-			found := item.value.(job.Progress)
-			e.Found[p.Job] = FoundProgress{Revision: item.revision, Same: cmp.Equal(found, p.Progress, cmpopts.EquateEmpty()), Progress: found, Readable: true}
+			e.Found[p.Job] = FoundProgress{Revision: item.revision, Progress: item.value.(job.Progress), Readable: true}
 		}
 	}
 }
