scheduler: count a job as begun when a task has started

Cause: a job was marked as started at its first placement, and a start without effect (lost, refused or dropped) left the mark. Ruled out: old counts on a follower (the scheduler gave the same), counts that differ from the stored states.

The mark is now set when a worker confirms or lists a run of the job or lists the end of one, whatever its reason. The placement is stored with the state queued. The order of jobs still prefers those with placed tasks.

--- a/internal/contract/job/estimate.go
+++ b/internal/contract/job/estimate.go
@@ -103,7 +103,6 @@
 	return sum
 }
 
-// TaskStarted reports whether a task has started according to the progress of
-// this scheduler, which may not be stored yet. StoredTaskStarted uses only the
-// stored progress.
-func (j *Job) TaskStarted() bool { return j.progress.State != Queued }
+// TaskPlaced reports whether a worker was chosen for a task, according to the progress of
+// this scheduler, which may not be stored yet. The task may not have started.
+func (j *Job) TaskPlaced() bool { return j.progress.State != Queued || len(j.progress.Placed) > 0 }
--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -60,7 +60,7 @@
 	// leading is true while this process is the scheduler.
 	leading bool
 	// startSent is set once this process has sent a start of one of the tasks, or
-	// the stored progress shows that a task has started.
+	// the stored progress shows that a task was placed.
 	startSent bool
 }
 
@@ -115,7 +115,7 @@
 	j.version, j.flushed, j.placedVersion = 0, 0, 0
 	j.occurrences = make(map[int]*Occurrence)
 	j.doneOccurrences, j.nextOccurrence = 0, 0
-	j.startSent = j.StoredTaskStarted()
+	j.startSent = j.TaskPlaced()
 }
 
 // StopLeading drops the tasks and the progress, which only the scheduler needs. It
@@ -273,7 +273,8 @@
 // that it is stored again.
 func (j *Job) MarkUnstored() { j.markChanged() }
 
-// MarkStarted records that a task has started.
+// MarkStarted records that a task has started, which its worker has confirmed: a start
+// that was sent may have no effect.
 func (j *Job) MarkStarted() {
 	if j.progress.State == Queued {
 		j.progress.State = Running
@@ -283,7 +284,7 @@
 
 // MarkStartSent records that this process sends a start of one of the job's
 // tasks. It reports whether no earlier start is known: this process has sent
-// none, and the stored progress shows none.
+// none, and the stored progress shows no placed task.
 func (j *Job) MarkStartSent() bool {
 	first := !j.startSent
 	j.startSent = true
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -16,9 +16,9 @@
 	// rankLongRunning is for jobs of long-running tasks, whose value grows with the
 	// time for which they serve.
 	rankLongRunning rank = iota
-	// rankBegun is for jobs that have begun and can still meet their objective.
+	// rankBegun is for jobs with placed tasks that can still meet their objective.
 	rankBegun
-	// rankTimely is for jobs that have not begun and can still meet their objective.
+	// rankTimely is for jobs without placed tasks that can still meet their objective.
 	rankTimely
 	// rankLate is for jobs that can no longer meet their objective.
 	rankLate
@@ -127,7 +127,7 @@
 		if age+left > lateFactor*objective {
 			c.sortKey += float64(lateFactor * objective)
 		}
-	case j.TaskStarted():
+	case j.TaskPlaced():
 		c.rank = rankBegun
 		c.sortKey = float64(slack)
 	default:
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -133,6 +133,7 @@
 // applyEndReason updates an open task from the end of one of its runs.
 func (s *Scheduler) applyEndReason(w *worker.Worker, j *job.Job, t *job.Task, end worker.EndReport, now time.Time) {
 	t.LastRun = max(t.LastRun, end.Run)
+	j.MarkStarted()
 	t.SaveCheckpoint(end.Saved)
 	switch end.Reason {
 	case worker.EndDone:
@@ -147,7 +148,6 @@
 		if w.RecordFailure(j.ID, now) {
 			s.log("worker set aside", "worker", w.ID, "service", w.Service)
 		}
-		j.MarkStarted()
 		if t.RecordFailure(end.Run) {
 			s.log("job failed", "job", j.ID, "task", end.Task.String(), "failures", t.Failures(), "attempts", j.Terms.Attempts)
 			s.endJob(j, job.Failed, now)
@@ -160,7 +160,6 @@
 // finishTask finishes a task, stops its other runs and completes its job if it
 // was the last task.
 func (s *Scheduler) finishTask(j *job.Job, t *job.Task, now time.Time) {
-	j.MarkStarted()
 	t.MarkDone()
 	s.markReconciled(t)
 	s.stopTask(t, now)
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -20,7 +20,6 @@
 	}
 	r.Phase = job.RunAwaitingPlacement
 	s.deferredStarts[j.ID] = append(s.deferredStarts[j.ID], r)
-	j.MarkStarted()
 	s.queueProgress(j)
 }
 
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -69,6 +69,47 @@
 	count("at the end", 0)
 }
 
+// TestJobsOfLostStartsArePending guards against jobs that count as begun because a start
+// was sent, although the worker was lost and no task has started.
+func TestJobsOfLostStartsArePending(t *testing.T) {
+	w := newFleet(t, 1, 3, 2, 0)
+	w.runFor(time.Second)
+	// A worker has 8 cores: one is full, the other one has room for the rest.
+	w.submit(1, job.Spec{Steps: []job.Step{newStep(1, 7000, 60_000)}})
+	begun := w.submit(2, job.Spec{Steps: []job.Step{newStep(1, 2000, 60_000)}})
+	w.runFor(time.Second)
+	lost, _ := w.runningOn(job.TaskName{Job: begun})
+	lost.silent = true
+	const jobs = 6
+	var ids []job.ID
+	for i := range jobs {
+		ids = append(ids, w.submit(3+i, job.Spec{Steps: []job.Step{newStep(1, 2000, 400)}}))
+	}
+	for range 3 {
+		// The users' bound is 5 s after the acceptance.
+		w.runFor(5 * time.Second)
+		for _, n := range w.nodes {
+			reply := make(chan int, 1)
+			n.apply(PendingQuery{Queue: "q", Reply: reply})
+			if got := <-reply; got != jobs {
+				w.fail("%s counts %d pending jobs, want %d", n.name, got, jobs)
+			}
+		}
+	}
+	for _, id := range ids {
+		if state := w.state(id); state != job.Queued {
+			w.fail("job %s is %s, want %s", id, state, job.Queued)
+		}
+	}
+	w.addMachine(2, "s")
+	w.runFor(15 * time.Second)
+	for _, id := range ids {
+		if state := w.state(id); state != job.Completed {
+			w.fail("job %s is %s, want %s", id, state, job.Completed)
+		}
+	}
+}
+
 func slicesWithout(nodes []*simNode, drop func(*simNode) bool) []*simNode {
 	var rest []*simNode
 	for _, n := range nodes {
