scheduler: keep sound jobs when two workers crash under a task

Cause: two crashes at two addresses proved a task the cause if the last run was kept apart and alone, however long it had worked. In an idle service it always is alone. Ruled out: ends counted twice, one worker counted twice.

A run listed 1 s after its start is cleared: the crash of its worker is no evidence and does not keep its task apart. A job is given up after the loss of three workers, two of them certainly crashed. A task with late crashes is kept apart from runs that are not cleared, until it is cleared, and not for its whole run on an empty worker.

TestSoundJobOutlivesCrashesOfItsWorkers: four of its first six cases failed before.

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -12,7 +12,15 @@
 // Proven reports whether the worker has listed the run after its probation.
 func (r *Run) Proven() bool { return r.ReportedAt.Sub(r.OrderedAt) >= startProbation }
 
-// Crash is the crash of a worker under a run of a task.
+// clearedAfter is how long after its start a run must be listed by its worker to be no
+// suspect when the worker crashes later.
+const clearedAfter = time.Second
+
+// Cleared reports whether the run is no suspect if its worker crashes. Any task may be
+// running on a machine that fails.
+func (r *Run) Cleared() bool { return r.ReportedAt.Sub(r.OrderedAt) >= clearedAfter }
+
+// Crash is the crash of a worker under a run of a task that was not cleared.
 type Crash struct {
 	Run int `cbor:"1,keyasint"`
 	// Late means that the run was proven.
@@ -39,22 +47,22 @@
 	// IsolatedStart means that no other run on the worker is unproven until the task's
 	// run is proven.
 	IsolatedStart
-	// IsolatedRun means that the worker has no other run.
-	IsolatedRun
+	// IsolatedLonger means that all other runs on the worker are cleared until the task's
+	// run is.
+	IsolatedLonger
 )
 
 // Numbers of crashes.
 const (
 	// lateCrashesForIsolation is the number of late crashes after which a task is kept
-	// apart for its whole run. That takes a worker out of use for all others, and any
-	// task may be running on a machine that fails.
+	// apart for longer, which takes a worker out of use for all others.
 	lateCrashesForIsolation = 2
-	// minCrashes is the number of workers that must have crashed under a task before the
-	// users allow it to be given up. They forbid a third start after three.
-	minCrashes = 2
-	// maxCrashes is the number of crashes at which a task is given up as the single
-	// suspect, although its starts were not confirmed.
-	maxCrashes = 4
+	// minCrashes is the number of workers that must have crashed under a task before it is
+	// given up. The users forbid a third start after three crashes.
+	minCrashes = 3
+	// minCertainCrashes is how many of these must be known to have crashed. The others may
+	// have been lost with their worker, which never came back at its address.
+	minCertainCrashes = 2
 )
 
 // RecordCrash records a crash under a run of the task. A repeated report of a run is not
@@ -127,7 +135,7 @@
 	}
 	switch {
 	case late >= lateCrashesForIsolation:
-		return IsolatedRun
+		return IsolatedLonger
 	case early > 0:
 		return IsolatedStart
 	}
@@ -135,17 +143,21 @@
 }
 
 // CrashesWorkers reports whether the crashes show that the task is their cause. Alone
-// means that no other task ran on the worker that crashed last, and that the task was
-// kept apart there. Beside proven runs, one of which may be the cause, two workers must
-// have crashed with the task as the single suspect. Crashes of one worker may be the fault
-// of that worker.
+// means that no other task on the worker that crashed last was a suspect, and that the
+// task was kept apart there. Beside proven runs, one of which may be the cause, two workers
+// must have crashed with the task as the single suspect. Crashes of one worker may be the
+// fault of that worker. A worker that was lost right after a start may be cut off, and
+// counts only beside minCertainCrashes.
 func (t *Task) CrashesWorkers(alone bool) bool {
 	crashes := t.Crashes()
-	certain, single := make(map[string]bool), make(map[string]bool)
+	certain, single, lost := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	for _, address := range t.lostStarts {
+		lost[address] = true
+	}
 	var last Crash
 	for _, last = range crashes {
 		if last.Certain {
-			certain[last.Address] = true
+			certain[last.Address], lost[last.Address] = true, true
 			single[last.Address] = single[last.Address] || last.Single
 		}
 	}
@@ -155,7 +167,8 @@
 			singles++
 		}
 	}
-	return alone && last.Certain && len(certain) >= minCrashes || singles >= minCrashes || last.Single && len(crashes) >= maxCrashes
+	shown := alone && last.Certain || singles > 1
+	return shown && len(certain) >= minCertainCrashes && len(lost) >= minCrashes || last.Single && len(crashes) > minCrashes
 }
 
 // SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
--- a/internal/machine/worker/isolation.go
+++ b/internal/machine/worker/isolation.go
@@ -10,34 +10,36 @@
 // Isolated reports whether no task may start on the worker, because one of its runs
 // must be kept apart.
 func (w *Worker) Isolated() bool {
-	return w.isolatedRuns > 0 && slices.ContainsFunc(w.runs, func(r *job.Run) bool {
-		return r.Isolation == job.IsolatedRun || r.Isolation == job.IsolatedStart && !r.Proven()
-	})
+	return w.isolatedRuns > 0 && slices.ContainsFunc(w.runs, onProbation)
 }
 
-// HasProbation reports whether a run on the worker is kept apart until it is proven.
-func (w *Worker) HasProbation() bool {
-	return w.isolatedRuns > 0 && slices.ContainsFunc(w.runs, func(r *job.Run) bool { return r.Isolation != job.NotIsolated && !r.Proven() })
+// onProbation reports whether a run must still be kept apart.
+func onProbation(r *job.Run) bool {
+	return r.Isolation == job.IsolatedStart && !r.Proven() || r.Isolation == job.IsolatedLonger && !r.Cleared()
 }
 
 // Obstacles returns the number of runs that keep a task with the given isolation from
 // starting on the worker.
 func (w *Worker) Obstacles(isolation job.Isolation) int {
 	switch isolation {
-	case job.IsolatedRun:
-		return len(w.runs)
+	case job.IsolatedLonger:
+		return w.countRuns(func(r *job.Run) bool { return !r.Cleared() })
 	case job.IsolatedStart:
-		n := 0
-		for _, r := range w.runs {
-			if !r.Proven() {
-				n++
-			}
-		}
-		return n
+		return w.countRuns(func(r *job.Run) bool { return !r.Proven() })
 	}
 	return 0
 }
 
+func (w *Worker) countRuns(matches func(*job.Run) bool) int {
+	n := 0
+	for _, r := range w.runs {
+		if matches(r) {
+			n++
+		}
+	}
+	return n
+}
+
 // Admits reports whether a task with the given isolation may start on the worker beside
 // its runs.
 func (w *Worker) Admits(isolation job.Isolation, now time.Time) bool {
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -24,8 +24,9 @@
 		return r.Phase == job.RunAwaitingPlacement || r.Phase != job.RunActive && now.Sub(r.OrderedAt) < minRestartTime
 	})
 	s.recordPlacedCrash(w, now)
-	unproven := slices.DeleteFunc(slices.Clone(runs), (*job.Run).Proven)
-	for _, r := range runs {
+	suspects := slices.DeleteFunc(runs, (*job.Run).Cleared)
+	unproven := slices.DeleteFunc(slices.Clone(suspects), (*job.Run).Proven)
+	for _, r := range suspects {
 		t := r.Task
 		j := t.Occurrence.Job
 		if t.Done() || j.Ended() {
@@ -44,7 +45,7 @@
 		s.recordTaskCrash(t, job.Crash{
 			Run: r.Number, Late: r.Proven(), Certain: r.Phase == job.RunActive,
 			Single: isolated && !r.Proven() && onlySuspect(t, unproven), Address: w.Address,
-		}, isolated && onlySuspect(t, runs), now)
+		}, isolated && onlySuspect(t, suspects), now)
 	}
 	s.subject = Record{WorkerRecord, w.ID}
 }
--- a/internal/scheduler/lost_workers_test.go
+++ b/internal/scheduler/lost_workers_test.go
@@ -88,3 +88,35 @@
 		}
 	}
 }
+
+// TestSoundJobOutlivesCrashesOfItsWorkers guards against a job that is shown as failed
+// because several workers have crashed under one of its tasks, which has not caused that.
+func TestSoundJobOutlivesCrashesOfItsWorkers(t *testing.T) {
+	const early, late = 100 * time.Millisecond, 3 * time.Second
+	for _, ages := range [][]time.Duration{{early, late}, {late, early}, {early, early}, {late, late}, {early, late, early}, {early, late, late, late}} {
+		t.Run(fmt.Sprint(ages), func(t *testing.T) {
+			w := newSimulation(t, 1, 3)
+			for i := range 7 {
+				w.addWorker(fmt.Sprintf("w%d", i), "s", fmt.Sprintf("z%d", i%3), "r")
+			}
+			w.runFor(time.Second)
+			id := w.submit(1, job.Spec{Steps: []job.Step{newStep(1, 4000, 10_000)}})
+			for _, age := range ages {
+				var x *simWorker
+				for end := w.now.Add(15 * time.Second); x == nil && w.now.Before(end); w.runFor(10 * time.Millisecond) {
+					if on, since := w.runningOn(job.TaskName{Job: id}); on != nil && since >= age {
+						x = on
+					}
+				}
+				if x == nil {
+					w.fail("the task is not started again; its job is %s", w.state(id))
+				}
+				w.crash(x.description.ID)
+			}
+			w.runFor(20 * time.Second)
+			if state := w.state(id); state != job.Completed {
+				w.fail("the job is %s, want %s", state, job.Completed)
+			}
+		})
+	}
+}
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -90,7 +90,7 @@
 		if w.Mixed() {
 			q.Wait = mixedPollWait
 		}
-		if w.HasProbation() {
+		if w.Isolated() {
 			q.Wait = probationPollWait
 		}
 		if w.HasUnacknowledgedEnds() {
