--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -50,6 +50,8 @@
 	// IsolatedLonger means that all other runs on the worker are cleared until the task's
 	// run is.
 	IsolatedLonger
+	// IsolationDegrees is the number of degrees.
+	IsolationDegrees
 )
 
 // Numbers of crashes.
--- a/internal/scheduler/lost_workers_test.go
+++ b/internal/scheduler/lost_workers_test.go
@@ -120,3 +120,27 @@
 		})
 	}
 }
+
+// TestSuspectRunsBesideLongRunningTasks guards against a task that is never started again
+// after two late crashes, and all behind it in its step, because no worker is empty.
+func TestSuspectRunsBesideLongRunningTasks(t *testing.T) {
+	w := newFleet(t, 1, 3, 7, 0)
+	w.runFor(time.Second)
+	w.submit(1, job.Spec{Steps: []job.Step{newLongRunningStep(7, 1, 1)}})
+	w.runFor(3 * time.Second)
+	// The team's limit is 24 cores, so not all tasks run at a time.
+	id := w.submit(2, job.Spec{Steps: []job.Step{newStep(14, 4000, 3000)}})
+	task := job.TaskName{Job: id}
+	for range 2 {
+		for end := w.now.Add(15 * time.Second); w.now.Before(end); w.runFor(10 * time.Millisecond) {
+			if x, age := w.runningOn(task); x != nil && age >= 600*time.Millisecond {
+				w.crash(x.description.ID)
+				break
+			}
+		}
+	}
+	w.runFor(30 * time.Second)
+	if state := w.state(id); state != job.Completed {
+		w.fail("the job is %s, want %s", state, job.Completed)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -146,6 +146,9 @@
 	waiting := false
 	allowed := s.allowedWorkers(o, step, now)
 	tasks := o.Tasks(step)
+	// noWorker holds the degrees of isolation for which no worker is left. Tasks of a step
+	// that need not be kept apart do not wait for those that must be.
+	var noWorker [job.IsolationDegrees]bool
 	for i := range tasks {
 		t := &tasks[i]
 		if !s.startable(t, now) {
@@ -155,10 +158,16 @@
 		if !s.withinTeamLimit(o.Job.Terms.Team, t.Spec().Need) {
 			return true
 		}
+		isolation := t.Isolation()
+		if noWorker[isolation] {
+			waiting = true
+			continue
+		}
 		w := pool.Choose(t, allowed)
 		if w == nil {
 			s.requestAdvice(o, step, pool.Workers(), now)
-			return true
+			noWorker[isolation], waiting = true, true
+			continue
 		}
 		s.start(t, w, t.NextRun(s.epochBase()), now)
 	}
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
@@ -44,6 +46,25 @@
 	}
 }
 
+// TestSuspectWithoutWorkerDoesNotHoldUpItsStep guards against tasks that never start although
+// there is room, because the one before them must be kept apart and has no worker.
+func TestSuspectWithoutWorkerDoesNotHoldUpItsStep(t *testing.T) {
+	s, now := newLoadedScheduler(2, 1, 2)
+	id := func(i int) job.ID { return job.ID(fmt.Sprintf("%016x", i)) }
+	other, j := s.jobs.get(id(0)), s.jobs.get(id(1))
+	for i, w := range []string{"i-0", "i-1"} {
+		s.addRun(s.workers.get(w), &job.Run{Task: other.Task(job.TaskName{Job: other.ID, Index: i}), Number: 1, OrderedAt: now, Phase: job.RunActive})
+	}
+	suspect := j.Task(job.TaskName{Job: j.ID})
+	suspect.RecordLostStart("lost", now)
+	s.placeRound(now)
+	j.EachTask(func(task *job.Task) {
+		if want := task != suspect; len(task.Runs) > 0 != want {
+			t.Errorf("task %s has a run: %v, want %v", task.Name(), !want, want)
+		}
+	})
+}
+
 // TestNoStartBeyondShrunkCapacity guards against starts that bring a worker over its
 // capacity, because it has shrunk after the tasks were placed.
 func TestNoStartBeyondShrunkCapacity(t *testing.T) {
