scheduler: count starts lost with silent workers as evidence of crashes

Workers that do not come back before their lease ends, and those of an earlier scheduler, counted for nothing.

A start that was lost with its worker right after it was sent now counts half of a certain crash, and only beside one: the worker may be cut off. It is judged when the run is lost, not only at the next crash. Ruled out: more certain crashes in the stored progress, since a new scheduler cannot know which of the placed runs were proven.

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -59,12 +59,21 @@
 	// lateCrashesForIsolation is the number of late crashes after which a task is kept
 	// apart for longer, which takes a worker out of use for all others.
 	lateCrashesForIsolation = 2
-	// minCrashes is the number of workers that must have crashed under a task before it is
-	// given up. The users forbid a third start after three crashes.
-	minCrashes = 3
-	// minCertainCrashes is how many of these must be known to have crashed. The others may
-	// have been lost with their worker, which never came back at its address.
-	minCertainCrashes = 2
+	// maxUncertainCrashes is the number of crashes at which a task is given up as the single
+	// suspect, although its starts were not confirmed.
+	maxUncertainCrashes = 4
+)
+
+// Evidence that a task crashes its workers, by the addresses of these.
+const (
+	// certainCrashWeight is that of a worker that has certainly crashed under the task.
+	certainCrashWeight = 2
+	// lostStartWeight is that of a worker that was lost right after a start and did not
+	// come back at its address. It may be cut off.
+	lostStartWeight = 1
+	// crashEvidence is what a task is given up for: the loss of three workers, two of which
+	// have certainly crashed. The users forbid a third start after three crashes.
+	crashEvidence = 5
 )
 
 // RecordCrash records a crash under a run of the task. A repeated report of a run is not
@@ -145,32 +154,37 @@
 }
 
 // CrashesWorkers reports whether the crashes show that the task is their cause. Alone
-// means that no other task on the worker that crashed last was a suspect, and that the
+// means that no other task on the worker that was lost last was a suspect, and that the
 // task was kept apart there. Beside proven runs, one of which may be the cause, two workers
 // must have crashed with the task as the single suspect. Crashes of one worker may be the
-// fault of that worker. A worker that was lost right after a start may be cut off, and
-// counts only beside minCertainCrashes.
+// fault of that worker. Without a certain crash, nothing shows that workers have crashed.
 func (t *Task) CrashesWorkers(alone bool) bool {
-	crashes := t.Crashes()
 	certain, single, lost := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, address := range t.lostStarts {
 		lost[address] = true
 	}
+	crashes := t.Crashes()
 	var last Crash
 	for _, last = range crashes {
 		if last.Certain {
-			certain[last.Address], lost[last.Address] = true, true
+			certain[last.Address] = true
 			single[last.Address] = single[last.Address] || last.Single
 		}
 	}
+	evidence := certainCrashWeight * len(certain)
+	for address := range lost {
+		if !certain[address] {
+			evidence += lostStartWeight
+		}
+	}
 	singles := 0
 	for _, isSingle := range single {
 		if isSingle {
 			singles++
 		}
 	}
-	shown := alone && last.Certain || singles > 1
-	return shown && len(certain) >= minCertainCrashes && len(lost) >= minCrashes || last.Single && len(crashes) > minCrashes
+	shown := len(certain) > 0 && (alone || singles > 1)
+	return shown && evidence >= crashEvidence || last.Single && len(crashes) >= maxUncertainCrashes
 }
 
 // SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -57,13 +57,19 @@
 	t.RecordCrash(c)
 	s.log("worker crashed under task", "job", j.ID, "task", t.Name().String(), "run", c.Run, "address", c.Address,
 		"crashes", len(t.Crashes()), "proven", c.Late, "confirmed", c.Certain, "single_suspect", c.Single, "alone", alone)
-	if t.CrashesWorkers(alone) {
-		s.counts.GivenUp++
-		s.log("job given up", "job", j.ID, "task", t.Name().String(), "crashes", len(t.Crashes()))
-		s.endJob(j, job.Failed, now)
+	s.queueProgress(j)
+	s.giveUpIfCause(t, alone && c.Certain, now)
+}
+
+// giveUpIfCause ends the job of a task that is shown to crash its workers.
+func (s *Scheduler) giveUpIfCause(t *job.Task, alone bool, now time.Time) {
+	j := t.Occurrence.Job
+	if j.Ended() || !t.CrashesWorkers(alone) {
 		return
 	}
-	s.queueProgress(j)
+	s.counts.GivenUp++
+	s.log("job given up", "job", j.ID, "task", t.Name().String(), "crashes", len(t.Crashes()))
+	s.endJob(j, job.Failed, now)
 }
 
 // recordPlacedCrash makes the tasks suspects that an earlier scheduler has placed on a
@@ -97,7 +103,8 @@
 // recordLostStarts records the unproven runs of a worker that is silent. It may be cut
 // off: whether it has crashed is known once its address is listed again.
 func (s *Scheduler) recordLostStarts(w *worker.Worker, now time.Time) {
-	unproven := slices.DeleteFunc(slices.Clone(w.Runs()), func(r *job.Run) bool { return r.Phase == job.RunAwaitingPlacement || r.Proven() })
+	suspects := slices.DeleteFunc(slices.Clone(w.Runs()), func(r *job.Run) bool { return r.Phase == job.RunAwaitingPlacement || r.Cleared() })
+	unproven := slices.DeleteFunc(slices.Clone(suspects), (*job.Run).Proven)
 	for _, r := range unproven {
 		t := r.Task
 		t.RecordLostStart(w.Address, now)
@@ -110,7 +117,10 @@
 				Single: r.Isolation != job.NotIsolated && onlySuspect(t, unproven), Address: w.Address,
 			},
 		})
+		s.subject = jobRecord(t.Occurrence.Job.ID)
+		s.giveUpIfCause(t, r.Phase == job.RunActive && r.Isolation != job.NotIsolated && onlySuspect(t, suspects), now)
 	}
+	s.subject = Record{WorkerRecord, w.ID}
 }
 
 // settleLostStarts records the crashes of an incarnation whose starts were lost, if a
