scheduler: keep the runs whose ends are behind one that is applied later

Read by the second review and shown by a test: after a takeover by a node whose clock is behind, the end of a timed occurrence that is not due yet by that clock is left at its worker (rule TWICE forbids to drop it), and all ends behind it in the worker's list too.

The ends that wait keep their runs, and a worker with outstanding ends counts as one that has not reported yet, unless it is silent until its lease has expired.

TestEndsBehindOneThatOpensLaterAreKept fails without either half (rule TWICE).

--- a/internal/machine/worker/worker.go
+++ b/internal/machine/worker/worker.go
@@ -52,6 +52,9 @@
 	// Answered means that the worker has answered this scheduler, and therefore
 	// rejects orders of all earlier schedulers.
 	Answered bool
+	// EndsOutstanding means that the worker has ends which are not applied yet, so that a
+	// task which it does not run may be done.
+	EndsOutstanding bool
 	// Silent is set while the last poll was not answered, SilentSince is when that began.
 	Silent      bool
 	SilentSince time.Time
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -66,14 +66,18 @@
 }
 
 // stepUnreconciled marks each task as reconciled once every worker on which it
-// was placed has reported to this scheduler or can no longer run anything.
+// was placed has reported all its runs and ends to this scheduler or can no longer run
+// anything.
 func (s *Scheduler) stepUnreconciled(now time.Time) {
 	if s.unreconciled == 0 {
 		return
 	}
 	awaited := make(map[string]bool)
 	for _, w := range s.workers.all() {
-		if w.Recorded && !w.Answered && !w.Expired(now) {
+		switch {
+		case w.EndsOutstanding && !(w.Silent && w.Expired(now)):
+			awaited[w.ID] = true
+		case w.Recorded && !w.Answered && !w.Expired(now):
 			awaited[w.ID] = true
 			s.requestTick(w.ExpiresAt().Add(time.Millisecond))
 		}
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -138,6 +138,43 @@
 	}
 }
 
+// TestEndsBehindOneThatOpensLaterAreKept guards against tasks that run again because their
+// ends are behind one whose occurrence is not due yet by this node's clock.
+func TestEndsBehindOneThatOpensLaterAreKept(t *testing.T) {
+	w := newFleet(t, 11, 1, 2, 0)
+	timed := w.submit(1, job.Spec{Steps: []job.Step{newStep(1, 1000, 100)}, Times: 2, FirstDue: w.now.UnixMilli(), Interval: 4 * time.Second})
+	placed := w.submit(2, job.Spec{Steps: []job.Step{newStep(1, 1000, 100)}})
+	x := w.workers[w.listMachines()[0].Worker]
+	w.store.put("s/"+string(timed), job.Progress{State: job.Running, Placed: map[int][]string{1: {x.description.ID}}}, 0)
+	w.store.put("s/"+string(placed), job.Progress{State: job.Running, Placed: map[int][]string{0: {x.description.ID}}}, 0)
+	w.store.put("roster", []RosterMember{{ID: x.description.ID, Address: x.description.Address, Service: "s", DataCentre: x.description.DataCentre}}, 0)
+	for _, name := range []job.TaskName{{Job: timed, Occurrence: 1}, {Job: placed}} {
+		x.running[name.String()] = &simRun{task: name, run: 1, startedAt: w.now}
+		x.endRun(name.String(), worker.EndDone)
+	}
+	w.runFor(time.Second)
+	// These are started by this scheduler, and the first worker has room for half of them.
+	started := w.submit(3, job.Spec{Steps: []job.Step{newStep(12, 1000, 100)}})
+	w.runFor(9 * time.Second)
+	w.expectEnded([]job.ID{timed, placed, started})
+	starts := make(map[string]int)
+	for _, line := range w.trace {
+		if _, after, ok := strings.Cut(line, " starts "); ok {
+			starts[strings.Fields(after)[0]]++
+		}
+	}
+	for i := range 12 {
+		if name := (job.TaskName{Job: started, Index: i}).String(); starts[name] != 1 {
+			w.fail("%s was started %d times", name, starts[name])
+		}
+	}
+	for _, name := range []job.TaskName{{Job: timed, Occurrence: 1}, {Job: placed}} {
+		if starts[name.String()] != 0 {
+			w.fail("%s was started again", name)
+		}
+	}
+}
+
 // TestEndOfOccurrenceThatOpensLaterIsKept guards against a task that runs again when its
 // occurrence is due by this node's clock, because the end of its run was acknowledged
 // before.
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -9,9 +9,12 @@
 
 // matchRuns reconciles the runs on a worker with its report: it confirms the
 // runs that the report lists, adopts or stops unknown ones, and removes those
-// that cannot be running.
-func (s *Scheduler) matchRuns(w *worker.Worker, e WorkerAnswered, now time.Time) {
+// that cannot be running. Waiting are the reported ends that are applied later.
+func (s *Scheduler) matchRuns(w *worker.Worker, e WorkerAnswered, waiting []worker.EndReport, now time.Time) {
 	seen := make(map[worker.RunKey]bool, len(e.Report.Running))
+	for _, end := range waiting {
+		seen[worker.RunKey{Task: end.Task, Number: end.Run}] = true
+	}
 	orphanedRuns := make(map[worker.RunKey]worker.OrphanedRun)
 	for _, report := range e.Report.Running {
 		s.subject = jobRecord(report.Task.Job)
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -189,14 +189,17 @@
 	w.Answered, w.Silent = true, false
 	w.RecordClock(e.Report.ClockMillis, now)
 	w.NextPollAt = now.Add(s.pollInterval())
-	for _, end := range e.Report.Ended {
+	var waiting []worker.EndReport
+	for i, end := range e.Report.Ended {
 		if !s.applyEnd(w, end, now) {
 			// The worker answers at once as long as it has an end.
 			w.NextPollAt = now.Add(ackTimeout)
+			waiting = e.Report.Ended[i:]
 			break
 		}
 	}
-	s.matchRuns(w, e, now)
+	w.EndsOutstanding = len(waiting) > 0 || !e.Report.Complete()
+	s.matchRuns(w, e, waiting, now)
 }
 
 // pollInterval returns the delay between an answer and the next poll, at which the
