upkeep: judge missing machines by the lists of one term

Wave.Reset drops that time, as nobody reads the lists between two terms. TestMissingMachineIsJudgedByListsOfOneTerm fails without the change.

--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -147,10 +147,10 @@
 
 // Reset discards the progress that was known only to the previous scheduler.
 // Members whose upkeep has begun keep their phase, since that progress is also
-// stored.
+// stored. No lists of machines are read until the next term.
 func (w *Wave) Reset() {
 	for _, m := range w.Members {
-		m.InFlight = false
+		m.InFlight, m.MissingSince = false, time.Time{}
 		if m.Phase == Draining || m.Phase == Ordered {
 			m.Phase = Waiting
 		}
--- a/internal/machine/upkeep/upkeep_test.go
+++ b/internal/machine/upkeep/upkeep_test.go
@@ -51,3 +51,23 @@
 		t.Errorf("concurrency %d with four machines left, want 1", got)
 	}
 }
+
+// TestMissingMachineIsJudgedByListsOfOneTerm guards against a wave that is completed
+// without a machine, because two lists of different terms of one process lacked it and
+// nobody read the lists in between.
+func TestMissingMachineIsJudgedByListsOfOneTerm(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	w := NewWave(Order{Wave: 1, Machines: []string{"m"}, MaxConcurrent: 1, Deadline: time.Minute}, now)
+	m := w.Members[0]
+	if m.RecordMissing(now) {
+		t.Error("the machine counts as removed by its first missing entry")
+	}
+	w.Reset()
+	later := now.Add(20 * time.Second)
+	if m.RecordMissing(later) {
+		t.Error("the machine counts as removed by one list of the later term")
+	}
+	if !m.RecordMissing(later.Add(removalDelay)) {
+		t.Error("the machine does not count as removed although every list of the term lacks it")
+	}
+}
