scheduler: wait longer for progress after each stalled run of a task

Estimates are rough and may be missing, and progress is reported in whole percent, so a sound task of more than 150 s was stopped again and again, and its workers were set aside (rule LOST).

The time is doubled for each run of the task that was stopped, up to 64 times.

TestTaskWithWrongEstimateIsNotStoppedForEver fails without the change (the third run is stopped as well).

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -55,6 +55,8 @@
 	// scheduler may be alive on a worker that has not reported yet. No run
 	// starts meanwhile.
 	Unreconciled bool
+	// Stalls is the number of runs that this scheduler stopped because they made no progress.
+	Stalls int
 	// FailedOn is the id of the worker on which the last run failed or stalled.
 	FailedOn string
 	// NotBefore is the earliest start of the next run after a failure.
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -19,8 +19,12 @@
 	// taskRetryDelay delays the next run of a task after a failed or refused one.
 	taskRetryDelay = 30 * time.Millisecond
 	// stallTimeout is the time without progress after which a run is moved. For a
-	// task that is not long-running, half of its estimate is added.
+	// task that is not long-running, half of its estimate is added, and the sum is
+	// doubled for each run that was moved: the estimate may be far too small, and
+	// progress is reported in whole percent.
 	stallTimeout = 1500 * time.Millisecond
+	// maxStallDoublings bounds the time for which a task can stand still.
+	maxStallDoublings = 6
 )
 
 // addRun adds a run to its worker, its task and its team's usage.
@@ -247,11 +251,12 @@
 	}
 	timeout := stallTimeout
 	if !spec.LongRunning {
-		timeout += spec.Estimate / 2
+		timeout = (timeout + spec.Estimate/2) << min(r.Task.Stalls, maxStallDoublings)
 	}
 	if r.ReportedAt.Sub(r.ProgressAt) < timeout {
 		return
 	}
+	r.Task.Stalls++
 	s.log("run stalled", "job", r.Task.Occurrence.Job.ID, "task", r.Task.Name().String(), "run", r.Number, "worker", w.ID, "percent", r.ProgressPercent)
 	r.Task.FailedOn = w.ID
 	if w.RecordFailure(r.Task.Occurrence.Job.ID, now) {
--- a/internal/scheduler/stall_test.go
+++ b/internal/scheduler/stall_test.go
@@ -41,6 +41,33 @@
 	}
 }
 
+// TestTaskWithWrongEstimateIsNotStoppedForEver guards against a sound task that never ends,
+// because its estimate is missing and each run is stopped as stalled before it shows one
+// percent more.
+func TestTaskWithWrongEstimateIsNotStoppedForEver(t *testing.T) {
+	const perPercent = 5 * time.Second
+	s, now := newLoadedScheduler(1, 1, 0)
+	j := job.New("0000000000000001", job.Terms{Queue: "s0", Service: "s0", Attempts: 3}, job.Spec{Steps: []job.Step{newStep(1, 1000, 0)}}, now.UnixMilli(), 2)
+	s.jobs.set(j.ID, j)
+	s.trackJob(j)
+	task, w := j.Task(job.TaskName{Job: j.ID}), s.workers.get("i-0")
+	for number := 1; ; number++ {
+		r := &job.Run{Task: task, Number: number, OrderedAt: now, ProgressAt: now, ConfirmedAt: now, Phase: job.RunActive, PacePercent: fullPace}
+		s.addRun(w, r)
+		now = now.Add(perPercent)
+		s.confirm(r, worker.RunReport{Task: task.Name(), Run: number}, now)
+		s.election.authority.Renew(now, time.Hour)
+		s.checkRun(w, r, now)
+		if r.StopSentAt.IsZero() {
+			return
+		}
+		if number == 3 {
+			t.Fatal("the third run is stopped as well")
+		}
+		s.removeRun(w, r)
+	}
+}
+
 // TestPollsStayFrequent guards against a scheduler with little processor time that polls
 // the workers of a large fleet so rarely that leases run out or runs seem to stall.
 func TestPollsStayFrequent(t *testing.T) {
