scheduler: count a long-running run that has served as a success

A run that has served for 2 s clears the failures of its worker, once: a worker that serves an old run and fails all new ones is still set aside.

TestServedTasksKeepTheirWorkerInUse fails without the change, and checks that tasks which fail at their start still set the worker aside.

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -232,6 +232,8 @@
 	// OverObjectiveSince is when the tail latency of a serving task last rose
 	// above its objective.
 	OverObjectiveSince time.Time
+	// Succeeded is set once the run has counted as a success of its worker.
+	Succeeded bool
 	// EndPlanned is set when the scheduler itself decided to end the run.
 	EndPlanned bool
 	// Isolation is how the run is kept apart from others on its worker.
--- a/internal/scheduler/stall_test.go
+++ b/internal/scheduler/stall_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,6 +69,35 @@
 	}
 }
 
+// TestServedTasksKeepTheirWorkerInUse guards against a worker that is set aside although it
+// serves, because the long-running tasks on it fail now and then: a task that may run
+// there only waits for up to 16 s.
+func TestServedTasksKeepTheirWorkerInUse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		served time.Duration
+		usable bool
+	}{{"tasks that have served", 5 * time.Second, true}, {"tasks that fail at their start", 0, false}} {
+		s, now := newLoadedScheduler(1, 1, 0)
+		w := s.workers.get("i-0")
+		for i := range 4 {
+			j := job.New(job.ID(fmt.Sprintf("%016x", i+1)), job.Terms{Queue: "s0", Service: "s0", Attempts: 3}, job.Spec{Steps: []job.Step{newLongRunningStep(1, 1, 0)}}, now.UnixMilli(), 2)
+			s.jobs.set(j.ID, j)
+			s.trackJob(j)
+			r := &job.Run{Task: j.Task(job.TaskName{Job: j.ID}), Number: 1, OrderedAt: now, ProgressAt: now, ConfirmedAt: now, Phase: job.RunActive, PacePercent: fullPace}
+			s.addRun(w, r)
+			running := worker.Report{Running: []worker.RunReport{{Task: r.Task.Name(), Run: 1, Percent: 100}}}
+			for end := now.Add(c.served); now.Before(end); now = now.Add(pollWait) {
+				s.matchRuns(w, WorkerAnswered{Report: running, SentAt: now}, nil, now)
+			}
+			s.applyEnd(w, worker.EndReport{Number: int64(i + 1), Task: r.Task.Name(), Run: 1, Reason: worker.EndFailed}, now)
+		}
+		if got := !w.IsSetAside(now); got != c.usable {
+			t.Errorf("%s: the worker is in use: %v, want %v", c.name, got, c.usable)
+		}
+	}
+}
+
 // TestPollsStayFrequent guards against a scheduler with little processor time that polls
 // the workers of a large fleet so rarely that leases run out or runs seem to stall.
 func TestPollsStayFrequent(t *testing.T) {
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -26,6 +26,7 @@
 		}
 		if r != nil {
 			s.confirm(r, report, now)
+			recordService(w, r, now)
 		} else {
 			orphanedRuns[key] = s.orphanedRun(w, report.Task)
 		}
@@ -107,6 +108,19 @@
 	r.Measurement = report.Measured
 }
 
+// servedForSuccess is how long a run must serve to show that its worker is in order. A
+// worker may be at fault although its tasks have started up.
+const servedForSuccess = 2 * time.Second
+
+// recordService counts a long-running run, which never ends as done, as a success of its
+// worker once it has served. It counts once: the worker may fail all later starts.
+func recordService(w *worker.Worker, r *job.Run, now time.Time) {
+	if !r.Succeeded && r.Task.Spec().LongRunning && r.Serving() && now.Sub(r.ProgressAt) >= servedForSuccess {
+		r.Succeeded = true
+		w.RecordSuccess()
+	}
+}
+
 // adopt adds a run that a worker reports and that this scheduler has not ordered.
 // If no open task needs the run, adopt orders the worker to stop it and returns
 // nil.
