scheduler: rank the members of a wave once a pass

A pass over a wave looked at all waiting members again for each that it drained, so its time grew with the square of the wave. The members that can be drained are now collected and sorted once; the order is the same.

--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -233,34 +234,43 @@
 // drained immediately, up to the wave's limit; other machines only as fast as the
 // wave's deadline requires.
 func (s *Scheduler) drainNextMembers(w *upkeep.Wave, now time.Time) {
+	inProgress := w.Count(upkeep.Draining) + w.BusyCount()
+	if inProgress >= w.MaxConcurrent {
+		return
+	}
 	required := w.RequiredConcurrency(now, waveCycle, waveReserve)
-	for w.Count(upkeep.Draining)+w.BusyCount() < w.MaxConcurrent {
-		next, cost := s.lowestCostMember(w, now)
-		if next == nil || cost > 0 && w.Count(upkeep.Draining)+w.BusyCount() >= required {
+	for _, next := range s.drainableMembers(w, now) {
+		if inProgress >= w.MaxConcurrent || next.cost > 0 && inProgress >= required {
 			return
 		}
-		next.EnterPhase(upkeep.Draining, now)
-		if wk := s.workers.get(s.machineOps.machines[next.Name].Worker); wk != nil {
+		inProgress++
+		next.member.EnterPhase(upkeep.Draining, now)
+		if wk := s.workers.get(s.machineOps.machines[next.member.Name].Worker); wk != nil {
 			wk.Reserved = true
 		}
 	}
 }
 
-// lowestCostMember returns the waiting member with the lowest interruptionCost
-// and that cost, or nil if none can be drained now.
-func (s *Scheduler) lowestCostMember(w *upkeep.Wave, now time.Time) (*upkeep.Member, int) {
-	var next *upkeep.Member
-	lowest := 0
+// drainable is a waiting member of a wave that can be drained now, and its
+// interruptionCost.
+type drainable struct {
+	member *upkeep.Member
+	cost   int
+}
+
+// drainableMembers returns the waiting members that can be drained now, those with the
+// lowest interruptionCost first.
+func (s *Scheduler) drainableMembers(w *upkeep.Wave, now time.Time) []drainable {
+	var list []drainable
 	for _, m := range w.Members {
 		listed := s.machineOps.machines[m.Name]
 		if m.Phase != upkeep.Waiting || listed.State != upkeep.MachineUp || now.Before(m.RetryAt) || s.machineOps.moves[m.Name] != nil || s.heldBack(m.Name, now) {
 			continue
 		}
-		if cost := s.interruptionCost(listed); next == nil || cost < lowest {
-			next, lowest = m, cost
-		}
+		list = append(list, drainable{m, s.interruptionCost(listed)})
 	}
-	return next, lowest
+	slices.SortStableFunc(list, func(a, b drainable) int { return cmp.Compare(a.cost, b.cost) })
+	return list
 }
 
 // drainMember marks a draining member as ready for its upkeep order once its
