scheduler: pace orders for machines at the rate the service accepts

Cause: a plan sent hundreds of orders at once over four connections that lists share; those that waited for a connection ran into their timeout and counted as possibly carried out.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,6 +119,7 @@
 		NodeName: s.Instance, ProcessID: process, CPUShare: s.CPUShare,
 		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
 		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap,
+		MachineOrdersPerSecond: s.MachineOrdersPerSecond,
 	}
 }
 
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -7,6 +7,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
+	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
@@ -293,6 +294,7 @@
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
 	s.place = placeState{roundNeeded: true}
 	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
+	s.machineOps.orderRate = upkeep.NewOrderRate(s.options.MachineOrdersPerSecond)
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
--- a/internal/scheduler/machine_orders.go
+++ b/internal/scheduler/machine_orders.go
@@ -118,14 +118,15 @@
 	return (o.inheritedAll || o.inherited[name]) && !s.machineOps.listedAt.After(s.election.authority.Since.Add(orderReach))
 }
 
-// mayOrderMachine reports whether a machine may be ordered now. If it is not in the
-// stored list yet, the next stepMachineOrders stores it.
+// mayOrderMachine reports whether a machine may be ordered now, and counts the order
+// towards the rate of orders if so. If the machine is not in the stored list yet, the
+// next stepMachineOrders stores it.
 func (s *Scheduler) mayOrderMachine(name string, now time.Time) bool {
 	if s.heldBack(name, now) {
 		return false
 	}
 	s.machineOps.orders.decidedAt[name] = now
-	return s.machineOps.orders.stored[name]
+	return s.machineOps.orders.stored[name] && s.machineOps.orderRate.Take(now)
 }
 
 // stepMachineOrders stores the list of machines if one is missing from it, and at the
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,9 @@
 	// MachineOpGap is the least time between the machine operations of two
 	// successive holders of the scheduler lease.
 	MachineOpGap time.Duration
+	// MachineOrdersPerSecond is the rate of machine operations that the machines service
+	// accepts, 0 if it is not known.
+	MachineOrdersPerSecond float64
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -36,6 +36,7 @@
 	// scheduler may have ordered.
 	notBefore time.Time
 	orders    machineOrders
+	orderRate upkeep.OrderRate
 	// machines is the last list of machines by name, nil before the first one.
 	// listedAt is when its read was sent, listAt when the next read is due.
 	machines map[string]upkeep.Machine
