--- a/internal/contract/job/estimate.go
+++ b/internal/contract/job/estimate.go
@@ -34,11 +34,48 @@
 // the job should complete: its critical path times Terms.Stretch, plus
 // Terms.Objective.
 func (j *Job) CompletionObjective() time.Duration {
+	return time.Duration(float64(j.LongestPath())*max(1, j.Terms.Stretch)) + j.Terms.Objective
+}
+
+// LongestPath returns the estimated time of the job's longest chain of steps.
+func (j *Job) LongestPath() time.Duration {
 	var longest time.Duration
 	for _, path := range j.criticalPaths() {
 		longest = max(longest, path)
 	}
-	return time.Duration(float64(longest)*max(1, j.Terms.Stretch)) + j.Terms.Objective
+	return longest
+}
+
+// InitialWork returns the estimated work of all tasks of one occurrence that counts
+// against the capacity of workers, in core-seconds.
+func (j *Job) InitialWork() float64 {
+	sum := 0.0
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		sum += float64(s.Count) * s.taskWork(s.estimate())
+	}
+	return sum
+}
+
+// taskWork returns the work of a task that takes d, in core-seconds.
+func (s *Step) taskWork(d time.Duration) float64 {
+	return float64(s.CountedNeed().MilliCores) / 1000 * d.Seconds()
+}
+
+// OpenWork returns the estimated work of the open tasks that counts against the capacity
+// of workers, in core-seconds: what is left of those that run, and all of the others.
+func (j *Job) OpenWork(now time.Time) (running, waiting float64) {
+	j.EachTask(func(t *Task) {
+		s := t.Spec()
+		switch {
+		case t.done:
+		case len(t.Runs) == 0:
+			waiting += s.taskWork(s.estimate())
+		default:
+			running += s.taskWork(max(0, s.estimate()-now.Sub(t.Runs[0].OrderedAt)))
+		}
+	})
+	return running, waiting
 }
 
 // RemainingCriticalPath returns the longest critical path of the steps with open
