scheduler: store the work of services that have more than they can do

Nodes cannot tell whether a job would be done in time: only the scheduler knows capacity and backlog.

While tasks wait in a service and its work cannot be done within the shortest objective of its queues, the scheduler writes the service's room to cj/room, at most twice a second, and once more when no such service is left. Capacity counts machines on their way, spare ones and what other services do not use or will not use once their work is done. Records of another scheduler than the present one, of unknown age or in the first reading of the store are not used, and a new scheduler writes none for 2 s.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -28,6 +28,8 @@
 	handoverKey = jobsPrefix + "handover"
 	// pendingKey holds the numbers of jobs that have not begun.
 	pendingKey = jobsPrefix + "pending"
+	// roomKey holds the capacity and the work of services that have too much of it.
+	roomKey    = jobsPrefix + "room"
 	cancelKey  = jobsPrefix + "x/"
 	waveKey    = jobsPrefix + "w/"
 	leaderKey  = jobsPrefix + "leader"
@@ -243,6 +245,8 @@
 		var pending pendingRecord
 		err := json.Unmarshal(item.Value, &pending)
 		return scheduler.PendingRead{Counts: pending.Counts, AsOf: pending.AsOf, Revision: item.Revision}, err
+	case roomKey:
+		return decodeRooms(item)
 	case machineOrdersKey:
 		var orders machineOrdersRecord
 		err := json.Unmarshal(item.Value, &orders)
--- a/internal/node/codec_test.go
+++ b/internal/node/codec_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
@@ -35,6 +37,7 @@
 		jobKey + "5c0e7a21d94b36f8":    encodeCBOR(jobRecord{Terms: job.Terms{Queue: "q", Team: "t"}, Spec: spec, AcceptedAt: 3}),
 		cancelKey + "5c0e7a21d94b36f8": []byte("1"),
 		leaderKey:                      encodeJSON(leaderRecord{Holder: "edge-1", Process: "n"}), epochKey: []byte("4"), releaseKey: []byte("3"),
+		roomKey:       encodeCBOR(roomsRecord{Fence: 3}),
 		rosterKey:     encodeJSON([]scheduler.RosterMember{{ID: "i-1", Address: "10.0.0.1:1"}}),
 		waveKey + "3": encodeJSON(waveRecord{Begun: []string{"m-1"}}),
 	}
@@ -43,9 +46,35 @@
 			t.Errorf("%s: change %v, error %v", key, change, err)
 		}
 	}
-	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, leaderKey, waveKey + "x"} {
+	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, roomKey, leaderKey, waveKey + "x"} {
 		if _, err := decodeJobsItem(platform.Item{Key: key, Value: []byte("\xff{"), Revision: 9}); err == nil {
 			t.Errorf("%s: malformed value was decoded without an error", key)
 		}
 	}
 }
+
+// TestRoomsRecordRoundTrip guards against rooms that other nodes read as larger or smaller,
+// and against numbers out of range or order, by which jobs would be refused at random.
+func TestRoomsRecordRoundTrip(t *testing.T) {
+	room := admission.Room{
+		Supply: admission.Supply{Up: 1500, Arrivals: []admission.Arrival{{MilliCores: 400, In: time.Second}, {MilliCores: 300, In: 2 * time.Second}}},
+		InUse:  700, MeanWork: 1.25,
+		Loads: []admission.Load{{Priority: 1, Begun: 2.5, Timely: 3, Late: 4}, {Team: "team", Priority: 0, Rate: 100, Late: 0.125}},
+	}
+	want := scheduler.RoomsRead{Fence: 3, AsOf: 5, Revision: 7, Rooms: map[string]admission.Room{"s": room}}
+	decode := func(r roomsRecord) (scheduler.Change, error) {
+		return decodeJobsItem(platform.Item{Key: roomKey, Value: encodeCBOR(r), Revision: 7})
+	}
+	record := newRoomsRecord(scheduler.StoreRooms{Fence: 3, AsOf: 5, Rooms: want.Rooms})
+	got, err := decode(record)
+	if diff := cmp.Diff(scheduler.Change(want), got); err != nil || diff != "" {
+		t.Errorf("error %v, %s", err, diff)
+	}
+	for _, r := range []roomRecord{
+		{Up: -1}, {Loads: []loadRecord{{Late: -1}}}, {Arrivals: []arrivalRecord{{InMillis: 1 << 60}}}, {Loads: []loadRecord{{Team: "b"}, {Team: "a"}}},
+	} {
+		if change, err := decode(roomsRecord{Services: map[string]roomRecord{"s": r}}); err == nil || change != nil {
+			t.Errorf("%+v is decoded as %v", r, change)
+		}
+	}
+}
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
+	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/internal/standin/site"
@@ -113,6 +114,7 @@
 		{rosterKey, roster(scheduler.RosterMember{ID: "i-1"}), roster(scheduler.RosterMember{ID: "i-1"}, scheduler.RosterMember{ID: "i-2"})},
 		{machineOrdersKey, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a"}}, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a", "b"}}},
 		{pendingKey, scheduler.StorePending{Fence: fence, AsOf: 3}, scheduler.StorePending{Fence: fence, AsOf: 4}},
+		{roomKey, scheduler.StoreRooms{Fence: fence, Rooms: map[string]admission.Room{"s": {}}}, scheduler.StoreRooms{Fence: fence}},
 		{silencesKey, scheduler.StoreSilences{Fence: fence, Left: map[string]time.Duration{"i-1": time.Second}}, scheduler.StoreSilences{Fence: fence}},
 		{waveKey + "1", scheduler.PublishWave{Fence: fence, Wave: 1}, scheduler.PublishWave{Fence: fence, Wave: 1, Completed: true}},
 	} {
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -150,6 +150,7 @@
 		c.Job.CancelAsked = true
 	}
 	s.pending.jobAccepted(c.Job)
+	s.room.jobAccepted(c.Job, now)
 	if s.leading {
 		s.pending.add(c.Job, +1)
 		s.trackJob(c.Job)
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -286,6 +286,7 @@
 func (s *Scheduler) becomeActive(now time.Time) {
 	s.leading = true
 	s.pending.startLeading(s.jobs)
+	s.room.startLeading(now)
 	s.counts.Takeovers++
 	s.workers = newOrderedMap[string, *worker.Worker]()
 	s.usage = make(map[string]machine.Resources)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -55,6 +55,7 @@
 	dataCentresOut      map[string]bool
 	jobs                *orderedMap[job.ID, *job.Job]
 	pending             pendingJobs
+	room                roomState
 	// earlyCancels are the cancellations of jobs that are not stored, or were read before
 	// their job.
 	earlyCancels map[job.ID]earlyCancel
@@ -223,6 +224,7 @@
 	s.stepRemoval(now)
 	s.stepPoolLog(now)
 	s.stepPending(now)
+	s.stepRoom(now)
 	s.updateCounts()
 }
 
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -232,6 +232,8 @@
 		}, func() { n.apply(listed) }, func() { n.apply(ProgressListed{Fence: a.Fence}) })
 	case StorePending:
 		n.writeRecord(a.Fence, "pending", PendingRead{Counts: a.Counts, AsOf: a.AsOf}, a.Expected, func(r RecordResult) Event { return PendingStored{a.Fence, r} })
+	case StoreRooms:
+		n.writeRecord(a.Fence, "room", RoomsRead{Fence: a.Fence, Rooms: a.Rooms, AsOf: a.AsOf}, a.Expected, func(r RecordResult) Event { return RoomsStored{a.Fence, r} })
 	case StoreMachineOrders:
 		if w.loseMachineOrderLists {
 			n.reply(MachineOrdersStored{a.Fence, a.Machines, RecordResult{Outcome: StoreFailed}})
