ingress: refuse jobs that could not be done in time

A node accepts a job although the scheduler knows that it cannot be completed within three times its objective. Its caller learns that after the time is lost.

Submit decides by the view's rooms. Retry-After comes from the decision. The log line has the figures, metrics count refusals by cause and show the services with too much work, and trace names the cause.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
@@ -68,9 +69,12 @@
 	Invalid
 	// Unavailable means that the state could not be read.
 	Unavailable
+	// OverCapacity means that nothing was stored, because the job could not be completed
+	// in time to be of use. The request will never take effect.
+	OverCapacity
 )
 
-var codeNames = [...]string{"accepted", "shown", "withdrawn", "not-run", "unsettled", "no-queue", "no-job", "cancelled-before", "bad-key", "other-team", "invalid", "unavailable"}
+var codeNames = [...]string{"accepted", "shown", "withdrawn", "not-run", "unsettled", "no-queue", "no-job", "cancelled-before", "bad-key", "other-team", "invalid", "unavailable", "over-capacity"}
 
 // String returns the name of the outcome in logs and metrics.
 func (c Code) String() string { return codeNames[c] }
@@ -83,8 +87,10 @@
 	// Pending is the number of jobs in a queue that have not started.
 	Pending int
 	// RetryAfter is the delay after which a caller should try again, set if Code is
-	// NotRun or Unavailable.
+	// NotRun, Unavailable or OverCapacity.
 	RetryAfter time.Duration
+	// Refusal has the figures behind the answer if Code is OverCapacity.
+	Refusal admission.Decision
 	// Queue, Team and Job are empty if the request was refused before they were
 	// determined.
 	Queue, Team string
@@ -104,6 +110,9 @@
 	// ConfigSuperseded is true if another node has accepted a job by a newer version
 	// than Config.
 	ConfigSuperseded bool
+	// Rooms are the services with more work than they can do in time, nil if every job
+	// is accepted.
+	Rooms *admission.Rooms
 }
 
 // Control gives access to the control state. It is safe for concurrent use.
@@ -144,6 +153,8 @@
 	// Cancel stores the cancellation of the job with the given creation revision. With
 	// revision 0 the job must not exist, and cannot be stored afterwards.
 	Cancel(id job.ID, revision int64, until time.Time) WriteResult
+	// Holds reports whether the store holds a job now.
+	Holds(id job.ID, timeout time.Duration) (bool, error)
 	// Read reads the present state of a job from the store. Known is false if the
 	// job does not exist.
 	Read(id job.ID, until time.Time) (view scheduler.JobView, err error)
@@ -160,6 +171,7 @@
 	store        Store
 	clock        func() time.Time
 	maxConfigAge time.Duration
+	submissions  submissions
 }
 
 // New returns a service. It refuses requests if the node has not confirmed its
@@ -190,14 +202,18 @@
 	return now.Add(min(wait, maxDeadline) - answerReserve)
 }
 
-// admission is the result of matching a request to its queue and team.
-type admission struct {
+// matched is the result of matching a request to its queue and team.
+type matched struct {
 	// queue is nil if the request was refused; answer then has the reason.
 	queue *policy.Queue
 	team  string
 	// jobPath is the part of the path after the queue's prefix: the job's ID, or
 	// empty.
 	jobPath string
+	// rooms are those of the view that the request was matched by, config its
+	// configuration.
+	rooms  *admission.Rooms
+	config *policy.Configuration
 	// answer is the answer so far. Its Code is Accepted unless the request was
 	// refused.
 	answer Answer
@@ -206,12 +222,12 @@
 // admit finds the queue of a request and checks its key. It refuses the request
 // if the configuration is older than maxConfigAge, because the key may have been
 // withdrawn, or a queue added or removed, since.
-func (s *Service) admit(r Request, now time.Time) admission {
+func (s *Service) admit(r Request, now time.Time) matched {
 	view := s.control.View()
 	if view.Config == nil {
-		return admission{answer: Answer{Code: NotRun, Reason: "no configuration has been read yet", RetryAfter: s.store.RetryAfter()}}
+		return matched{answer: Answer{Code: NotRun, Reason: "no configuration has been read yet", RetryAfter: s.store.RetryAfter()}}
 	}
-	a := admission{answer: Answer{ConfigVersion: view.Config.Version, ConfigAge: now.Sub(view.ConfigAsOf), RetryAfter: s.store.RetryAfter()}}
+	a := matched{answer: Answer{ConfigVersion: view.Config.Version, ConfigAge: now.Sub(view.ConfigAsOf), RetryAfter: s.store.RetryAfter()}}
 	if a.answer.ConfigAge > s.maxConfigAge || view.ConfigSuperseded {
 		a.answer.Code, a.answer.Reason = NotRun, "the configuration may be out of date"
 		return a
@@ -226,7 +242,7 @@
 		a.answer.Code, a.answer.Reason, a.answer.Queue = BadKey, "the API key is unknown", queue.Name
 		return a
 	}
-	a.queue, a.team, a.jobPath = queue, team, rest
+	a.queue, a.team, a.jobPath, a.rooms, a.config = queue, team, rest, view.Rooms, view.Config
 	a.answer.Queue, a.answer.Team = queue.Name, team
 	return a
 }
@@ -253,7 +269,11 @@
 		return a.refuse(Invalid, err.Error())
 	}
 	j := job.New(id, jobTerms(a.queue, a.team, a.answer.ConfigVersion), spec, now.UnixMilli(), 0)
-	switch s.store.Accept(j, r.deadline(now)) {
+	result, refused := s.storeUnlessRefused(&a, j, now, r.deadline(now))
+	if refused {
+		return a.answer
+	}
+	switch result {
 	case Stored:
 		a.answer.Code = Accepted
 		return a.answer
@@ -273,7 +293,7 @@
 	}
 }
 
-func (a *admission) refuse(code Code, reason string) Answer {
+func (a *matched) refuse(code Code, reason string) Answer {
 	a.answer.Code, a.answer.Reason = code, reason
 	return a.answer
 }
@@ -313,7 +333,7 @@
 // findJob returns the job that a request names, or the answer that refuses the
 // request. View.Known is false if the job does not exist. It reads the store if the
 // node's copy does not contain the job, or does not show its present state.
-func (s *Service) findJob(ctx context.Context, a *admission, r Request, now time.Time) (scheduler.JobView, *Answer) {
+func (s *Service) findJob(ctx context.Context, a *matched, r Request, now time.Time) (scheduler.JobView, *Answer) {
 	refuseWith := func(code Code, reason string) (scheduler.JobView, *Answer) {
 		answer := a.refuse(code, reason)
 		return scheduler.JobView{}, &answer
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -43,6 +43,8 @@
 
 func (s *fakeStore) Accept(*job.Job, time.Time) WriteResult { return Stored }
 
+func (s *fakeStore) Holds(job.ID, time.Duration) (bool, error) { return false, s.err }
+
 func (s *fakeStore) RetryAfter() time.Duration { return time.Second }
 
 func (s *fakeStore) Cancel(job.ID, int64, time.Time) WriteResult { return Stored }
--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -127,6 +127,12 @@
 // RetryAfter implements ingress.Store.
 func (s jobStore) RetryAfter() time.Duration { return s.health.retryAfter(s.clock.Now()) }
 
+// Holds implements ingress.Store.
+func (s jobStore) Holds(id job.ID, timeout time.Duration) (bool, error) {
+	_, found, err := s.client.Get(jobKey+string(id), timeout)
+	return found, err
+}
+
 // Read implements ingress.Store.
 func (s jobStore) Read(id job.ID, until time.Time) (scheduler.JobView, error) {
 	sentAt := s.clock.Now()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -126,7 +126,7 @@
 	sched := l.guard.Scheduler()
 	previous := l.Status()
 	next := &controlStatus{
-		View:        ingress.View{Config: sched.Config(), ConfigAsOf: sched.ConfigAsOf(), ConfigSuperseded: sched.ConfigSuperseded()},
+		View:        ingress.View{Config: sched.Config(), ConfigAsOf: sched.ConfigAsOf(), ConfigSuperseded: sched.ConfigSuperseded(), Rooms: sched.Rooms()},
 		JobsAsOf:    sched.JobsAsOf(),
 		Elected:     sched.Elected(),
 		Leading:     sched.Leading(),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,7 @@
 	*telemetry.Metrics
 	jobs          *telemetry.DurationHistogram
 	refusedStarts *telemetry.EventCounter
+	refusedJobs   *telemetry.EventCounter
 }
 
 func newMetrics(n *node) (*metrics, error) {
@@ -47,6 +48,12 @@
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
 		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
+		{"crocusjunction.admission.services", "Services with more work than they can do in time, as this node knows.", func(s *controlStatus) int64 {
+			if s.Rooms == nil {
+				return 0
+			}
+			return int64(len(s.Rooms.ByService))
+		}},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -82,7 +89,11 @@
 		return nil, err
 	}
 	refused, err := m.EventCounter("crocusjunction.task.refusals", "Starts that workers refused, by reason.", "reason")
-	return &metrics{m, jobs, refused}, err
+	if err != nil {
+		return nil, err
+	}
+	refusedJobs, err := m.EventCounter("crocusjunction.admission.refusals", "Jobs refused because they could not be completed in time, by cause.", "cause")
+	return &metrics{m, jobs, refused, refusedJobs}, err
 }
 
 // recordJob records the time that a job took to its first start or its end.
@@ -92,11 +103,15 @@
 
 func (m *metrics) recordRefusal(r scheduler.RefusalCounted) { m.refusedStarts.Add(string(r.Reason)) }
 
-// recordRequest records a finished request of a caller. Only not-run, unsettled
-// and unavailable requests count as refusals.
+// recordRequest records a finished request of a caller. Only not-run, unsettled,
+// unavailable and over-capacity requests count as refusals.
 func (m *metrics) recordRequest(kind string, a ingress.Answer, took time.Duration) {
 	code := ""
-	if a.Code == ingress.NotRun || a.Code == ingress.Unsettled || a.Code == ingress.Unavailable {
+	switch a.Code {
+	case ingress.OverCapacity:
+		m.refusedJobs.Add(string(a.Refusal.Cause))
+		code = a.Code.String()
+	case ingress.NotRun, ingress.Unsettled, ingress.Unavailable:
 		code = a.Code.String()
 	}
 	m.RecordRequest(a.Team, kind+" "+a.Code.String(), code, took)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"os"
 	"runtime/debug"
@@ -383,5 +384,10 @@
 	if a.State != "" {
 		fields["state"] = string(a.State)
 	}
+	if r := a.Refusal; a.Code == ingress.OverCapacity {
+		fields["cause"], fields["work_ahead"], fields["work_possible"] = string(r.Cause), math.Round(r.Ahead), math.Round(r.Available)
+		fields["start_in_ms"], fields["latest_start_ms"], fields["room_age_ms"] = r.StartIn.Milliseconds(), r.Latest.Milliseconds(), r.Age.Milliseconds()
+		fields["retry_after_s"], fields["returning"] = int64(r.RetryAfter.Seconds()), r.Returning
+	}
 	n.log.Write("request", kind+" "+a.Code.String(), fields)
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -168,6 +168,7 @@
 	{"scheduler: job completed", "it completed"},
 	{"scheduler: job ended", "it was ended"},
 	{"scheduler: job failed", "a task used up its attempts"},
+	{"request: submit over-capacity", "it was refused, because it could not be completed in time to be of use, and has not run"},
 	{"request: submit not-run", "it was refused and has not run"},
 	{"request: submit cancelled-before", "it was cancelled before it was stored and never runs"},
 	{"request: submit unsettled", "the store did not confirm it"},
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -27,6 +27,10 @@
 			[]string{logLine("01.000", "edge-1", "request: submit not-run", `"job":"`+jobID+`","reason":"the configuration may be out of date"`)},
 			"refused and has not run: the configuration may be out of date",
 		},
+		"refused in a burst": {
+			[]string{logLine("01.000", "edge-1", "request: submit over-capacity", `"job":"`+jobID+`","cause":"capacity","reason":"the service has more work than it can do in time"`)},
+			"not be completed in time to be of use, and has not run: the service has more work than it can do in time",
+		},
 		"late": {
 			[]string{
 				joinLines(logLine("05.000", "edge-2", "scheduler: task started", `"job":"`+jobID+`","task":"`+jobID+`.0.0.0","worker":"i-1"`),
