scheduler: check an upkeep order again that had to wait

Cause, by reading: whether the runs on a machine may end is decided when its upkeep is decided, but the order waits until the machine is in the stored list and the rate of orders allows it. Tasks elsewhere may become unavailable meanwhile. Change: an order that was never sent is checked again before it is sent; if it may not end the runs any more, the machine goes back to draining. Measured: TestWaitingUpkeepOrderIsCheckedAgain fails without the check.

--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -101,6 +101,9 @@
 	MissingSince time.Time
 	// InFlight is true while an order is being sent.
 	InFlight bool
+	// OrderSent means that an order was sent since the member entered its phase, so that
+	// its upkeep may begin at any time.
+	OrderSent bool
 	// RetryAt is the earliest time of the next order after a refusal or an
 	// unanswered order.
 	RetryAt time.Time
@@ -152,7 +155,7 @@
 	for _, m := range w.Members {
 		m.InFlight, m.MissingSince = false, time.Time{}
 		if m.Phase == Draining || m.Phase == Ordered {
-			m.Phase = Waiting
+			m.Phase, m.OrderSent = Waiting, false
 		}
 	}
 	w.Publishing = false
@@ -221,7 +224,7 @@
 
 // EnterPhase sets the phase of the member and the time when it began.
 func (m *Member) EnterPhase(p Phase, now time.Time) {
-	m.Phase, m.Since = p, now
+	m.Phase, m.Since, m.OrderSent = p, now, false
 }
 
 // RequiredConcurrency returns the number of members that must be in progress at
--- a/internal/scheduler/evictions.go
+++ b/internal/scheduler/evictions.go
@@ -45,6 +45,11 @@
 	return unavailable <= spec.MaxUnavailable
 }
 
+// mayEndWithRuns reports whether a worker may end together with all its runs.
+func (s *Scheduler) mayEndWithRuns(w *worker.Worker) bool {
+	return !slices.ContainsFunc(w.Runs(), func(r *job.Run) bool { return !s.mayEndWithWorker(w, r) })
+}
+
 // serving reports whether a long-running task serves. A run on a worker that does
 // not answer is not counted, because it may have ended long ago.
 func (s *Scheduler) serving(t *job.Task) bool {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -308,14 +308,31 @@
 		s.requestTick(m.RetryAt)
 		return
 	}
+	if wk := s.workers.get(s.machineOps.machines[m.Name].Worker); wk != nil && !m.OrderSent && !s.mayEndWithRuns(wk) {
+		s.resumeDraining(m, wk, now)
+		return
+	}
 	if !s.mayOrderMachine(m.Name, now) {
 		return
 	}
-	m.InFlight = true
+	m.InFlight, m.OrderSent = true, true
 	s.log("upkeep ordered", "wave", w.Order.Wave, "machine", m.Name, "busy", w.BusyCount(), "at_once", w.MaxConcurrent, "drained_ms", now.Sub(m.Since).Milliseconds())
 	s.act(OrderUpkeep{Machine: m.Name, Wave: w.Order.Wave, Fence: s.fence(), NotAfter: s.election.authority.MachineOpsUntil()})
 }
 
+// resumeDraining takes back that a member is ready for its upkeep. The order has waited
+// for the store or for the rate of orders, and tasks elsewhere have become unavailable
+// meanwhile.
+func (s *Scheduler) resumeDraining(m *upkeep.Member, wk *worker.Worker, now time.Time) {
+	s.log("upkeep put off", "machine", m.Name, "worker", wk.ID, "waited_ms", now.Sub(m.Since).Milliseconds())
+	for _, r := range wk.Runs() {
+		if r.StopSentAt.IsZero() {
+			r.EndPlanned = false
+		}
+	}
+	m.EnterPhase(upkeep.Draining, now)
+}
+
 // MachineOpOutcome is the result of an order for a machine operation.
 type MachineOpOutcome int
 
--- a/internal/scheduler/waves_test.go
+++ b/internal/scheduler/waves_test.go
@@ -1,8 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 )
 
@@ -24,3 +28,42 @@
 		t.Errorf("%d machines busy, want 1: an earlier scheduler may have ordered this upkeep for this wave", w.BusyCount())
 	}
 }
+
+// TestWaitingUpkeepOrderIsCheckedAgain guards against an upkeep that ends a long-running
+// task although others of its step became unavailable while the order waited for the
+// store.
+func TestWaitingUpkeepOrderIsCheckedAgain(t *testing.T) {
+	s, now := newLoadedScheduler(3, 1, 0)
+	j := job.New("00000000000000aa", job.Terms{Queue: "s0", Service: "s0", Attempts: 1},
+		job.Spec{Steps: []job.Step{{Count: 3, Need: machine.Resources{MilliCores: 1000}, LongRunning: true, MaxUnavailable: 1}}}, now.UnixMilli(), 2)
+	s.jobs.set(j.ID, j)
+	s.trackJob(j)
+	var runs []*job.Run
+	j.EachOpenOccurrence(func(o *job.Occurrence) {
+		for i := range o.Tasks(0) {
+			w := s.workers.get(fmt.Sprintf("i-%d", i))
+			s.start(&o.Tasks(0)[i], w, 1, now)
+			r := w.Runs()[0]
+			r.Phase, r.ProgressPercent = job.RunActive, 100
+			runs = append(runs, r)
+		}
+	})
+	w := upkeep.NewWave(upkeep.Order{Wave: 1, Machines: []string{"mi-0"}, MaxConcurrent: 1}, now)
+	ordered := func() bool {
+		s.actions = nil
+		s.stepWave(w, now)
+		return slices.ContainsFunc(s.actions, func(a Action) bool { _, ok := a.(OrderUpkeep); return ok })
+	}
+	if ordered() || w.Members[0].Phase != upkeep.Ordered {
+		t.Fatal("the order does not wait for the stored list of machines")
+	}
+	runs[1].ProgressPercent = 0
+	s.machineOps.orders.stored = map[string]bool{"mi-0": true}
+	if ordered() {
+		t.Error("upkeep ordered while another task of the step was unavailable")
+	}
+	runs[1].ProgressPercent = 100
+	if !ordered() {
+		t.Error("upkeep not ordered although all other tasks serve again")
+	}
+}
