--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -34,9 +34,12 @@
 	guard    *scheduler.Guard
 	clock    *bootClock
 	dispatch func(scheduler.Action)
-	events   chan scheduler.Event
-	stopped  chan struct{}
-	status   atomic.Pointer[controlStatus]
+	// reportSlow is called on the control thread with each event that took at least
+	// slowEvent, and the number of events that wait behind it. It must not block.
+	reportSlow func(e scheduler.Event, took time.Duration, waiting int)
+	events     chan scheduler.Event
+	stopped    chan struct{}
+	status     atomic.Pointer[controlStatus]
 }
 
 // controlStatus is an immutable snapshot of the control state for other
@@ -55,11 +58,15 @@
 	Counts      scheduler.Counts
 }
 
+// slowEvent is the time from which an event of the control thread is reported. The lease
+// is renewed every 300 ms; events that take longer cost the scheduler its lease.
+const slowEvent = 100 * time.Millisecond
+
 // newControlLoop returns a loop that owns guard. It passes each action of the
 // scheduler to dispatch, which is called on the control thread and must not
 // block.
 func newControlLoop(guard *scheduler.Guard, clock *bootClock, dispatch func(scheduler.Action)) *controlLoop {
-	l := &controlLoop{guard: guard, clock: clock, dispatch: dispatch, events: make(chan scheduler.Event, eventQueueSize), stopped: make(chan struct{})}
+	l := &controlLoop{guard: guard, clock: clock, dispatch: dispatch, reportSlow: func(scheduler.Event, time.Duration, int) {}, events: make(chan scheduler.Event, eventQueueSize), stopped: make(chan struct{})}
 	l.status.Store(&controlStatus{RoleChanged: make(chan struct{})})
 	return l
 }
@@ -120,9 +127,13 @@
 // apply passes an event to the scheduler, dispatches the resulting actions and
 // publishes the new status.
 func (l *controlLoop) apply(e scheduler.Event) {
-	for _, a := range l.guard.Apply(e, l.clock.Now()) {
+	startedAt := l.clock.Now()
+	for _, a := range l.guard.Apply(e, startedAt) {
 		l.dispatch(a)
 	}
+	if took := l.clock.Now().Sub(startedAt); took >= slowEvent {
+		l.reportSlow(e, took, len(l.events))
+	}
 	sched := l.guard.Scheduler()
 	previous := l.Status()
 	next := &controlStatus{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -105,6 +106,7 @@
 		idle: make(chan chan scheduler.Action, maxIdleWorkers),
 	}
 	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process), debug.Stack), n.clock, n.runner.start)
+	n.loop.reportSlow = n.reportSlowEvent
 	n.runner.send, n.runner.done = n.loop.Send, n.loop.stopped
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
 	var err error
@@ -368,6 +370,11 @@
 	n.log.Write("node", "settings reloaded", logrus.Fields{"store": s.StoreAddress, "machines": s.MachinesAddress})
 }
 
+// reportSlowEvent logs an event that kept the control thread busy.
+func (n *node) reportSlowEvent(e scheduler.Event, took time.Duration, waiting int) {
+	n.log.Write("control", "slow event", logrus.Fields{"event": fmt.Sprintf("%T", e), "took_ms": took.Milliseconds(), "waiting": waiting})
+}
+
 // observe logs a finished request and records it in the metrics. It is called
 // on the goroutine that served the request.
 func (n *node) observe(kind string, a ingress.Answer, took time.Duration) {
