--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -28,6 +28,7 @@
 	"machine/upkeep":  {"machine"},
 	"machine/pools":   {"machine"},
 	"link/lease":      {},
+	"link/intake":     {"contract/policy"},
 	"zone/placement":  {"contract/job", "machine/worker"},
 	"scheduler": {
 		"machine", "contract/job", "contract/policy", "link/lease",
