node: limit the memory and the connections of clients

Cause: the servers read bodies of up to 1 MiB whole into memory on up to 2,500 connections each, and nothing counted them together; the limits of the configuration were not applied. Heads above 4,096 bytes were refused although 16,384 are legal, and a lack of descriptors at an accept ended the process.

Change: all three servers take in what the gate of link/intake allows. A body is refused by its length before it is read, or its memory is reserved first; refusals are 503 with the statement that the request was not run. Heads, bodies and answers need progress. The limits of the configuration apply at once. The servers use net/http: fasthttp reads up to 8 KiB of a body before the handler can decide about it, and its limit for heads is the fixed buffer that each connection holds. A stopping node closes the connections without a request itself, because http.Server.Shutdown drops a request of which the head has been read in part. The collector's limit is 75% of memory-mb.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -12,6 +13,11 @@
 	"github.com/crocusjunction/crocusjunction/platform"
 )
 
+// memoryLimitPercent is the part of the machine's memory from which the runtime collects
+// garbage as often as needed. The rest is for what it does not count: the program's text,
+// and the bytes of connections that the kernel holds.
+const memoryLimitPercent = 75
+
 func nodeCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "node",
@@ -22,6 +28,9 @@
 			if err != nil {
 				return cli.Exit(err.Error(), ExitUsage)
 			}
+			if mb := s.Intake.MemoryMB; mb > 0 {
+				debug.SetMemoryLimit(int64(mb) << 20 * memoryLimitPercent / 100)
+			}
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
 			defer signal.Stop(reload)
--- a/internal/link/intake/gate.go
+++ b/internal/link/intake/gate.go
@@ -72,8 +72,10 @@
 	// be closed for another one. An ordinary request is complete earlier.
 	evictableAfter = 250 * time.Millisecond
 	// closingFor is the age from which a connection that was answered by a refusal may
-	// be closed for another one.
+	// be closed for another one, maxClosing the age at which it is closed. Its client
+	// reads the refusal meanwhile.
 	closingFor = 50 * time.Millisecond
+	maxClosing = time.Second
 	// firstRequestGrace is the age up to which a stopping process waits for the first
 	// request of a connection.
 	firstRequestGrace = time.Second
@@ -107,10 +109,10 @@
 	bytes, stepBytes int
 	// ahead is true if bytes of the next request came while this one was served.
 	ahead bool
-	// answered is true once a request was served on the connection.
-	answered bool
-	share    int64
-	open     bool
+	// proven is true once a request of the connection was successful.
+	proven bool
+	share  int64
+	open   bool
 }
 
 // Gate holds the connections of a process and the memory of their requests.
@@ -171,16 +173,16 @@
 	return c, evicted, ""
 }
 
-// evict removes the connection that has been without a complete request for longest. A
-// connection that has served a request is not evicted while it waits for the next one,
-// because that request may be on its way.
+// evict removes the connection that has been without a complete request for longest.
+// Callers keep connections for further requests, and one may be on its way: a connection
+// with a successful request is evicted only after the idle time of the configuration.
 func (g *Gate) evict(s Server, now time.Time) *Connection {
 	if now.Before(g.noEviction[s]) {
 		return nil
 	}
 	var oldest *Connection
 	for c := range g.connections[s] {
-		if c.evictable(now) && (oldest == nil || c.since.Before(oldest.since)) {
+		if g.evictable(c, now) && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
@@ -192,11 +194,11 @@
 	return oldest
 }
 
-func (c *Connection) evictable(now time.Time) bool {
+func (g *Gate) evictable(c *Connection, now time.Time) bool {
 	age := now.Sub(c.since)
 	switch c.phase {
 	case quiet:
-		return !c.answered && age >= evictableAfter
+		return !c.proven && age >= evictableAfter || age > g.limits.IdleTimeout
 	case head:
 		return age >= evictableAfter
 	case closing:
@@ -326,12 +328,15 @@
 	c.enter(closing, now)
 }
 
+// Prove records that a request of the connection was successful.
+func (g *Gate) Prove(c *Connection) { c.proven = true }
+
 // Answered records that the answer of a request is written.
 func (g *Gate) Answered(c *Connection, now time.Time) {
 	g.release(c)
 	ahead := c.ahead
 	c.enter(quiet, now)
-	c.answered, c.ahead = true, false
+	c.ahead = false
 	if ahead {
 		c.phase = head
 	}
@@ -383,6 +388,10 @@
 		if now.Sub(c.stepSince) > grace+g.transferTime(progressStep) || age > g.limits.HeaderTimeout+g.transferTime(c.bytes) {
 			return BodyTooSlow
 		}
+	case closing:
+		if age > maxClosing {
+			return Idle
+		}
 	}
 	return ""
 }
@@ -391,7 +400,7 @@
 // whether any other connection of the server is open.
 func (g *Gate) Waiting(s Server, now time.Time) (waiting []*Connection, unfinished bool) {
 	for c := range g.connections[s] {
-		if c.phase == quiet && (c.answered || now.Sub(c.since) >= firstRequestGrace) {
+		if c.phase == quiet && (c.proven || now.Sub(c.since) >= firstRequestGrace) {
 			waiting = append(waiting, c)
 		} else {
 			unfinished = true
--- a/internal/link/intake/gate_test.go
+++ b/internal/link/intake/gate_test.go
@@ -212,6 +212,7 @@
 	g := NewGate(CapacityOf(Settings{Connections: 2}))
 	used, _, _ := g.Open(Callers, "a", start)
 	g.Begin(used, 100, 5, start)
+	g.Prove(used)
 	g.Answered(used, start)
 	silent, _, _ := g.Open(Callers, "b", start)
 	if _, _, refused := g.Open(Callers, "c", start.Add(evictableAfter/2)); refused != TooManyConnections {
@@ -224,6 +225,9 @@
 	if r := g.Begin(silent, 100, 5, later); r != Evicted {
 		t.Errorf("a request begins on a connection that was given up: %q", r)
 	}
+	if _, evicted, refused := g.Open(Callers, "d", start.Add(defaultIdleTimeout)); evicted == used || refused != "" {
+		t.Errorf("a connection with a successful request is closed for another one: %q", refused)
+	}
 	idle := later.Add(defaultIdleTimeout)
 	for c, reason := range g.Overdue(idle) {
 		if c == used {
@@ -232,6 +236,20 @@
 	}
 }
 
+// TestRefusedConnectionsEnd guards against connections that stay open after a refusal,
+// because their clients send nothing more.
+func TestRefusedConnectionsEnd(t *testing.T) {
+	g := NewGate(CapacityOf(Settings{}))
+	c := &client{length: legalBody + 1}
+	if r := c.begin(g, start); r != BodyTooLarge {
+		t.Fatalf("%q", r)
+	}
+	g.Refused(c.c, start)
+	if len(g.Overdue(start.Add(maxClosing/2))) > 0 || len(g.Overdue(start.Add(2*maxClosing))) != 1 {
+		t.Error("the connection ends too early or not at all")
+	}
+}
+
 // TestLimitsChange guards against limits of the configuration that take effect only after
 // a restart.
 func TestLimitsChange(t *testing.T) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,13 +1,12 @@
 package node
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
-
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 )
@@ -73,6 +72,9 @@
 	if err := m.RegisterCounter("crocusjunction.log.dropped", "{line}", "Log lines that were dropped.", n.log.Dropped); err != nil {
 		return nil, err
 	}
+	if err := registerClientMetrics(m, n.clients); err != nil {
+		return nil, err
+	}
 	err = m.RegisterLabelledCounter("crocusjunction.platform.calls", "Calls to the platform by kind.", "kind", n.client.Counters().Each)
 	if err != nil {
 		return nil, err
@@ -85,6 +87,26 @@
 	return &metrics{m, jobs, refused}, err
 }
 
+// registerClientMetrics registers what the process has taken in of its clients, with its
+// limits.
+func registerClientMetrics(m *telemetry.Metrics, c *clients) error {
+	capacity := c.gate.Capacity()
+	for _, g := range []struct {
+		name, unit, description string
+		read                    func() int64
+	}{
+		{"crocusjunction.clients.connections", "", "Open connections of clients.", func() int64 { connections, _ := c.used(); return int64(connections) }},
+		{"crocusjunction.clients.connections_limit", "", "Limit of the callers' connections.", func() int64 { return int64(capacity.Connections[intake.Callers]) }},
+		{"crocusjunction.clients.request_memory", "By", "Memory reserved for requests.", func() int64 { _, used := c.used(); return used }},
+		{"crocusjunction.clients.request_memory_limit", "By", "Limit of the memory of all requests.", func() int64 { return capacity.RequestBytes }},
+	} {
+		if err := m.RegisterGauge(g.name, g.unit, g.description, g.read); err != nil {
+			return err
+		}
+	}
+	return m.RegisterLabelledCounter("crocusjunction.clients.refused", "Requests and connections of clients that were refused, by reason.", "reason", c.eachRefusal)
+}
+
 // recordJob records the time that a job took to its first start or its end.
 func (m *metrics) recordJob(j scheduler.JobMeasured) {
 	m.jobs.Record(j.Elapsed, j.Queue, string(j.Milestone))
@@ -104,13 +126,13 @@
 
 const metricsPath = "/metrics"
 
-func (m *metrics) handler() fasthttp.RequestHandler {
-	serve := fasthttpadaptor.NewFastHTTPHandler(m.Handler())
-	return func(c *fasthttp.RequestCtx) {
-		if !strings.HasPrefix(string(c.Path()), metricsPath) {
-			c.SetStatusCode(fasthttp.StatusNotFound)
+func (m *metrics) handler() http.Handler {
+	serve := m.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, metricsPath) {
+			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		serve(c)
-	}
+		serve.ServeHTTP(w, r)
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -15,11 +16,11 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
@@ -38,14 +39,6 @@
 	// auxiliaryShutdownTimeout bounds the shutdown of the readiness and metrics
 	// servers.
 	auxiliaryShutdownTimeout = 300 * time.Millisecond
-	// headerTimeout bounds the reading of a request, idleTimeout the time that a
-	// connection stays open between requests.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
-	maxBodyBytes  = 1 << 20
-	// maxConnections limits the callers' connections, so that enough file
-	// descriptors remain for connections to the platform.
-	maxConnections = 2500
 )
 
 // maxTaskLease bounds the task leases that the scheduler grants where the platform
@@ -67,6 +60,7 @@
 	loop     *controlLoop
 	runner   *runner
 	metrics  *metrics
+	clients  *clients
 	health   storeHealth
 	draining atomic.Bool
 }
@@ -106,6 +100,7 @@
 	n.loop = newControlLoop(scheduler.NewGuard(schedulerOptions(s, process), debug.Stack), n.clock, n.runner.start)
 	n.runner.send, n.runner.done = n.loop.Send, n.loop.stopped
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
+	n.clients = newClients(intake.CapacityOf(s.Intake), n.log, n.clock.Now, n.requestLimits)
 	var err error
 	n.metrics, err = newMetrics(n)
 	n.runner.metrics = n.metrics
@@ -137,17 +132,17 @@
 	}()
 
 	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.maxConfigAge())
-	callersServer := n.newServer(n.closeWhileDraining(platform.CallersHandler(componentsCtx, service, n.observe, n.logContained)))
-	readinessServer := n.newServer(platform.ReadyHandler(n.ready))
-	if err := n.serve(group, callersServer, n.settings.CallersAddress); err != nil {
+	callersServer := n.newCallersServer(platform.CallersHandler(componentsCtx, service, n.clients.readBody, n.observe, n.logContained))
+	readinessServer, metricsServer := n.newReadinessServer(), n.newMetricsServer()
+	callers, err := n.serve(ctx, group, callersServer, intake.Callers, n.settings.CallersAddress)
+	if err != nil {
 		return err
 	}
-	if err := n.serve(group, readinessServer, n.settings.ReadinessAddress); err != nil {
+	if _, err := n.serve(ctx, group, readinessServer, intake.Readiness, n.settings.ReadinessAddress); err != nil {
 		return err
 	}
-	metricsServer := n.newServer(n.metrics.handler())
 	if n.settings.MetricsAddress != "" {
-		if err := n.serve(group, metricsServer, n.settings.MetricsAddress); err != nil {
+		if _, err := n.serve(ctx, group, metricsServer, intake.Metrics, n.settings.MetricsAddress); err != nil {
 			return err
 		}
 	}
@@ -163,6 +158,7 @@
 	for _, m := range n.mirrors() {
 		group.Go(func() error { return m.run(groupCtx) })
 	}
+	group.Go(func() error { return n.clients.watch(groupCtx) })
 	group.Go(func() error { return n.watchReload(groupCtx, reload) })
 	n.log.Write("node", "started", logrus.Fields{"datacentre": n.settings.DataCentre, "callers": n.settings.CallersAddress, "store": n.settings.StoreAddress})
 	group.Go(func() error {
@@ -171,11 +167,11 @@
 		case <-groupCtx.Done():
 			return nil
 		}
-		n.shutdown(callersServer)
+		n.shutdown(callersServer, callers)
 		stopComponents()
 		return n.shutdownServers(readinessServer, metricsServer)
 	})
-	err := group.Wait()
+	err = group.Wait()
 	n.log.Write("node", "stopped", nil)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -183,33 +179,6 @@
 	return err
 }
 
-// newServer returns a server with the limits above. The caller starts it with
-// serve.
-func (n *node) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: handler, Name: "crocusjunction", ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: maxBodyBytes, Concurrency: maxConnections, CloseOnShutdown: true,
-		NoDefaultServerHeader: true, Logger: silentLogger{},
-	}
-}
-
-// silentLogger discards fasthttp's messages about single connections: the
-// request log already covers them.
-type silentLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (silentLogger) Printf(string, ...any) {}
-
-// serve listens on address and serves s in group.
-func (n *node) serve(group *errgroup.Group, s *fasthttp.Server, address string) error {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	group.Go(func() error { return s.Serve(l) })
-	return nil
-}
-
 // mirrors returns one mirror for each key prefix that the scheduler reads.
 func (n *node) mirrors() []*mirror {
 	alwaysNeeded := func(ctx context.Context) bool { return ctx.Err() == nil }
@@ -300,21 +269,9 @@
 	return now.Sub(asOf) < maxReadyStaleness
 }
 
-// closeWhileDraining makes the answers of a stopping node end their connections. Its
-// callers otherwise use them until the shutdown closes those on which no request is being
-// served, also one whose request has arrived and was not read yet.
-func (n *node) closeWhileDraining(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(c *fasthttp.RequestCtx) {
-		handler(c)
-		if n.draining.Load() {
-			c.SetConnectionClose()
-		}
-	}
-}
-
 // shutdown fails the readiness checks, serves requests for drainDelay while the
 // load balancer reacts, and then waits for the requests in flight.
-func (n *node) shutdown(callersServer *fasthttp.Server) {
+func (n *node) shutdown(callersServer *http.Server, callers net.Listener) {
 	startedAt := n.clock.Now()
 	n.draining.Store(true)
 	n.log.Write("node", "stopping", logrus.Fields{"grace_ms": n.settings.Bounds.Grace.Milliseconds()})
@@ -323,7 +280,9 @@
 	remaining := n.settings.Bounds.Grace - shutdownReserve - n.clock.Now().Sub(startedAt)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
-	if err := callersServer.ShutdownWithContext(ctx); err != nil {
+	n.clients.drain(ctx, callers)
+	if err := callersServer.Shutdown(ctx); err != nil {
+		_ = callersServer.Close()
 		n.log.Write("node", "requests aborted at the end of the grace period", logrus.Fields{"error": err.Error()})
 	}
 }
@@ -331,12 +290,15 @@
 // shutdownServers shuts down the readiness and metrics servers. Requests that
 // are still running after auxiliaryShutdownTimeout are abandoned without an
 // error.
-func (n *node) shutdownServers(servers ...*fasthttp.Server) error {
+func (n *node) shutdownServers(servers ...*http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), auxiliaryShutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
-		if err := s.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			return errors.Wrap(err, "shut down server")
+		if err := s.Shutdown(ctx); err != nil {
+			_ = s.Close()
+			if !errors.Is(err, context.DeadlineExceeded) {
+				return errors.Wrap(err, "shut down server")
+			}
 		}
 	}
 	return nil
--- a/test/clients/node_test.go
+++ b/test/clients/node_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -144,6 +145,9 @@
 	if err := json.Unmarshal(file, &settings); err != nil {
 		t.Fatal(err)
 	}
+	// After SIGTERM, the servers are shut down 2.5 s later, and the process ends at the
+	// latest after 6 s.
+	settings["bounds"].(map[string]any)["grace-s"] = 6
 	settings["limits"] = map[string]any{"memory-mb": memoryMB, "max-fds": maxDescriptors, "cpu-share": 1}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -248,5 +252,9 @@
 	if err != nil {
 		return 0, err
 	}
+	// The connection is used again only if the answer was read to its end.
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return response.StatusCode, err
+	}
 	return response.StatusCode, response.Body.Close()
 }
