--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -229,3 +229,30 @@
 		t.Errorf("counted %v", totals)
 	}
 }
+
+// TestRefusalLogIsBounded guards against a log that grows with the number of refused
+// clients.
+func TestRefusalLogIsBounded(t *testing.T) {
+	const seconds = 10
+	var out bytes.Buffer
+	log := asynclog.New(&out, nil)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- log.Run(ctx) }()
+	now := time.Unix(1_700_000_000, 0)
+	s := newClients(intake.CapacityOf(intake.Settings{}), log, func() time.Time { return now }, nil)
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(intakeInterval) {
+		for range 1000 {
+			s.count(intake.NoMemory)
+		}
+		s.logRefusals()
+	}
+	stop()
+	<-done
+	if lines := strings.Count(out.String(), "clients: refused"); lines != seconds {
+		t.Errorf("%d lines in %d s, want one each:\n%s", lines, seconds, out.String())
+	}
+	if !strings.Contains(out.String(), `"no-memory":5000`) {
+		t.Errorf("no line has the refusals of a second:\n%s", out.String())
+	}
+}
