link/intake: separate memory for health checks

Cause: requests for readiness and metrics reserved their heads from the memory that callers' requests fill, so that a node under attack refused health checks.

Change: 4 MB of the clients' memory are for the requests of these two servers.

Measured: TestHealthChecksBesideFullMemory fails with one budget for all servers.

--- a/internal/link/intake/budget.go
+++ b/internal/link/intake/budget.go
@@ -19,7 +19,7 @@
 	largeBodyPercent = 75
 )
 
-// budget is the memory that all requests of a process share.
+// budget is the memory that requests share.
 type budget struct{ capacity, used int64 }
 
 // reserve takes n bytes if they fit.
--- a/internal/link/intake/capacity.go
+++ b/internal/link/intake/capacity.go
@@ -34,6 +34,10 @@
 	// and its operators open.
 	readinessConnections = 64
 	metricsConnections   = 16
+	// otherRequestBytes is the memory of requests for readiness and metrics. It is apart
+	// from that of the callers' requests, so that a node whose memory they fill still
+	// answers health checks. A head takes 2 to 4 KB of it.
+	otherRequestBytes = 4 * mib
 
 	// minBytesPerSecond is the slowest progress of a body. The slowest link transfers 20
 	// times as much.
@@ -52,7 +56,7 @@
 	// ReadinessConnections and MetricsConnections limit the connections to those
 	// servers.
 	ReadinessConnections, MetricsConnections int
-	// RequestMemoryMB limits the memory of all requests together.
+	// RequestMemoryMB limits the memory of all callers' requests together.
 	RequestMemoryMB int
 	// MinBytesPerSecond is the slowest progress of a body and of an answer.
 	MinBytesPerSecond int
@@ -76,8 +80,10 @@
 	// ConnectionsPerAddress limits the callers' connections from one address, 0 for no
 	// limit.
 	ConnectionsPerAddress int
-	// RequestBytes limits the memory of all requests together.
+	// RequestBytes limits the memory of all callers' requests together, and
+	// OtherRequestBytes that of all requests for readiness and metrics.
 	RequestBytes      int64
+	OtherRequestBytes int64
 	MinBytesPerSecond int
 }
 
@@ -96,7 +102,8 @@
 			orDefault(s.MetricsConnections, metricsConnections),
 		},
 		ConnectionsPerAddress: s.ConnectionsPerAddress,
-		RequestBytes:          int64(orDefault(s.RequestMemoryMB*mib, int(clients/2))),
+		RequestBytes:          int64(orDefault(s.RequestMemoryMB*mib, int(max(mib, clients/2-otherRequestBytes)))),
+		OtherRequestBytes:     otherRequestBytes,
 		MinBytesPerSecond:     orDefault(s.MinBytesPerSecond, minBytesPerSecond),
 	}
 }
--- a/internal/link/intake/gate.go
+++ b/internal/link/intake/gate.go
@@ -117,19 +117,23 @@
 
 // Gate holds the connections of a process and the memory of their requests.
 type Gate struct {
-	capacity     Capacity
-	limits       policy.RequestLimits
-	budget       budget
-	connections  [serverCount]map[*Connection]struct{}
-	byAddress    map[string]int
-	refused      map[Reason]int64
-	pressedUntil time.Time
-	noEviction   [serverCount]time.Time
+	capacity Capacity
+	limits   policy.RequestLimits
+	// budget is that of the callers' requests, others that of the other servers.
+	budget, others budget
+	connections    [serverCount]map[*Connection]struct{}
+	byAddress      map[string]int
+	refused        map[Reason]int64
+	pressedUntil   time.Time
+	noEviction     [serverCount]time.Time
 }
 
 // NewGate returns a gate without connections.
 func NewGate(c Capacity) *Gate {
-	g := &Gate{capacity: c, budget: budget{capacity: c.RequestBytes}, byAddress: make(map[string]int), refused: make(map[Reason]int64)}
+	g := &Gate{
+		capacity: c, budget: budget{capacity: c.RequestBytes}, others: budget{capacity: c.OtherRequestBytes},
+		byAddress: make(map[string]int), refused: make(map[Reason]int64),
+	}
 	for s := range g.connections {
 		g.connections[s] = make(map[*Connection]struct{})
 	}
@@ -223,15 +227,22 @@
 }
 
 func (g *Gate) release(c *Connection) {
-	g.budget.release(c.share)
+	g.budgetOf(c).release(c.share)
 	c.share = 0
 }
 
+func (g *Gate) budgetOf(c *Connection) *budget {
+	if c.server == Callers {
+		return &g.budget
+	}
+	return &g.others
+}
+
 func (g *Gate) reserve(c *Connection, n int64, large bool, now time.Time) Reason {
 	if !c.open {
 		return Evicted
 	}
-	if !g.budget.reserve(n, large) {
+	if !g.budgetOf(c).reserve(n, large) {
 		g.pressedUntil = now.Add(pressedFor)
 		return g.refuse(NoMemory)
 	}
@@ -423,10 +434,11 @@
 	return totals
 }
 
-// Used returns the number of open connections and the memory that requests have reserved.
+// Used returns the number of open connections and the memory that requests of all servers
+// have reserved.
 func (g *Gate) Used() (connections int, requestBytes int64) {
 	for s := range g.connections {
 		connections += len(g.connections[s])
 	}
-	return connections, g.budget.used
+	return connections, g.budget.used + g.others.used
 }
--- a/internal/link/intake/gate_test.go
+++ b/internal/link/intake/gate_test.go
@@ -21,7 +21,7 @@
 		c := CapacityOf(s)
 		memory := int64(orDefault(s.MemoryMB, defaultMemoryMB)) * mib
 		connections := c.Connections[Callers]
-		if used := int64(connections)*connectionBytes + c.RequestBytes; used > memory-min(controlMemoryMB*mib, memory*controlPercent/100) {
+		if used := int64(connections)*connectionBytes + c.RequestBytes + c.OtherRequestBytes; used > memory-min(controlMemoryMB*mib, memory*controlPercent/100) {
 			t.Errorf("%+v: clients may use %d bytes", s, used)
 		}
 		if descriptors := orDefault(s.Descriptors, defaultDescriptors); connections > descriptors/2 && connections > descriptors-reservedDescriptors {
@@ -67,6 +67,22 @@
 	return g.BeginBody(c.c, int64(c.length), now)
 }
 
+// TestHealthChecksBesideFullMemory guards against health checks that are refused because
+// callers' requests fill the memory.
+func TestHealthChecksBesideFullMemory(t *testing.T) {
+	g := NewGate(CapacityOf(Settings{Connections: 10_000, RequestMemoryMB: 1}))
+	refused := Reason("")
+	for i := 0; refused == "" && i < 10_000; i++ {
+		caller, _, _ := g.Open(Callers, "10.0.0.1", start)
+		refused = g.Received(caller, 200, 5, start)
+	}
+	c, _, _ := g.Open(Readiness, "10.0.0.2", start)
+	received, began := g.Received(c, 200, 5, start), g.Begin(c, 200, 5, start)
+	if refused != NoMemory || received != "" || began != "" {
+		t.Errorf("callers are refused for %q, a health check for %q and %q", refused, received, began)
+	}
+}
+
 // TestProgressOfBodies guards against bodies that stay open without progress, and against
 // a limit that ends the largest legal body of a slow link.
 func TestProgressOfBodies(t *testing.T) {
