node: discard what a refused client has sent before its connection closes

Cause: closing a connection with unread bytes resets it, which can remove the refusal from the client's buffer. In a trial with 2,500 clients whose heads never end, 1 of 240 new ordinary callers got an error instead of an answer.

Measured: the tests of internal/node and test/clients pass. The lost answer was seen once in two trials and isn't reproduced by a test.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -113,6 +113,7 @@
 	select {
 	case s.lingering <- struct{}{}:
 	default:
+		discardUnread(raw)
 		_ = raw.Close()
 		return
 	}
@@ -204,9 +205,32 @@
 		_ = c.CloseWrite()
 		c.writing.Unlock()
 	}
+	discardUnread(c.Conn)
 	_ = c.Close()
 }
 
+// discardUnread removes what the kernel holds of a connection. Closing it otherwise resets
+// it, which can remove the refusal from the client's buffer.
+func discardUnread(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		var buffer [4 << 10]byte
+		for range 2 * receiveBuffer / len(buffer) {
+			if n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_DONTWAIT); n <= 0 || err != nil {
+				return
+			}
+		}
+	})
+}
+
 // unread returns the number of bytes that the kernel holds for the connection.
 func (c *clientConn) unread() int {
 	tcp, ok := c.Conn.(*net.TCPConn)
