node: limit the connections that wait to be accepted

Cause: bytes that were received and not read count as memory of the process.

Change: 256 connections wait to be accepted. Later ones are tried again by the client's kernel after 1 s.

The tests of internal/node pass.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -22,6 +22,10 @@
 	// doubles it; it bounds what clients send while their connection is not read. At a
 	// round-trip time of 50 ms it allows 320 KB a second.
 	receiveBuffer = 16 << 10
+	// acceptBacklog is the number of connections that wait in the kernel to be accepted.
+	// With the system's default of 4,096, they held 51 MB of unread bytes under attack.
+	// An accept takes microseconds; callers beyond the backlog connect again after 1 s.
+	acceptBacklog = 256
 	// refusalWriteTimeout bounds the writing of a refusal outside of a request. It fits
 	// into the empty buffer of the connection.
 	refusalWriteTimeout = time.Millisecond
@@ -45,22 +49,33 @@
 // listen listens on address for clients of the server.
 func (s *clients) listen(ctx context.Context, server intake.Server, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-		if err != nil {
-			return err
-		}
-		return failed
+		return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
 	}}
 	l, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		// Listening again on a socket changes its backlog.
+		err = control(raw, func(fd int) error { return unix.Listen(fd, acceptBacklog) })
+	}
+	if err != nil {
+		_ = l.Close()
+		return nil, errors.Wrapf(err, "limit the backlog on %s", address)
+	}
 	return &clientListener{l, s, server}, nil
 }
 
+// control calls f with the descriptor of a socket.
+func control(raw syscall.RawConn, f func(fd int) error) error {
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
+}
+
 // Accept implements net.Listener. It refuses connections beyond the limits, and goes on
 // after a failure for lack of descriptors, which would otherwise end the server.
 func (l *clientListener) Accept() (net.Conn, error) {
