--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -29,6 +29,7 @@
 	"machine/upkeep":     {"machine"},
 	"machine/pools":      {"machine"},
 	"link/lease":         {},
+	"link/intake":        {"contract/policy"},
 	"zone/placement":     {"contract/job", "machine/worker"},
 	"scheduler": {
 		"machine", "contract/admission", "contract/job", "contract/policy", "link/lease",
