--- a/internal/contract/job/estimate.go
+++ b/internal/contract/job/estimate.go
@@ -10,8 +10,8 @@
 // whose specification has none.
 const minEstimate = 100 * time.Millisecond
 
-// estimate returns the expected run time of a step's task.
-func (s *Step) estimate() time.Duration { return max(s.Estimate, minEstimate) }
+// ExpectedRunTime returns the expected run time of a step's task.
+func (s *Step) ExpectedRunTime() time.Duration { return max(s.Estimate, minEstimate) }
 
 // criticalPaths returns the critical path of each step: the longest estimated
 // time from the start of the step to the end of the job along dependent steps.
@@ -22,7 +22,7 @@
 	}
 	j.cachedPaths = make([]time.Duration, len(j.Spec.Steps))
 	for i := len(j.Spec.Steps) - 1; i >= 0; i-- {
-		j.cachedPaths[i] += j.Spec.Steps[i].estimate()
+		j.cachedPaths[i] += j.Spec.Steps[i].ExpectedRunTime()
 		for _, earlier := range j.Spec.Steps[i].After {
 			j.cachedPaths[earlier] = max(j.cachedPaths[earlier], j.cachedPaths[i])
 		}
@@ -30,6 +30,10 @@
 	return j.cachedPaths
 }
 
+// CriticalPath returns the longest estimated time from the start of a step to the end
+// of the job.
+func (j *Job) CriticalPath(step int) time.Duration { return j.criticalPaths()[step] }
+
 // CompletionObjective returns the time, counted from acceptance, within which
 // the job should complete: its critical path times Terms.Stretch, plus
 // Terms.Objective.
@@ -60,7 +64,7 @@
 // running, at most the step's estimate. It returns 0 when an open task has no
 // run.
 func (o *Occurrence) elapsed(step int, now time.Time) time.Duration {
-	shortest := o.Job.Spec.Steps[step].estimate()
+	shortest := o.Job.Spec.Steps[step].ExpectedRunTime()
 	tasks := o.steps[step].tasks
 	for i := range tasks {
 		t := &tasks[i]
@@ -97,7 +101,7 @@
 	for _, o := range j.occurrences {
 		for step := range o.steps {
 			s := &j.Spec.Steps[step]
-			sum += float64(o.steps[step].open) * float64(s.Need.MilliCores) / 1000 * s.estimate().Seconds()
+			sum += float64(o.steps[step].open) * float64(s.Need.MilliCores) / 1000 * s.ExpectedRunTime().Seconds()
 		}
 	}
 	return sum
--- a/internal/zone/placement/placement.go
+++ b/internal/zone/placement/placement.go
@@ -15,6 +15,8 @@
 type Pool struct {
 	workers []*worker.Worker
 	now     time.Time
+	// awaited are the racks in which other tasks wait for room.
+	awaited map[string]bool
 }
 
 // NewPool returns a pool of the given workers, each of which must be Usable
@@ -23,6 +25,10 @@
 	return &Pool{workers: workers, now: now}
 }
 
+// AvoidAwaited makes tasks that do not prefer one of the racks use others where there is
+// room, because tasks wait for room in these.
+func (p *Pool) AvoidAwaited(racks map[string]bool) { p.awaited = racks }
+
 // Workers returns the workers of the pool. The caller must not modify the
 // slice.
 func (p *Pool) Workers() []*worker.Worker { return p.workers }
@@ -49,6 +55,8 @@
 	// slowPenalty applies to a worker that is cold or outside the rack of
 	// the step's data.
 	slowPenalty = 1 << 30
+	// awaitedRackPenalty applies to a worker in a rack for which other tasks wait.
+	awaitedRackPenalty = 1 << 28
 )
 
 // Choose returns the worker for a task, or nil when no allowed worker fits
@@ -57,6 +65,7 @@
 // with many free cores stay available for large tasks.
 func (p *Pool) Choose(t *job.Task, allowed func(*worker.Worker) bool) *worker.Worker {
 	spec, isolation := t.Spec(), t.Isolation()
+	avoidsAwaited := len(p.awaited) > 0 && !spec.LongRunning
 	var best *worker.Worker
 	var bestCost int64
 	for _, w := range p.workers {
@@ -66,7 +75,11 @@
 		if spec.MaxPerWorker > 0 && w.CountStep(t.Occurrence, t.Step) >= spec.MaxPerWorker {
 			continue
 		}
-		if cost := p.cost(w, t, isolation); best == nil || cost < bestCost {
+		cost := p.cost(w, t, isolation)
+		if avoidsAwaited && spec.Rack != w.Rack() && p.awaited[w.Rack()] {
+			cost += awaitedRackPenalty
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
 	}
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -28,7 +28,7 @@
 	"machine/upkeep":  {"machine"},
 	"machine/pools":   {"machine"},
 	"link/lease":      {},
-	"zone/placement":  {"contract/job", "machine/worker"},
+	"zone/placement":  {"machine", "contract/job", "machine/worker"},
 	"scheduler": {
 		"machine", "contract/job", "contract/policy", "link/lease",
 		"machine/worker", "machine/upkeep", "machine/pools", "zone/placement",
