scheduler: use the waits for room in a rack in rounds of placement

Cause: placement.Waits has no caller.

Change: a round asks it after a worker was chosen for a task of a step that names a rack, or for a gang of one rack. The factor comes from the setting bounds.remote-factor; without it, or with 1, nothing is asked. One log line when a wait begins and one when it is given up, the number of waits in the pool line, and metrics for waits, gains and waits given up. Waits end with the term of their scheduler.

--- a/internal/machine/upkeep/upkeep.go
+++ b/internal/machine/upkeep/upkeep.go
@@ -30,6 +30,15 @@
 	Worker string
 }
 
+// Rack returns the last label if the machine has at least two, else an empty string, as
+// worker.Worker.Rack does.
+func (m Machine) Rack() string {
+	if len(m.Labels) < 2 {
+		return ""
+	}
+	return m.Labels[len(m.Labels)-1]
+}
+
 // WorkerEnded reports whether the worker that ran on the machine is known to
 // have ended: another worker runs there, or the machine is being moved or
 // maintained. A machine that is only reported as down may be partitioned and
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -46,6 +46,7 @@
 		}},
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
+		{"crocusjunction.placement.waiting", "Tasks and gangs that have room and wait for room in a rack.", func(s *controlStatus) int64 { return s.Counts.WaitingForRack }},
 		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
@@ -63,6 +64,10 @@
 		{"crocusjunction.task.lost", "Runs that were lost with their worker.", func(s *controlStatus) int64 { return s.Counts.Lost }},
 		{"crocusjunction.job.given_up", "Jobs that were ended because a task crashed its workers.", func(s *controlStatus) int64 { return s.Counts.GivenUp }},
 		{"crocusjunction.task.refused", "Starts that workers refused.", func(s *controlStatus) int64 { return s.Counts.Refused }},
+		{"crocusjunction.placement.waits", "Waits for room in a rack that began.", func(s *controlStatus) int64 { return s.Counts.Waits }},
+		{"crocusjunction.placement.waits_met", "Waits that ended with a start in the rack.", func(s *controlStatus) int64 { return s.Counts.WaitsMet }},
+		{"crocusjunction.placement.waits_given_up", "Waits that ended with a start elsewhere.", func(s *controlStatus) int64 { return s.Counts.WaitsGivenUp }},
+		{"crocusjunction.placement.wait_gain_ms", "Run time in ms that met waits saved, less their lengths.", func(s *controlStatus) int64 { return s.Counts.WaitGainMillis }},
 		{"crocusjunction.scheduler.failures_contained", "Failed decisions after which the state was read again.", func(s *controlStatus) int64 { return s.Counts.Contained }},
 		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *controlStatus) int64 { return s.Counts.Takeovers }},
 	} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 	return scheduler.Options{
 		NodeName: s.Instance, ProcessID: process, CPUShare: s.CPUShare,
 		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
-		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap,
+		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap, RemoteFactor: b.RemoteFactor,
 	}
 }
 
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -8,6 +8,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+	"github.com/crocusjunction/crocusjunction/internal/zone/placement"
 )
 
 // Delays of the election.
@@ -291,7 +292,7 @@
 	s.usage = make(map[string]machine.Resources)
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
-	s.place = placeState{roundNeeded: true}
+	s.place = placeState{roundNeeded: true, waits: placement.NewWaits(s.options.RemoteFactor)}
 	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
@@ -349,4 +350,5 @@
 	s.workers = newOrderedMap[string, *worker.Worker]()
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.usage, s.unreconciled, s.awaitedWorkers, s.deferredStarts, s.lostStarts = nil, 0, nil, nil, nil
+	s.place.waits, s.counts.WaitingForRack = placement.NewWaits(s.options.RemoteFactor), 0
 }
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -79,7 +79,7 @@
 	next.config = failed.config
 	next.counts = failed.counts
 	next.counts.Contained++
-	next.counts.Running, next.counts.Unfinished, next.counts.Workers = 0, 0, 0
+	next.counts.Running, next.counts.Unfinished, next.counts.Workers, next.counts.WaitingForRack = 0, 0, 0, 0
 	next.election.stopping = failed.election.stopping
 	next.election.yieldUntil = now.Add(g.yield)
 	maps.Copy(next.quarantine.records, failed.quarantine.records)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,6 +34,8 @@
 	// nothing has changed, zero for never. logAt is when the pools are logged next.
 	nextAt, retryAt time.Time
 	logAt           time.Time
+	// waits are the waits for room in a rack.
+	waits *placement.Waits
 }
 
 // stepPlace runs a round of placement if something has changed since the last one
@@ -65,6 +67,9 @@
 	p.roundNeeded, p.retryAt = false, time.Time{}
 	if s.placeRound(now) {
 		p.retryAt = now.Add(placeRetryDelay)
+		if end := p.waits.NextEnd(now); !end.IsZero() && end.Before(p.retryAt) {
+			p.retryAt = end
+		}
 		s.requestTick(p.retryAt)
 	}
 }
@@ -99,6 +104,7 @@
 // placeRound starts the tasks that fit and reports whether tasks are still waiting.
 func (s *Scheduler) placeRound(now time.Time) bool {
 	pools := s.pools(now)
+	s.beginWaits(pools, now)
 	waiting := false
 	ranked := s.rankedJobs(now)
 	for _, service := range slices.Sorted(maps.Keys(ranked)) {
@@ -107,10 +113,14 @@
 			waiting = true
 			continue
 		}
-		full := false
+		full, recordShortage := false, s.place.waits.Enabled()
 		for _, candidate := range ranked[service] {
 			full = full || pool.Empty()
 			if full && !candidate.job.Fills() {
+				if recordShortage && !candidate.job.TaskPlaced() {
+					s.place.waits.RecordShortage(service)
+					recordShortage = false
+				}
 				waiting = true
 				continue
 			}
@@ -145,6 +155,7 @@
 	}
 	waiting := false
 	allowed := s.allowedWorkers(o, step, now)
+	prefersRack := s.place.waits.Enabled() && o.Job.Spec.Steps[step].Rack != ""
 	tasks := o.Tasks(step)
 	// noWorker holds the degrees of isolation for which no worker is left. Tasks of a step
 	// that need not be kept apart do not wait for those that must be.
@@ -165,10 +176,15 @@
 		}
 		w := pool.Choose(t, allowed)
 		if w == nil {
+			s.place.waits.RecordShortage(s.serviceOf(o.Job))
 			s.requestAdvice(o, step, pool.Workers(), now)
 			noWorker[isolation], waiting = true, true
 			continue
 		}
+		if prefersRack && s.taskWaits(t, w, pool, allowed, now) {
+			waiting = true
+			continue
+		}
 		s.start(t, w, t.NextRun(s.epochBase()), now)
 	}
 	return waiting
@@ -219,11 +235,16 @@
 	if !s.withinTeamLimit(o.Job.Terms.Team, need) {
 		return true
 	}
-	chosen, ok := pool.ChooseGang(tasks, s.allowedWorkers(o, step, now))
+	allowed := s.allowedWorkers(o, step, now)
+	chosen, ok := pool.ChooseGang(tasks, allowed)
 	if !ok {
+		s.place.waits.RecordShortage(s.serviceOf(o.Job))
 		s.requestAdvice(o, step, pool.Workers(), now)
 		return true
 	}
+	if s.gangWaits(tasks, chosen, pool, allowed, now) {
+		return true
+	}
 	number := o.NextGangRun(step, s.epochBase())
 	for i := range tasks {
 		tasks[i].LastRun = max(tasks[i].LastRun, number)
--- a/internal/scheduler/pool_log.go
+++ b/internal/scheduler/pool_log.go
@@ -40,7 +40,8 @@
 		s.log("pool", "service", service, "workers", p.workers, "usable", p.usable,
 			"millicores", p.capacity.MilliCores, "millicores_in_use", p.inUse.MilliCores,
 			"runs", p.runs, "jobs", p.jobs, "jobs_late", p.late,
-			"waiting_for_room", p.waiting.workerCapacity, "waiting_for_cap", p.waiting.teamLimit, "waiting_for_takeover", p.waiting.unreconciled)
+			"waiting_for_room", p.waiting.workerCapacity, "waiting_for_cap", p.waiting.teamLimit, "waiting_for_takeover", p.waiting.unreconciled,
+			"waiting_for_rack", s.place.waits.Count(service, now))
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,10 @@
 	// MachineOpGap is the least time between the machine operations of two
 	// successive holders of the scheduler lease.
 	MachineOpGap time.Duration
+	// RemoteFactor is how many times as long a task takes outside the rack of its data,
+	// and a gang of one rack when it spans several. With 1 or less nothing waits for room
+	// in a rack.
+	RemoteFactor float64
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
@@ -116,8 +120,11 @@
 type Counts struct {
 	// Totals since the process started.
 	Starts, Ends, Failed, Lost, GivenUp, Refused, Takeovers, Contained int64
+	// Waits for room in a rack that began, that ended with a start there and that were
+	// given up, and the run time in ms that the former saved less their lengths.
+	Waits, WaitsMet, WaitsGivenUp, WaitGainMillis int64
 	// Current values.
-	Running, Unfinished, Workers, Quarantined int64
+	Running, Unfinished, Workers, Quarantined, WaitingForRack int64
 }
 
 // New returns the state of a node that has read nothing from the store yet.
@@ -223,7 +230,7 @@
 	s.stepRemoval(now)
 	s.stepPoolLog(now)
 	s.stepPending(now)
-	s.updateCounts()
+	s.updateCounts(now)
 }
 
 // Config returns the configuration in force, nil before the first one is read.
@@ -256,9 +263,10 @@
 // slowStepInterval old while this node is the active scheduler.
 func (s *Scheduler) Counts() Counts { return s.counts }
 
-func (s *Scheduler) updateCounts() {
+func (s *Scheduler) updateCounts(now time.Time) {
 	s.counts.Unfinished = int64(s.unfinished.len())
 	s.counts.Workers = int64(s.workers.len())
+	s.counts.WaitingForRack = int64(s.place.waits.Count("", now))
 	s.counts.Running, s.busyWorkers = 0, 0
 	for _, w := range s.workers.all() {
 		s.counts.Running += int64(len(w.Runs()))
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -41,7 +41,7 @@
 	n.down, n.seenRevision, n.syncing, n.watched = false, 0, false, WatchHolder{}
 	n.guard = NewGuard(Options{
 		NodeName: n.name, ProcessID: n.process(), CPUShare: n.cpuShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
-		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second,
+		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second, RemoteFactor: n.w.remoteFactor,
 	}, noStack)
 	n.state = n.guard.Scheduler()
 	n.later(n.w.latency(), n.poll)
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -185,6 +185,9 @@
 		return
 	}
 	duration := time.Duration(float64(spec.Estimate) * (0.7 + 0.6*x.w.random.Float64()))
+	if spec.Rack != "" && spec.Rack != x.description.Labels[1] && x.w.remoteFactor > 0 {
+		duration = time.Duration(float64(duration) * x.w.remoteFactor)
+	}
 	reason := worker.EndDone
 	if x.failing || x.w.random.Float64() < 0.02 {
 		reason = worker.EndFailed
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -41,6 +41,9 @@
 	// lossRate is the share of calls whose answer is lost, lateRate the share of
 	// those that are carried out up to several seconds late.
 	lossRate, lateRate float64
+	// remoteFactor is how many times as long tasks take outside the rack of their data. It
+	// applies to nodes that boot after it was set.
+	remoteFactor float64
 	// interference is what filler tasks at full pace add to the tail latency of
 	// serving ones, as a fraction of the objective.
 	interference float64
