command: explain where a job would go now, without sending it

Cause: operators cannot see why a job would wait or be refused before it is sent; the logs only tell it afterwards.

Change: `explain where` asks the scheduler at its metrics address, with the id of a known job or with the body, queue and team of another. It shows whether the configuration accepts the job, the team's share and the pool, the place in the order, the workers that would take its tasks, the waits for a rack, the first reason against other workers and the ages of the copies of the store. The scheduler places the tasks on copies of its workers and waits, so that nothing changes; a failure is answered and needs no takeover.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -19,6 +19,7 @@
 		ArgsUsage: "task|instance|team|refusal|worker|datacentre|endpoint|budget|wave|planner NAME",
 		Flags:     entryInstanceFlags(),
 		Action:    explain,
+		Commands:  []*cli.Command{explainWhereCommand()},
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,7 @@
 	if err := n.serve(group, readinessServer, n.settings.ReadinessAddress); err != nil {
 		return err
 	}
-	metricsServer := n.newServer(n.metrics.handler())
+	metricsServer := n.newServer(n.operatorsHandler(componentsCtx, service))
 	if n.settings.MetricsAddress != "" {
 		if err := n.serve(group, metricsServer, n.settings.MetricsAddress); err != nil {
 			return err
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// BenchmarkWhere measures one question where a job would go.
+func BenchmarkWhere(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := newLoadedScheduler(size.workers, size.pools, size.jobs)
+			first := s.jobs.get("0000000000000000")
+			for b.Loop() {
+				s.where(WhereQuery{Terms: first.Terms, Spec: first.Spec}, now)
+			}
+		})
+	}
+}
+
 // BenchmarkPlanMoves measures one plan of moves between pools.
 func BenchmarkPlanMoves(b *testing.B) {
 	for _, size := range fleetSizes {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -53,14 +53,17 @@
 		byService[service] = append(byService[service], c)
 	}
 	for _, list := range byService {
-		slices.SortFunc(list, func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
-				cmp.Compare(a.sortKey, b.sortKey), cmp.Compare(a.job.ID, b.job.ID))
-		})
+		slices.SortFunc(list, compareCandidates)
 	}
 	return byService
 }
 
+// compareCandidates orders the candidates of a service.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.sortKey, b.sortKey), cmp.Compare(a.job.ID, b.job.ID))
+}
+
 // serviceOf returns the service that serves the job's queue in the configuration
 // in force. If the queue was removed, it is the service at the job's acceptance.
 func (s *Scheduler) serviceOf(j *job.Job) string {
--- a/internal/zone/placement/wait.go
+++ b/internal/zone/placement/wait.go
@@ -91,6 +91,18 @@
 	}
 }
 
+// Copy returns a copy at the beginning of the next round, whose decisions leave the
+// original unchanged.
+func (ws *Waits) Copy(prospects func(service string) Prospects) *Waits {
+	c := &Waits{factor: ws.factor, list: make(map[job.TaskName]*wait, len(ws.list)), short: ws.short}
+	for name, w := range ws.list {
+		own := *w
+		c.list[name] = &own
+	}
+	c.BeginRound(prospects)
+	return c
+}
+
 // RecordShortage records that a task of a service found no room in this round. The room
 // that a waiting task leaves free is then used by others.
 func (ws *Waits) RecordShortage(service string) {
