placement: bound the work of a round for waits

Cause: each waiting task computed its expectation in every round, against the claims of all others. A task that no free room helps, such as one that requires a missing label, counted as other work that uses the room which a waiting task leaves. At the very moment of the last start elsewhere in time, a wait could go on for longer than its gain.

Change: an expectation holds for 100 ms unless a worker that it counts on may no longer be used; demands that need at least as much as one without room are not computed; a round looks at 2,048 workers at most. Shortages count only if freed room can end them. A start at the last moment is in time.

--- a/internal/scheduler/explain_where.go
+++ b/internal/scheduler/explain_where.go
@@ -305,7 +305,7 @@
 			result.NoRoom++
 			continue
 		}
-		if d := p.waits.Task(p.pool, t, w, allowed); d.Verdict.Waits() {
+		if d := p.waits.Task(p.pool, t, w, p.s.constraint(t.Occurrence.Job, allowed)); d.Verdict.Waits() {
 			result.addWait(d, 1, p.now)
 			continue
 		}
@@ -323,7 +323,7 @@
 		result.NoRoom = len(tasks)
 		return
 	}
-	if d := p.waits.Gang(p.pool, tasks, chosen, allowed); d.Verdict.Waits() {
+	if d := p.waits.Gang(p.pool, tasks, chosen, p.s.constraint(tasks[0].Occurrence.Job, allowed)); d.Verdict.Waits() {
 		result.addWait(d, len(tasks), p.now)
 		return
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -118,7 +118,7 @@
 			full = full || pool.Empty()
 			if full && !candidate.job.Fills() {
 				if recordShortage && !candidate.job.TaskPlaced() {
-					s.place.waits.RecordShortage(service)
+					s.recordShortage(candidate.job, 0, pool)
 					recordShortage = false
 				}
 				waiting = true
@@ -176,7 +176,9 @@
 		}
 		w := pool.Choose(t, allowed)
 		if w == nil {
-			s.place.waits.RecordShortage(s.serviceOf(o.Job))
+			if isolation == job.NotIsolated {
+				s.recordShortage(o.Job, step, pool)
+			}
 			s.requestAdvice(o, step, pool.Workers(), now)
 			noWorker[isolation], waiting = true, true
 			continue
@@ -238,7 +240,7 @@
 	allowed := s.allowedWorkers(o, step, now)
 	chosen, ok := pool.ChooseGang(tasks, allowed)
 	if !ok {
-		s.place.waits.RecordShortage(s.serviceOf(o.Job))
+		s.recordShortage(o.Job, step, pool)
 		s.requestAdvice(o, step, pool.Workers(), now)
 		return true
 	}
--- a/internal/scheduler/place_wait.go
+++ b/internal/scheduler/place_wait.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// recordShortage records that a task or gang of a step found no room.
+func (s *Scheduler) recordShortage(j *job.Job, step int, pool *placement.Pool) {
+	if s.place.waits.Enabled() && !s.requiresAdvice(j) {
+		s.place.waits.RecordShortage(s.serviceOf(j), pool, &j.Spec.Steps[step])
+	}
+}
+
 // prospects returns the workers of a service that wait for upkeep, and the machines that
 // are moving to its pool.
 func (s *Scheduler) prospects(service string, now time.Time) placement.Prospects {
@@ -51,13 +58,21 @@
 // taskWaits reports whether a task for which w has room waits for room in the rack of its
 // data.
 func (s *Scheduler) taskWaits(t *job.Task, w *worker.Worker, pool *placement.Pool, allowed func(*worker.Worker) bool, now time.Time) bool {
-	return s.recordWait(t, s.place.waits.Task(pool, t, w, allowed), now)
+	return s.recordWait(t, s.place.waits.Task(pool, t, w, s.constraint(t.Occurrence.Job, allowed)), now)
 }
 
 // gangWaits reports whether a gang for which the chosen workers have room waits for room
 // in a single rack.
 func (s *Scheduler) gangWaits(tasks []job.Task, chosen []*worker.Worker, pool *placement.Pool, allowed func(*worker.Worker) bool, now time.Time) bool {
-	return s.recordWait(&tasks[0], s.place.waits.Gang(pool, tasks, chosen, allowed), now)
+	return s.recordWait(&tasks[0], s.place.waits.Gang(pool, tasks, chosen, s.constraint(tasks[0].Occurrence.Job, allowed)), now)
+}
+
+// constraint returns the filter of a job's workers, nil if every worker passes.
+func (s *Scheduler) constraint(j *job.Job, allowed func(*worker.Worker) bool) func(*worker.Worker) bool {
+	if !s.requiresAdvice(j) {
+		return nil
+	}
+	return allowed
 }
 
 // recordWait counts and logs a decision and reports whether the task waits.
--- a/internal/zone/placement/placement_test.go
+++ b/internal/zone/placement/placement_test.go
@@ -120,3 +120,27 @@
 		}
 	}
 }
+
+// TestShortageThatRoomCannotEnd guards against waits that go on beside idle workers because
+// of a task that can use none of them, now or later.
+func TestShortageThatRoomCannotEnd(t *testing.T) {
+	list := testWorkers()
+	p, need := NewPool(list, now), machine.Resources{MilliCores: 1000}
+	for name, c := range map[string]struct {
+		step job.Step
+		want bool
+	}{
+		"task":             {job.Step{Need: need, Count: 100}, true},
+		"gang":             {job.Step{Need: need, Count: 48, Gang: true}, true},
+		"gang of 49 cores": {job.Step{Need: need, Count: 49, Gang: true}, false},
+		"label":            {job.Step{Need: need, Count: 1, Label: "gpu"}, false},
+		"large task":       {job.Step{Need: need.Times(9), Count: 1}, false},
+		"one per worker":   {job.Step{Need: need, Count: 7, MaxPerWorker: 1}, false},
+	} {
+		ws := NewWaits(2)
+		ws.RecordShortage("s", p, &c.step)
+		if ws.BeginRound(nil); ws.isCrowded(list[0]) != c.want {
+			t.Errorf("%s: crowded is %v", name, !c.want)
+		}
+	}
+}
--- a/internal/zone/placement/wait.go
+++ b/internal/zone/placement/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
@@ -19,11 +20,22 @@
 	// outlooks are the outlooks of this round, prospects supplies what they need.
 	outlooks  map[*Pool]*outlook
 	prospects func(service string) Prospects
-	// crowded are the services of which a task had no room in the last round, short
-	// those in this round.
-	crowded, short map[string]bool
+	// crowded are the least needs of tasks that had no room in the last round, by service,
+	// short those in this round.
+	crowded, short map[string]machine.Resources
+	// budget is how many workers may still be looked at in this round.
+	budget int
 }
 
+const (
+	// roundBudget bounds the workers that are looked at in a round. Beyond it no wait
+	// begins, and those under way go on until the time at which they expect room.
+	roundBudget = 2048
+	// recheckInterval is the time after which the expectation of a wait is computed anew.
+	// Until then the wait goes on if the workers that it counts on may still be used.
+	recheckInterval = 100 * time.Millisecond
+)
+
 // wait is a wait of a task or gang.
 type wait struct {
 	task          *job.Task
@@ -31,6 +43,10 @@
 	began         time.Time
 	limits        limits
 	gain          time.Duration
+	// expected is when the rack is expected to have room, use the places that the task
+	// expects to get, checkAt when both are computed anew.
+	expected, checkAt time.Time
+	use               []places
 }
 
 // Verdict is the decision about a task or gang for which a place was found.
@@ -83,7 +99,7 @@
 // service during the round.
 func (ws *Waits) BeginRound(prospects func(service string) Prospects) {
 	ws.prospects, ws.outlooks = prospects, nil
-	ws.crowded, ws.short = ws.short, nil
+	ws.crowded, ws.short, ws.budget = ws.short, nil, roundBudget
 	for name, w := range ws.list {
 		if w.task.Done() || len(w.task.Runs) > 0 || w.task.Occurrence.Job.Ended() {
 			delete(ws.list, name)
@@ -103,16 +119,36 @@
 	return c
 }
 
-// RecordShortage records that a task of a service found no room in this round. The room
-// that a waiting task leaves free is then used by others.
-func (ws *Waits) RecordShortage(service string) {
-	if !ws.Enabled() {
+// RecordShortage records that a task or gang of a service found no room in this round. It
+// uses the room that waiting tasks leave free, unless it cannot use every worker or is a
+// gang that is larger than the pool.
+func (ws *Waits) RecordShortage(service string, p *Pool, t *job.Step) {
+	if !ws.Enabled() || t.Label != "" || t.MaxPerWorker > 0 || t.Gang && !p.holds(t) {
 		return
 	}
 	if ws.short == nil {
-		ws.short = make(map[string]bool)
+		ws.short = make(map[string]machine.Resources)
+	}
+	need := t.CountedNeed()
+	if least, ok := ws.short[service]; !ok || need.FitsIn(least) {
+		ws.short[service] = need
+	}
+}
+
+// isCrowded reports whether other work waits for room on such a worker. It may need more
+// than is free: it starts sooner if nothing else takes the room.
+func (ws *Waits) isCrowded(w *worker.Worker) bool {
+	need, ok := ws.crowded[w.Service]
+	return ok && need.FitsIn(w.Capacity)
+}
+
+// holds reports whether the pool has the capacity for a gang.
+func (p *Pool) holds(t *job.Step) bool {
+	var capacity machine.Resources
+	for _, w := range p.workers {
+		capacity = capacity.Plus(w.Capacity)
 	}
-	ws.short[service] = true
+	return t.CountedNeed().Times(float64(t.Count)).FitsIn(capacity)
 }
 
 // Count returns the number of waits of a service at now, of all services if it is empty.
@@ -153,19 +189,24 @@
 	return next
 }
 
-// Task decides about a task for which chosen has room.
+// Task decides about a task for which chosen has room. Allowed is nil if the task may run
+// on every worker.
 func (ws *Waits) Task(p *Pool, t *job.Task, chosen *worker.Worker, allowed func(*worker.Worker) bool) Decision {
 	spec := t.Spec()
 	if !ws.Enabled() || spec.Rack == "" || !mayWait(t) {
 		return Decision{}
 	}
-	d := demand{task: t, count: 1, allowed: func(w *worker.Worker) bool {
-		return allowed(w) && (spec.MaxPerWorker == 0 || w.CountStep(t.Occurrence, t.Step) < spec.MaxPerWorker)
-	}}
+	d := demand{task: t, count: 1, allowed: allowed}
+	if spec.MaxPerWorker > 0 {
+		d.allowed = func(w *worker.Worker) bool {
+			return (allowed == nil || allowed(w)) && w.CountStep(t.Occurrence, t.Step) < spec.MaxPerWorker
+		}
+	}
 	return ws.decide(p, d, chosen, []string{spec.Rack}, chosen.Rack() == spec.Rack)
 }
 
-// Gang decides about a gang for whose tasks the chosen workers have room.
+// Gang decides about a gang for whose tasks the chosen workers have room. Allowed is nil if
+// its tasks may run on every worker.
 func (ws *Waits) Gang(p *Pool, tasks []job.Task, chosen []*worker.Worker, allowed func(*worker.Worker) bool) Decision {
 	t := &tasks[0]
 	if !ws.Enabled() || !t.Spec().SameRack || !mayWait(t) {
@@ -195,49 +236,79 @@
 			return Decision{}
 		}
 		delete(ws.list, name)
-		return Decision{Verdict: WaitMet, Rack: w.rack, Gain: w.gain, Waited: now.Sub(w.began), Until: w.limits.last}
+		return w.decision(WaitMet, now)
 	}
 	gain := time.Duration(float64(d.task.Spec().ExpectedRunTime()) * (ws.factor - 1))
 	l := limitsOf(d.task, gain, now)
 	if w != nil {
 		l = w.limits
 	}
-	crowded := ws.crowded[chosen.Service]
+	crowded := ws.isCrowded(chosen)
 	if end := l.end(crowded); now.Before(end) {
 		o := ws.outlook(p, chosen.Service)
-		at, use, rack, ok := o.earliestOf(d, racks)
-		inTime := !at.After(end) || crowded && !now.Before(l.elsewhere)
-		if ok && at.After(now) && inTime && cost(at.Sub(now), crowded) < gain {
+		if w != nil && w.holds(now, end, crowded, ws.budget <= 0) && o.claim(d, w.expected, w.use) {
+			return w.decision(WaitGoesOn, now)
+		}
+		if at, use, rack, ok := ws.expect(o, d, racks, l, gain, crowded); ok {
 			o.claim(d, at, use)
 			verdict := WaitGoesOn
 			if w == nil {
 				w = &wait{task: d.task, service: chosen.Service, began: now, limits: l, gain: gain}
 				ws.list[name], verdict = w, WaitBegins
 			}
-			w.rack = rack
-			return Decision{Verdict: verdict, Rack: rack, Gain: gain, Expected: at.Sub(now), Waited: now.Sub(w.began), Until: l.last}
+			w.rack, w.expected, w.use, w.checkAt = rack, at, use, now.Add(recheckInterval)
+			if at.Before(w.checkAt) {
+				w.checkAt = at
+			}
+			return w.decision(verdict, now)
 		}
 	}
 	if w == nil {
 		return Decision{}
 	}
 	delete(ws.list, name)
-	return Decision{Verdict: WaitGivenUp, Rack: w.rack, Gain: w.gain, Waited: now.Sub(w.began), Until: w.limits.last}
+	return w.decision(WaitGivenUp, now)
 }
 
-// uncertainty is the part by which an expected wait may be exceeded. It is that of the
-// run times: in the simulations tasks take up to 1.3 times their estimates.
-const uncertainty = 0.3
+// holds reports whether the expectation of the wait need not be computed anew.
+func (w *wait) holds(now, end time.Time, crowded, spent bool) bool {
+	return (crowded || !w.expected.After(end)) && (now.Before(w.checkAt) || spent && now.Before(w.expected))
+}
 
-// cost returns what an expected wait costs, as a time to compare with its gain. If no
-// other work waits for room, a wait leaves room unused and must pay with its uncertainty.
-func cost(expected time.Duration, crowded bool) time.Duration {
-	if crowded {
-		return expected
+// decision returns a verdict about the wait.
+func (w *wait) decision(v Verdict, now time.Time) Decision {
+	d := Decision{Verdict: v, Rack: w.rack, Gain: w.gain, Waited: now.Sub(w.began), Until: w.limits.last}
+	if v.Waits() {
+		d.Expected = w.expected.Sub(now)
 	}
-	return time.Duration(float64(expected) * (1 + uncertainty))
+	return d
 }
 
+// expect returns when one of the racks is expected to have room for the demand, and the
+// places that it would use, if a wait for it is worthwhile.
+func (ws *Waits) expect(o *outlook, d demand, racks []string, l limits, gain time.Duration, crowded bool) (at time.Time, use []places, rack string, ok bool) {
+	now := o.pool.now
+	longest := gain
+	if !crowded {
+		longest = time.Duration(float64(gain) / (1 + uncertainty))
+	}
+	limit := now.Add(longest)
+	if end := l.end(crowded); (!crowded || !now.After(l.elsewhere)) && !limit.Before(end) {
+		limit = end.Add(1)
+	}
+	for _, r := range racks {
+		if t, u, possible := o.earliest(d, r, limit); possible && (!ok || t.Before(at)) {
+			at, use, rack, ok = t, slices.Clone(u), r, true
+		}
+	}
+	return at, use, rack, ok && at.After(now)
+}
+
+// uncertainty is the part by which an expected wait may be exceeded. It is that of the
+// run times: in the simulations tasks take up to 1.3 times their estimates. It counts
+// against a wait that leaves room unused, that is if no other work waits for room.
+const uncertainty = 0.3
+
 // limits are the times that end a wait. They follow from the slack of the job and are fixed
 // when the wait begins.
 type limits struct {
@@ -254,7 +325,7 @@
 func limitsOf(t *job.Task, gain time.Duration, now time.Time) limits {
 	j := t.Occurrence.Job
 	l := limits{last: time.UnixMilli(j.DueAt(t.Occurrence.Number)).Add(j.CompletionObjective() - j.CriticalPath(t.Step))}
-	if elsewhere := l.last.Add(-gain); now.Before(elsewhere) {
+	if elsewhere := l.last.Add(-gain); !now.After(elsewhere) {
 		l.elsewhere = elsewhere
 	}
 	if longest := now.Add(gain); longest.Before(l.last) {
@@ -273,24 +344,13 @@
 	return l.last
 }
 
-// earliestOf returns the earliest time at which one of the racks is expected to have
-// room, with the places and the rack.
-func (o *outlook) earliestOf(d demand, racks []string) (at time.Time, use []places, rack string, ok bool) {
-	for _, r := range racks {
-		if t, u, possible := o.earliest(d, r); possible && (!ok || t.Before(at)) {
-			at, use, rack, ok = t, u, r, true
-		}
-	}
-	return at, use, rack, ok
-}
-
 func (ws *Waits) outlook(p *Pool, service string) *outlook {
 	if ws.outlooks == nil {
 		ws.outlooks = make(map[*Pool]*outlook)
 	}
 	o := ws.outlooks[p]
 	if o == nil {
-		o = &outlook{pool: p, factor: ws.factor, prospects: ws.prospects(service)}
+		o = newOutlook(p, ws.factor, ws.prospects(service), &ws.budget)
 		ws.outlooks[p] = o
 	}
 	return o
