--- a/internal/link/intake/gate.go
+++ b/internal/link/intake/gate.go
@@ -298,11 +298,16 @@
 }
 
 // BeginBody decides about a body before anything of it is read. Length is -1 if it is not
-// known; Extend then reserves the body part by part.
+// known; Extend then reserves the body part by part. The metrics server takes short ones
+// of known length, with the jobs that operators ask about: all its connections together
+// leave enough of the memory that it shares with the readiness server.
 func (g *Gate) BeginBody(c *Connection, length int64, now time.Time) Reason {
-	if c.server != Callers {
+	if c.server == Readiness || c.server == Metrics && length < 0 {
 		return g.refuse(BodyNotTaken)
 	}
+	if c.server == Metrics && length > smallBody {
+		return g.refuse(BodyTooLarge)
+	}
 	c.enter(body, now)
 	if length < 0 {
 		return ""
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 	return scheduler.Options{
 		NodeName: s.Instance, ProcessID: process, CPUShare: s.CPUShare,
 		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
-		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap,
+		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap, RemoteFactor: b.RemoteFactor,
 		MachineOrdersPerSecond: s.MachineOrdersPerSecond,
 	}
 }
@@ -137,7 +137,7 @@
 
 	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.maxConfigAge())
 	callersServer := n.newCallersServer(platform.CallersHandler(componentsCtx, service, n.clients.readBody, n.observe, n.logContained))
-	readinessServer, metricsServer := n.newReadinessServer(), n.newMetricsServer()
+	readinessServer, metricsServer := n.newReadinessServer(), n.newMetricsServer(n.operatorsHandler(componentsCtx, service))
 	callers, err := n.serve(ctx, group, callersServer, intake.Callers, n.settings.CallersAddress)
 	if err != nil {
 		return err
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -41,8 +41,8 @@
 	return n.newServer(n.clients.withoutBody(platform.ReadyHandler(n.ready)))
 }
 
-func (n *node) newMetricsServer() *http.Server {
-	return n.newServer(n.clients.withoutBody(n.metrics.handler()))
+func (n *node) newMetricsServer(handler http.Handler) *http.Server {
+	return n.newServer(n.clients.admit(handler))
 }
 
 // serve listens on address and serves s in group. The server ends when it is shut down or
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -9,6 +9,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
+	"github.com/crocusjunction/crocusjunction/internal/zone/placement"
 )
 
 // Delays of the election.
@@ -293,7 +294,7 @@
 	s.usage = make(map[string]machine.Resources)
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
-	s.place = placeState{roundNeeded: true}
+	s.place = placeState{roundNeeded: true, waits: placement.NewWaits(s.options.RemoteFactor)}
 	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
 	s.machineOps.orderRate = upkeep.NewOrderRate(s.options.MachineOrdersPerSecond)
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
@@ -352,4 +353,5 @@
 	s.workers = newOrderedMap[string, *worker.Worker]()
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.usage, s.unreconciled, s.awaitedWorkers, s.deferredStarts, s.lostStarts = nil, 0, nil, nil, nil
+	s.place.waits, s.counts.WaitingForRack = placement.NewWaits(s.options.RemoteFactor), 0
 }
