--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -24,13 +24,14 @@
 
 	"contract/job":    {"machine"},
 	"contract/policy": {"machine"},
+	"contract/usage":  {"machine"},
 	"machine/worker":  {"machine", "contract/job"},
 	"machine/upkeep":  {"machine"},
 	"machine/pools":   {"machine"},
 	"link/lease":      {},
 	"zone/placement":  {"contract/job", "machine/worker"},
 	"scheduler": {
-		"machine", "contract/job", "contract/policy", "link/lease",
+		"machine", "contract/job", "contract/policy", "contract/usage", "link/lease",
 		"machine/worker", "machine/upkeep", "machine/pools", "zone/placement",
 	},
 }
