scheduler: order the jobs of a contended pool by past use of their teams

A team that submits far more than usual delays the others: the factor on the order of jobs that have not begun counts only what runs at the moment, and a new scheduler knows nothing of the past.

While jobs of two teams or more wait for a full pool, the factor of a team now comes from usage.Ledger. Elsewhere the order is as before; the events of a simulation with one team, or with capacity for all, are the same to the last one. The use is kept in cj/usage, written at most every 2 s and only during contention, so that a takeover does not forgive a surplus. An unreadable record is set aside with its revision and replaced by the next write.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +29,8 @@
 	handoverKey = jobsPrefix + "handover"
 	// pendingKey holds the numbers of jobs that have not begun.
 	pendingKey = jobsPrefix + "pending"
+	// useKey holds the use of the teams.
+	useKey     = jobsPrefix + "usage"
 	cancelKey  = jobsPrefix + "x/"
 	waveKey    = jobsPrefix + "w/"
 	leaderKey  = jobsPrefix + "leader"
@@ -86,6 +89,46 @@
 	AsOf   int64          `json:"as_of"`
 }
 
+// useRecord is the stored form of scheduler.UseRead. It is written often while teams
+// compete, and read by every node, so it is CBOR with short values.
+type useRecord struct {
+	// At is in milliseconds of Unix time.
+	At int64 `cbor:"1,keyasint"`
+	// Used is by team, in hundredths of a core-second.
+	Used map[string]uint32 `cbor:"2,keyasint"`
+}
+
+// usePerCoreSecond is the unit of useRecord.
+const usePerCoreSecond = 100
+
+func newUseRecord(a scheduler.StoreUse) useRecord {
+	r := useRecord{At: a.At.UnixMilli(), Used: make(map[string]uint32, len(a.Used))}
+	for team, used := range a.Used {
+		if n := math.Round(used * usePerCoreSecond); n > 0 {
+			r.Used[team] = uint32(min(n, math.MaxUint32))
+		}
+	}
+	return r
+}
+
+// decodeUse decodes the use of the teams. For a value that cannot be decoded it returns
+// both the error and an empty use.
+func decodeUse(item platform.Item) (scheduler.Change, error) {
+	use := scheduler.UseRead{Revision: item.Revision}
+	if item.Removed {
+		return use, nil
+	}
+	var r useRecord
+	if err := cbor.Unmarshal(item.Value, &r); err != nil {
+		return use, wrapKey(err, item.Key)
+	}
+	use.At, use.Used = time.UnixMilli(r.At), make(map[string]float64, len(r.Used))
+	for team, n := range r.Used {
+		use.Used[team] = float64(n) / usePerCoreSecond
+	}
+	return use, nil
+}
+
 // machineOrdersRecord is the stored list of machines that the scheduler of an epoch,
 // or those before it, may have ordered lately.
 type machineOrdersRecord struct {
@@ -192,6 +235,9 @@
 	if item.Key == leaderKey && !item.Removed {
 		return decodeHolder(item)
 	}
+	if item.Key == useKey {
+		return decodeUse(item)
+	}
 	change, err := decodeRecord(item)
 	if err != nil {
 		return nil, wrapKey(err, item.Key)
@@ -211,7 +257,8 @@
 	return holder, nil
 }
 
-// decodeRecord is decodeSchedulerRecord for all keys but that of a holder. With an error,
+// decodeRecord is decodeSchedulerRecord for all keys but those of a holder and of the use
+// of teams. With an error,
 // the change is of no use.
 func decodeRecord(item platform.Item) (scheduler.Change, error) {
 	if name, ok := strings.CutPrefix(item.Key, quarantineKey); ok {
--- a/internal/node/codec_test.go
+++ b/internal/node/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -37,15 +38,45 @@
 		leaderKey:                      encodeJSON(leaderRecord{Holder: "edge-1", Process: "n"}), epochKey: []byte("4"), releaseKey: []byte("3"),
 		rosterKey:     encodeJSON([]scheduler.RosterMember{{ID: "i-1", Address: "10.0.0.1:1"}}),
 		waveKey + "3": encodeJSON(waveRecord{Begun: []string{"m-1"}}),
+		useKey:        encodeCBOR(newUseRecord(scheduler.StoreUse{Used: map[string]float64{"t": 1.5}})),
 	}
 	for key, value := range valid {
 		if change, err := decodeJobsItem(platform.Item{Key: key, Value: value, Revision: 9}); err != nil || change == nil {
 			t.Errorf("%s: change %v, error %v", key, change, err)
 		}
 	}
-	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, leaderKey, waveKey + "x"} {
+	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, leaderKey, useKey, waveKey + "x"} {
 		if _, err := decodeJobsItem(platform.Item{Key: key, Value: []byte("\xff{"), Revision: 9}); err == nil {
 			t.Errorf("%s: malformed value was decoded without an error", key)
 		}
 	}
 }
+
+// TestUnreadableUseIsSetAside guards against a record of the use of teams that stops the
+// reading of the store, or that keeps the next one from being written: the scheduler must
+// learn its revision and start without history.
+func TestUnreadableUseIsSetAside(t *testing.T) {
+	at := time.UnixMilli(1_700_000_000_000)
+	stored := encodeCBOR(newUseRecord(scheduler.StoreUse{Used: map[string]float64{"t": 12.34, "none": 0.001}, At: at}))
+	for name, c := range map[string]struct {
+		item      platform.Item
+		want      scheduler.UseRead
+		wantError bool
+	}{
+		"readable":       {platform.Item{Value: stored}, scheduler.UseRead{Used: map[string]float64{"t": 12.34}, At: at}, false},
+		"removed":        {platform.Item{Removed: true}, scheduler.UseRead{}, false},
+		"truncated":      {platform.Item{Value: stored[:len(stored)-1]}, scheduler.UseRead{}, true},
+		"not CBOR":       {platform.Item{Value: []byte("{}")}, scheduler.UseRead{}, true},
+		"negative use":   {platform.Item{Value: encodeCBOR(map[int]any{1: 2, 2: map[string]int{"t": -5}})}, scheduler.UseRead{}, true},
+		"not of numbers": {platform.Item{Value: encodeCBOR(map[int]any{2: map[string]string{"t": "x"}})}, scheduler.UseRead{}, true},
+	} {
+		c.item.Key, c.item.Revision, c.want.Revision = useKey, 7, 7
+		got, err := decodeJobsItem(c.item)
+		if (err != nil) != c.wantError {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if diff := cmp.Diff(scheduler.Change(c.want), got); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
@@ -119,6 +120,7 @@
 		NodeName: s.Instance, ProcessID: process, CPUShare: s.CPUShare,
 		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
 		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap,
+		ShareHalfLife: usage.HalfLife,
 	}
 }
 
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -123,6 +123,11 @@
 	return scheduler.PendingStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "numbers of pending jobs", a.Expected, put)}
 }
 
+func (r *runner) storeUse(a scheduler.StoreUse) scheduler.Event {
+	put := platform.Put{Key: useKey, Value: encodeCBOR(newUseRecord(a))}
+	return scheduler.UseStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "use of teams", a.Expected, put)}
+}
+
 func (r *runner) storeMachineOrders(a scheduler.StoreMachineOrders) scheduler.Event {
 	put := platform.Put{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}
 	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -113,6 +113,7 @@
 		{rosterKey, roster(scheduler.RosterMember{ID: "i-1"}), roster(scheduler.RosterMember{ID: "i-1"}, scheduler.RosterMember{ID: "i-2"})},
 		{machineOrdersKey, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a"}}, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a", "b"}}},
 		{pendingKey, scheduler.StorePending{Fence: fence, AsOf: 3}, scheduler.StorePending{Fence: fence, AsOf: 4}},
+		{useKey, scheduler.StoreUse{Fence: fence, Used: map[string]float64{"a": 1}}, scheduler.StoreUse{Fence: fence, Used: map[string]float64{"a": 2}}},
 		{silencesKey, scheduler.StoreSilences{Fence: fence, Left: map[string]time.Duration{"i-1": time.Second}}, scheduler.StoreSilences{Fence: fence}},
 		{waveKey + "1", scheduler.PublishWave{Fence: fence, Wave: 1}, scheduler.PublishWave{Fence: fence, Wave: 1, Completed: true}},
 	} {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
@@ -24,7 +27,7 @@
 // and waiting jobs in each queue.
 func newLoadedScheduler(workers, pools, jobs int) (*Scheduler, time.Time) {
 	now := time.UnixMilli(1_700_000_000_000)
-	s := New(Options{NodeName: "node", TaskLease: 5 * time.Second, MaxTaskLease: 6 * time.Second, StatusRetention: time.Minute})
+	s := New(Options{NodeName: "node", TaskLease: 5 * time.Second, MaxTaskLease: 6 * time.Second, StatusRetention: time.Minute, ShareHalfLife: usage.HalfLife})
 	var queues []policy.Queue
 	var services []policy.Service
 	for p := range pools {
@@ -72,6 +75,33 @@
 	}
 }
 
+// BenchmarkContendedRound measures a placement round that finds every pool full while the
+// target number of teams competes for all of them.
+func BenchmarkContendedRound(b *testing.B) {
+	const teamCount = 140
+	for _, size := range fleetSizes {
+		b.Run(size.name, func(b *testing.B) {
+			s, now := newLoadedScheduler(size.workers, size.pools, size.jobs)
+			var teams []policy.Team
+			for i := range teamCount {
+				teams = append(teams, policy.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1})
+			}
+			i := 0
+			for _, j := range s.jobs.all() {
+				j.Terms.Team, j.Terms.Objective = teams[i%teamCount].Name, time.Minute
+				i++
+			}
+			s.config = policy.New(2, slices.Clone(s.config.Queues()), teams, slices.Collect(maps.Values(s.config.Services())), policy.RequestLimits{})
+			s.placeRound(now)
+			s.actions = nil
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s.placeRound(now)
+			}
+		})
+	}
+}
+
 // BenchmarkFirstRound measures a placement round that fills every pool, and reports
 // the number of its starts.
 func BenchmarkFirstRound(b *testing.B) {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -289,6 +289,7 @@
 	s.counts.Takeovers++
 	s.workers = newOrderedMap[string, *worker.Worker]()
 	s.usage = make(map[string]machine.Resources)
+	s.startFairShare(now)
 	s.unfinished = newOrderedMap[job.ID, *job.Job]()
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
 	s.place = placeState{roundNeeded: true}
@@ -338,6 +339,7 @@
 	s.log("scheduling ends", "reason", reason, "fence", s.fence())
 	s.leading = false
 	s.pending.stopLeading()
+	s.stopFairShare()
 	s.election.authority = lease.Authority{}
 	s.election.acquireAt = now.Add(s.acquireDelay())
 	for _, j := range s.jobs.all() {
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -80,6 +80,7 @@
 	next.counts = failed.counts
 	next.counts.Contained++
 	next.counts.Running, next.counts.Unfinished, next.counts.Workers = 0, 0, 0
+	next.counts.ContendedPools, next.counts.Shares = 0, nil
 	next.election.stopping = failed.election.stopping
 	next.election.yieldUntil = now.Add(g.yield)
 	maps.Copy(next.quarantine.records, failed.quarantine.records)
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,6 +36,58 @@
 	burstFactor     float64
 	burstAt         time.Duration
 	killSchedulerAt time.Duration
+	// teams submit the jobs of all queues; without any, one team submits all of them.
+	teams []loadTeam
+	// shareHalfLife is Options.ShareHalfLife.
+	shareHalfLife time.Duration
+}
+
+// loadTeam is a team of a load. From overloadAt on, it submits overload times its usual
+// load, if overload is not 0.
+type loadTeam struct {
+	name string
+	// part is the team's usual part of the jobs of each queue.
+	part       float64
+	overload   float64
+	overloadAt time.Duration
+	// width multiplies the number of tasks of a step, 0 means 1.
+	width float64
+}
+
+// load returns the present load of the team as a part of the usual load of a queue.
+func (l *loadTeam) load(at time.Duration) float64 {
+	if l.overload > 0 && at >= l.overloadAt {
+		return l.part * l.overload
+	}
+	return l.part
+}
+
+// teamAt returns a random team by the present loads, and the sum of these loads. Without
+// teams it returns the only team of the simulation.
+func (d *loadDay) teamAt(at time.Duration, random *rand.Rand) (loadTeam, float64) {
+	if len(d.teams) == 0 {
+		return loadTeam{name: "team"}, 1
+	}
+	sum := 0.0
+	for i := range d.teams {
+		sum += d.teams[i].load(at)
+	}
+	x := random.Float64() * sum
+	for i := range d.teams {
+		if x -= d.teams[i].load(at); x < 0 {
+			return d.teams[i], sum
+		}
+	}
+	return d.teams[len(d.teams)-1], sum
+}
+
+// highestLoad returns the largest sum of the loads of all teams.
+func (d *loadDay) highestLoad() float64 {
+	sum := 0.0
+	for i := range d.teams {
+		sum += d.teams[i].part * max(1, d.teams[i].overload)
+	}
+	return max(1, sum)
 }
 
 // loadResult counts what callers got.
@@ -43,6 +96,8 @@
 	// machineSeconds is the time of machines in pools, moves the number of moves.
 	machineSeconds float64
 	moves          int
+	// teams are the results of the jobs of each team.
+	teams map[string]*loadResult
 }
 
 func (r loadResult) String() string {
@@ -79,14 +134,14 @@
 	return d.queues[i].meanRate * factor
 }
 
-// spread returns a value with the given mean, between half and one and a half of it.
-func (w *simulation) spread(mean float64) float64 { return mean * (0.5 + w.random.Float64()) }
+// spread returns a random value with the given mean, between half and one and a half of it.
+func spread(random *rand.Rand, mean float64) float64 { return mean * (0.5 + random.Float64()) }
 
 // jobOf returns a random job of a queue.
-func (w *simulation) jobOf(q loadQueue) job.Spec {
+func (q *loadQueue) job(random *rand.Rand) job.Spec {
 	spec := job.Spec{Payload: "p"}
-	for len(spec.Steps) == 0 || float64(len(spec.Steps)) < w.spread(q.steps) {
-		step := newStep(max(1, int(w.spread(q.width))), int64(w.spread(float64(q.millicores))), int(w.spread(float64(q.work.Milliseconds()))))
+	for len(spec.Steps) == 0 || float64(len(spec.Steps)) < spread(random, q.steps) {
+		step := newStep(max(1, int(spread(random, q.width))), int64(spread(random, float64(q.millicores))), int(spread(random, float64(q.work.Milliseconds()))))
 		if n := len(spec.Steps); n > 0 {
 			step.After = []int{n - 1}
 		}
@@ -107,17 +162,40 @@
 	return false
 }
 
+// count adds the outcome of a job.
+func (r *loadResult) count(outcome func(r *loadResult) *int) {
+	r.jobs++
+	*outcome(r)++
+}
+
+// merge adds the results of other.
+func (r *loadResult) merge(other *loadResult) {
+	r.jobs += other.jobs
+	r.inAim += other.inAim
+	r.late += other.late
+	r.tooLate += other.tooLate
+	r.unfinished += other.unfinished
+	r.failed += other.failed
+	r.machineSeconds += other.machineSeconds
+	r.moves += other.moves
+}
+
 // play plays the day and returns what callers got.
 func (d *loadDay) play(t *testing.T, seed uint64) loadResult {
-	w := newSimulation(t, seed, 2)
-	w.quiet = true
+	w := newEmptySimulation(t, seed)
+	w.quiet, w.shareHalfLife = true, d.shareHalfLife
+	w.addNodes(2)
 	w.teamLimit = machine.Resources{MilliCores: 1 << 40}
 	queues, services := []policy.Queue{}, []policy.Service{{Name: "spare", Spare: true}}
 	for _, q := range d.queues {
 		queues = append(queues, policy.Queue{Name: q.name, Service: q.name, Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond})
 		services = append(services, policy.Service{Name: q.name, ChecksAdmission: true})
 	}
-	w.store.put("config", policy.New(2, queues, []policy.Team{{Name: "team", Keys: []string{"k"}, UpperLimit: w.teamLimit}}, services, policy.RequestLimits{}), 0)
+	teams := []policy.Team{{Name: "team", Keys: []string{"k"}, UpperLimit: w.teamLimit}}
+	for _, l := range d.teams {
+		teams = append(teams, policy.Team{Name: l.name, Keys: []string{l.name}, Weight: 1, UpperLimit: w.teamLimit})
+	}
+	w.store.put("config", policy.New(2, queues, teams, services, policy.RequestLimits{}), 0)
 	for i := range d.machines {
 		w.addMachine(i, "spare")
 	}
@@ -126,6 +204,11 @@
 	start := w.now
 	accepted := make(map[job.ID]time.Time)
 	number := 0
+	// The arrivals of a load with teams are the same for each rule under comparison.
+	random := w.random
+	if len(d.teams) > 0 {
+		random = rand.New(rand.NewPCG(seed, 2))
+	}
 	for i := range d.queues {
 		q := d.queues[i]
 		var next func()
@@ -135,19 +218,22 @@
 				return
 			}
 			// Thinning: candidates come at the highest rate and are kept by the present one.
-			highest := q.meanRate * 5 * max(1, d.burstFactor)
-			if w.random.Float64() < d.rate(i, at)/highest {
+			highest := q.meanRate * 5 * max(1, d.burstFactor) * d.highestLoad()
+			team, sum := d.teamAt(at, random)
+			if random.Float64() < d.rate(i, at)*sum/highest {
 				number++
-				accepted[w.submitTo(q.name, number, w.jobOf(q))] = w.now
+				submitted := q
+				submitted.width *= max(1, team.width)
+				accepted[w.submitAs(team.name, q.name, number, submitted.job(random))] = w.now
 			}
-			w.after(time.Duration(w.random.ExpFloat64()/highest*float64(time.Second)), next)
+			w.after(time.Duration(random.ExpFloat64()/highest*float64(time.Second)), next)
 		}
 		w.after(0, next)
 	}
 	if d.killSchedulerAt > 0 {
 		w.after(d.killSchedulerAt, func() { w.withLeader(func(n *simNode) { n.kill(2 * time.Second) }) })
 	}
-	var r loadResult
+	r := loadResult{teams: make(map[string]*loadResult)}
 	moved := w.moves
 	const sample = 100 * time.Millisecond
 	for w.now.Sub(start) < d.length+20*time.Second {
@@ -161,20 +247,24 @@
 	r.moves = w.moves - moved
 	for id, at := range accepted {
 		j := job.New(id, w.terms[id], w.jobs[id], 0, 0)
-		r.jobs++
 		took := w.ended[id].Sub(at)
+		outcome := func(r *loadResult) *int { return &r.tooLate }
 		switch objective := j.CompletionObjective(); {
 		case w.ended[id].IsZero():
-			r.unfinished++
+			outcome = func(r *loadResult) *int { return &r.unfinished }
 		case w.state(id) == job.Failed && !w.exhausted(id):
-			r.failed++
+			outcome = func(r *loadResult) *int { return &r.failed }
 		case took <= objective:
-			r.inAim++
+			outcome = func(r *loadResult) *int { return &r.inAim }
 		case took <= lateFactor*objective:
-			r.late++
-		default:
-			r.tooLate++
+			outcome = func(r *loadResult) *int { return &r.late }
+		}
+		team := w.terms[id].Team
+		if r.teams[team] == nil {
+			r.teams[team] = &loadResult{}
 		}
+		r.count(outcome)
+		r.teams[team].count(outcome)
 	}
 	return r
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -101,6 +101,7 @@
 	pools := s.pools(now)
 	waiting := false
 	ranked := s.rankedJobs(now)
+	clear(s.fairShare.contended)
 	for _, service := range slices.Sorted(maps.Keys(ranked)) {
 		pool := pools[service]
 		if pool == nil {
@@ -108,17 +109,26 @@
 			continue
 		}
 		full := false
-		for _, candidate := range ranked[service] {
+		var waitingTeams teamSet
+		jobs := ranked[service].candidates
+		for i := range jobs {
+			candidate := &jobs[i]
 			full = full || pool.Empty()
 			if full && !candidate.job.Fills() {
 				waiting = true
+				waitingTeams.add(candidate)
 				continue
 			}
 			s.subject = jobRecord(candidate.job.ID)
+			before := s.fairShare.capacityMisses
 			if s.placeJob(candidate.job, pool, now) {
 				waiting = true
 			}
+			if s.fairShare.capacityMisses > before {
+				waitingTeams.add(candidate)
+			}
 		}
+		s.fairShare.recordContention(service, waitingTeams)
 	}
 	s.subject = Record{}
 	return waiting
@@ -166,6 +176,7 @@
 		w := pool.Choose(t, allowed)
 		if w == nil {
 			s.requestAdvice(o, step, pool.Workers(), now)
+			s.fairShare.capacityMisses++
 			noWorker[isolation], waiting = true, true
 			continue
 		}
@@ -221,6 +232,7 @@
 	}
 	chosen, ok := pool.ChooseGang(tasks, s.allowedWorkers(o, step, now))
 	if !ok {
+		s.fairShare.capacityMisses++
 		s.requestAdvice(o, step, pool.Workers(), now)
 		return true
 	}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 )
 
 // rank is the class of a job in the placement order of its service. Lower values
@@ -39,21 +40,39 @@
 	sortKey float64
 }
 
+// serviceJobs are the unfinished jobs of a service.
+type serviceJobs struct {
+	candidates []candidate
+	// contended means that two teams or more compete for the service's pool.
+	contended bool
+}
+
 // rankedJobs returns the unfinished jobs of each service in the order in which their
 // tasks are placed.
-func (s *Scheduler) rankedJobs(now time.Time) map[string][]candidate {
-	byService := make(map[string][]candidate)
-	factors := s.shareFactors()
+func (s *Scheduler) rankedJobs(now time.Time) map[string]*serviceJobs {
+	byService := make(map[string]*serviceJobs)
+	claims := s.claims()
+	factors := s.shareFactors(claims)
+	s.divideUse(claims, now)
 	for j := range s.unfinishedJobs() {
 		service := s.serviceOf(j)
+		jobs := byService[service]
+		if jobs == nil {
+			jobs = &serviceJobs{contended: s.fairShare.contended[service]}
+			byService[service] = jobs
+		}
 		c := s.rankJob(j, now)
-		if c.rank == rankTimely && j.Terms.Team != "" {
+		switch {
+		case c.rank != rankTimely || j.Terms.Team == "":
+		case jobs.contended:
+			c.sortKey *= s.fairShare.ledger.Factor(j.Terms.Team)
+		default:
 			c.sortKey *= factors[j.Terms.Team]
 		}
-		byService[service] = append(byService[service], c)
+		jobs.candidates = append(jobs.candidates, c)
 	}
-	for _, list := range byService {
-		slices.SortFunc(list, func(a, b candidate) int {
+	for _, jobs := range byService {
+		slices.SortFunc(jobs.candidates, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority),
 				cmp.Compare(a.sortKey, b.sortKey), cmp.Compare(a.job.ID, b.job.ID))
 		})
@@ -77,36 +96,43 @@
 	maxShareFactor = 8
 )
 
-// shareFactors returns, for each team with unfinished jobs, its usage as a multiple
-// of its weighted share of the total usage. The jobs of a team above its share
-// are placed after those of the others, so that a team that submits far more than
-// usual does not delay the other teams.
-func (s *Scheduler) shareFactors() map[string]float64 {
-	weights := make(map[string]float64)
-	sumWeight, sumUsage := 0.0, 0.0
+// claims returns the claims of the teams with unfinished jobs.
+func (s *Scheduler) claims() []usage.Claim {
+	var claims []usage.Claim
+	seen := make(map[string]bool)
 	for j := range s.unfinishedJobs() {
-		team, ok := s.config.Team(j.Terms.Team)
-		if !ok || weights[team.Name] > 0 {
+		if seen[j.Terms.Team] {
 			continue
 		}
-		weights[team.Name] = max(team.Weight, minTeamWeight)
-		sumWeight += weights[team.Name]
-		sumUsage += float64(s.usage[team.Name].MilliCores)
+		seen[j.Terms.Team] = true
+		if team, ok := s.config.Team(j.Terms.Team); ok {
+			claims = append(claims, usage.NewClaim(team.Name, team.Weight))
+		}
 	}
-	factors := make(map[string]float64, len(weights))
-	for team, weight := range weights {
-		fair := sumUsage * weight / sumWeight
-		factors[team] = maxShareFactor
-		if used := float64(s.usage[team].MilliCores); used < maxShareFactor*fair || sumUsage == 0 {
-			factors[team] = max(minShareFactor, used/max(fair, 1))
+	return claims
+}
+
+// shareFactors returns, for each team with a claim, its present usage as a multiple of
+// its weighted share of the total usage. The jobs of a team above its share are placed
+// after those of the others, so that a team that submits far more than usual does not
+// delay the other teams. They apply while teams do not compete for a full pool.
+func (s *Scheduler) shareFactors(claims []usage.Claim) map[string]float64 {
+	sumWeight, sumUsage := 0.0, 0.0
+	for _, c := range claims {
+		sumWeight += c.Weight
+		sumUsage += float64(s.usage[c.Team].MilliCores)
+	}
+	factors := make(map[string]float64, len(claims))
+	for _, c := range claims {
+		fair := sumUsage * c.Weight / sumWeight
+		factors[c.Team] = maxShareFactor
+		if used := float64(s.usage[c.Team].MilliCores); used < maxShareFactor*fair || sumUsage == 0 {
+			factors[c.Team] = max(minShareFactor, used/max(fair, 1))
 		}
 	}
 	return factors
 }
 
-// minTeamWeight replaces the weight of a team that has none.
-const minTeamWeight = 1e-3
-
 // rankJob returns the sort keys that determine a job's position in the placement
 // order, before its team's share factor is applied.
 func (s *Scheduler) rankJob(j *job.Job, now time.Time) candidate {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
@@ -38,6 +39,9 @@
 	// MachineOpGap is the least time between the machine operations of two
 	// successive holders of the scheduler lease.
 	MachineOpGap time.Duration
+	// ShareHalfLife is the half-life of the use by which teams that compete for a full
+	// pool are served; 0 means that only their present use counts.
+	ShareHalfLife time.Duration
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
@@ -55,6 +59,7 @@
 	dataCentresOut      map[string]bool
 	jobs                *orderedMap[job.ID, *job.Job]
 	pending             pendingJobs
+	fairShare           fairShare
 	// earlyCancels are the cancellations of jobs that are not stored, or were read before
 	// their job.
 	earlyCancels map[job.ID]earlyCancel
@@ -118,6 +123,11 @@
 	Starts, Ends, Failed, Lost, GivenUp, Refused, Takeovers, Contained int64
 	// Current values.
 	Running, Unfinished, Workers, Quarantined int64
+	// ContendedPools is the number of full pools for which two teams or more compete,
+	// Shares are the shares of the teams meanwhile, at most fairShareLogInterval old.
+	// The slice is not modified.
+	ContendedPools int64
+	Shares         []usage.Share
 }
 
 // New returns the state of a node that has read nothing from the store yet.
@@ -223,6 +233,7 @@
 	s.stepRemoval(now)
 	s.stepPoolLog(now)
 	s.stepPending(now)
+	s.stepFairShare(now)
 	s.updateCounts()
 }
 
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
@@ -51,6 +52,8 @@
 	// other nodes do not detect it.
 	powerLoss bool
 	teamLimit machine.Resources
+	// shareHalfLife is the half-life of the use of teams that the schedulers remember.
+	shareHalfLife time.Duration
 	// quiet drops the trace, which takes most of the time of a long simulation.
 	quiet bool
 	// ended is when the final state of a job was stored, moves the number of moves.
@@ -97,20 +100,30 @@
 }
 
 func newSimulation(t *testing.T, seed uint64, nodes int) *simulation {
+	w := newEmptySimulation(t, seed)
+	w.addNodes(nodes)
+	return w
+}
+
+// newEmptySimulation returns a simulation without nodes, so that their options can be set.
+func newEmptySimulation(t *testing.T, seed uint64) *simulation {
 	w := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
 		workers: make(map[string]*simWorker), machines: make(map[string]*simMachine),
 		jobs: make(map[job.ID]job.Spec), terms: make(map[job.ID]job.Terms), cancels: make(map[job.ID]time.Time),
 		finished: make(map[string]bool), failed: make(map[string]int), acknowledged: make(map[string]bool), absences: make(map[string]absence), tickets: make(map[string]time.Time),
 		deadly: make(map[string]bool), crashes: make(map[string]int), furtherStarts: make(map[string]int),
-		teamLimit: machine.Resources{MilliCores: 24000}, ended: make(map[job.ID]time.Time),
+		teamLimit: machine.Resources{MilliCores: 24000}, ended: make(map[job.ID]time.Time), shareHalfLife: usage.HalfLife,
 	}
 	w.store = newSimStore(w)
+	return w
+}
+
+func (w *simulation) addNodes(nodes int) {
 	for i := range nodes {
 		w.addNode(fmt.Sprintf("node-%d", i))
 	}
 	w.store.put("config", w.config(1), 0)
-	return w
 }
 
 func (w *simulation) config(version int64) *policy.Configuration {
@@ -160,12 +173,17 @@
 
 // submitTo is submit for a queue other than "q", which has a service of its name.
 func (w *simulation) submitTo(queue string, number int, spec job.Spec) job.ID {
+	return w.submitAs("team", queue, number, spec)
+}
+
+// submitAs is submitTo for a team.
+func (w *simulation) submitAs(team, queue string, number int, spec job.Spec) job.ID {
 	id := job.ID(fmt.Sprintf("%016x", number))
 	service := queue
 	if queue == "q" {
 		service = "s"
 	}
-	terms := job.Terms{Queue: queue, Service: service, Team: "team", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}
+	terms := job.Terms{Queue: queue, Service: service, Team: team, Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}
 	w.jobs[id], w.terms[id] = spec, terms
 	w.store.put("j/"+string(id), jobValue{id, terms, spec, w.now.UnixMilli()}, 0)
 	return id
