node: metrics of the shares of teams

Operators could not see which team has more than its share of a full fleet.

crocusjunction_share_contended_pools is the number of full pools for which teams compete, crocusjunction_share_ratio{team} what each team has used as a multiple of its fair share meanwhile. A test shows that a team without a present value is no longer shown.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -47,6 +47,7 @@
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
 		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
+		{"crocusjunction.share.contended_pools", "Full pools for which two teams or more compete.", func(s *controlStatus) int64 { return s.Counts.ContendedPools }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -73,6 +74,14 @@
 	if err := m.RegisterCounter("crocusjunction.log.dropped", "{line}", "Log lines that were dropped.", n.log.Dropped); err != nil {
 		return nil, err
 	}
+	err = m.RegisterLabelledGauge("crocusjunction.share.ratio", "What a team has used as a multiple of its weighted share, while teams compete for a full pool.", "team", func(observe func(string, float64)) {
+		for _, share := range n.loop.Status().Counts.Shares {
+			observe(share.Team, share.Ratio())
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
 	err = m.RegisterLabelledCounter("crocusjunction.platform.calls", "Calls to the platform by kind.", "kind", n.client.Counters().Each)
 	if err != nil {
 		return nil, err
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -144,3 +144,17 @@
 		}))
 	return wrapInstrument(err, name)
 }
+
+// RegisterLabelledGauge registers values with one label. At each scrape, collect is called
+// on another goroutine; it must call its argument with every label value and its value.
+func (m *Metrics) RegisterLabelledGauge(name, description, label string, collect func(func(labelValue string, value float64))) error {
+	_, err := m.meter.Float64ObservableGauge(name,
+		metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			collect(func(labelValue string, value float64) {
+				o.Observe(value, metric.WithAttributes(attribute.String(label, labelValue)))
+			})
+			return nil
+		}))
+	return wrapInstrument(err, name)
+}
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -31,3 +31,35 @@
 		}
 	}
 }
+
+// TestLabelledGaugeDropsAbsentLabels guards against the last value of a label that is still
+// shown after it is no longer observed, such as a team's share after the contention.
+func TestLabelledGaugeDropsAbsentLabels(t *testing.T) {
+	m, err := NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]float64{"depots": 2.5, "quays": 0.25}
+	err = m.RegisterLabelledGauge("crocusjunction.test.ratio", "A test value.", "team", func(observe func(string, float64)) {
+		for team, value := range values {
+			observe(team, value)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	scrape := func() string {
+		recorder := httptest.NewRecorder()
+		m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		return recorder.Body.String()
+	}
+	for _, want := range []string{`crocusjunction_test_ratio{team="depots"} 2.5`, `crocusjunction_test_ratio{team="quays"} 0.25`} {
+		if text := scrape(); !strings.Contains(text, want) {
+			t.Errorf("metrics lack %s:\n%s", want, text)
+		}
+	}
+	delete(values, "depots")
+	if text := scrape(); strings.Contains(text, "depots") || !strings.Contains(text, "quays") {
+		t.Errorf("the label depots is still shown, or quays is not:\n%s", text)
+	}
+}
