--- a/internal/ingress/preview.go
+++ b/internal/ingress/preview.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 )
 
-// Preview returns whether this node would accept a job of a team for a queue now, as far
-// as the configuration decides, and the terms that the job would get. Nothing is stored.
-// The reason of a refusal names the field.
-func (s *Service) Preview(queueName, team string) (job.Terms, Answer) {
+// Preview returns whether this node would accept a job of a team for a queue now, by the
+// configuration and by capacity, and the terms that the job would get. Nothing is stored.
+// The reason of a refusal by the configuration names the field.
+func (s *Service) Preview(queueName, team string, spec job.Spec) (job.Terms, Answer) {
 	view, now := s.control.View(), s.clock()
 	refuse := func(code Code, reason string) (job.Terms, Answer) {
 		return job.Terms{}, Answer{Code: code, Reason: reason, Queue: queueName, Team: team}
@@ -33,5 +34,10 @@
 	case team != "" && len(t.Keys) == 0:
 		return refuse(BadKey, "team: "+team+" has no key")
 	}
-	return jobTerms(queue, team, view.Config.Version), Answer{Code: Accepted, Queue: queueName, Team: team, ConfigVersion: view.Config.Version}
+	terms := jobTerms(queue, team, view.Config.Version)
+	demand := admission.DemandOf(job.New("", terms, spec, now.UnixMilli(), 0), queue.Service, teamLimit(view.Config, team))
+	if d := view.Rooms.Decide(demand, time.Time{}, now); !d.Accept {
+		return refuse(OverCapacity, d.Reason())
+	}
+	return terms, Answer{Code: Accepted, Queue: queueName, Team: team, ConfigVersion: view.Config.Version}
 }
--- a/internal/node/explain_where.go
+++ b/internal/node/explain_where.go
@@ -70,7 +70,7 @@
 			return
 		}
 		var preview ingress.Answer
-		q.Terms, preview = service.Preview(args.Get("queue"), args.Get("team"))
+		q.Terms, preview = service.Preview(args.Get("queue"), args.Get("team"), q.Spec)
 		if preview.Code != ingress.Accepted {
 			answer.Accepted, answer.Refusal = false, preview.Reason
 			replyWhere(w, http.StatusOK, answer)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,6 +54,7 @@
 			}
 			return int64(len(s.Rooms.ByService))
 		}},
+		{"crocusjunction.share.contended_pools", "Full pools for which two teams or more compete.", func(s *controlStatus) int64 { return s.Counts.ContendedPools }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -87,6 +88,14 @@
 	if err := registerClientMetrics(m, n.clients); err != nil {
 		return nil, err
 	}
+	err = m.RegisterLabelledGauge("crocusjunction.share.ratio", "What a team has used as a multiple of its weighted share, while teams compete for a full pool.", "team", func(observe func(string, float64)) {
+		for _, share := range n.loop.Status().Counts.Shares {
+			observe(share.Team, share.Ratio())
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
 	err = m.RegisterLabelledCounter("crocusjunction.platform.calls", "Calls to the platform by kind.", "kind", n.client.Counters().Each)
 	if err != nil {
 		return nil, err
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -168,6 +168,8 @@
 		return r.storePending(a)
 	case scheduler.StoreRooms:
 		return r.storeRooms(a)
+	case scheduler.StoreUse:
+		return r.storeUse(a)
 	case scheduler.StoreMachineOrders:
 		return r.storeMachineOrders(a)
 	case scheduler.RemoveJobs:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -128,6 +128,11 @@
 	return scheduler.RoomsStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "rooms of services", a.Expected, put)}
 }
 
+func (r *runner) storeUse(a scheduler.StoreUse) scheduler.Event {
+	put := platform.Put{Key: useKey, Value: encodeCBOR(newUseRecord(a))}
+	return scheduler.UseStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "use of teams", a.Expected, put)}
+}
+
 func (r *runner) storeMachineOrders(a scheduler.StoreMachineOrders) scheduler.Event {
 	put := platform.Put{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}
 	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
--- a/internal/node/store_calls_test.go
+++ b/internal/node/store_calls_test.go
@@ -115,6 +115,7 @@
 		{machineOrdersKey, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a"}}, scheduler.StoreMachineOrders{Fence: fence, Machines: []string{"a", "b"}}},
 		{pendingKey, scheduler.StorePending{Fence: fence, AsOf: 3}, scheduler.StorePending{Fence: fence, AsOf: 4}},
 		{roomKey, scheduler.StoreRooms{Fence: fence, Rooms: map[string]admission.Room{"s": {}}}, scheduler.StoreRooms{Fence: fence}},
+		{useKey, scheduler.StoreUse{Fence: fence, Used: map[string]float64{"a": 1}}, scheduler.StoreUse{Fence: fence, Used: map[string]float64{"a": 2}}},
 		{silencesKey, scheduler.StoreSilences{Fence: fence, Left: map[string]time.Duration{"i-1": time.Second}}, scheduler.StoreSilences{Fence: fence}},
 		{waveKey + "1", scheduler.PublishWave{Fence: fence, Wave: 1}, scheduler.PublishWave{Fence: fence, Wave: 1, Completed: true}},
 	} {
--- a/internal/scheduler/explain_where.go
+++ b/internal/scheduler/explain_where.go
@@ -179,11 +179,20 @@
 	if t, ok := s.config.Team(j.Terms.Team); ok {
 		team.Limit, team.Weight = t.UpperLimit, t.Weight
 		// A team without unfinished jobs uses nothing.
-		team.Factor = max(minShareFactor, s.shareFactors()[t.Name])
+		team.Factor = s.factorOf(s.serviceOf(j), t.Name)
 	}
 	return team
 }
 
+// factorOf returns the factor by which the position of a team's jobs changes in the order of
+// a service.
+func (s *Scheduler) factorOf(service, team string) float64 {
+	if s.fairShare.contended[service] {
+		return s.fairShare.ledger.Factor(team)
+	}
+	return max(minShareFactor, s.shareFactors(s.claims())[team])
+}
+
 var rankNames = [...]string{rankLongRunning: "long running", rankBegun: "begun", rankTimely: "timely", rankLate: "late"}
 
 // whereInOrder sets the position of a job in the order of its service.
@@ -193,7 +202,11 @@
 		own.sortKey *= a.Team.Factor
 	}
 	a.Rank = rankNames[own.rank]
-	for _, other := range s.rankedJobs(now)[a.Service] {
+	ranked := s.rankedJobs(now)[a.Service]
+	if ranked == nil {
+		return
+	}
+	for _, other := range ranked.candidates {
 		if other.job == j || compareCandidates(other, own) > 0 {
 			continue
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -107,6 +107,7 @@
 	s.beginWaits(pools, now)
 	waiting := false
 	ranked := s.rankedJobs(now)
+	clear(s.fairShare.contended)
 	for _, service := range slices.Sorted(maps.Keys(ranked)) {
 		pool := pools[service]
 		if pool == nil {
@@ -114,7 +115,10 @@
 			continue
 		}
 		full, recordShortage := false, s.place.waits.Enabled()
-		for _, candidate := range ranked[service] {
+		var waitingTeams teamSet
+		jobs := ranked[service].candidates
+		for i := range jobs {
+			candidate := &jobs[i]
 			full = full || pool.Empty()
 			if full && !candidate.job.Fills() {
 				if recordShortage && !candidate.job.TaskPlaced() {
@@ -122,13 +126,19 @@
 					recordShortage = false
 				}
 				waiting = true
+				waitingTeams.add(candidate)
 				continue
 			}
 			s.subject = jobRecord(candidate.job.ID)
+			before := s.fairShare.capacityMisses
 			if s.placeJob(candidate.job, pool, now) {
 				waiting = true
 			}
+			if s.fairShare.capacityMisses > before {
+				waitingTeams.add(candidate)
+			}
 		}
+		s.fairShare.recordContention(service, waitingTeams)
 	}
 	s.subject = Record{}
 	return waiting
@@ -180,6 +190,7 @@
 				s.recordShortage(o.Job, step, pool)
 			}
 			s.requestAdvice(o, step, pool.Workers(), now)
+			s.fairShare.capacityMisses++
 			noWorker[isolation], waiting = true, true
 			continue
 		}
@@ -241,6 +252,7 @@
 	chosen, ok := pool.ChooseGang(tasks, allowed)
 	if !ok {
 		s.recordShortage(o.Job, step, pool)
+		s.fairShare.capacityMisses++
 		s.requestAdvice(o, step, pool.Workers(), now)
 		return true
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
@@ -45,6 +46,9 @@
 	// and a gang of one rack when it spans several. With 1 or less nothing waits for room
 	// in a rack.
 	RemoteFactor float64
+	// ShareHalfLife is the half-life of the use by which teams that compete for a full
+	// pool are served; 0 means that only their present use counts.
+	ShareHalfLife time.Duration
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
@@ -63,6 +67,7 @@
 	jobs                *orderedMap[job.ID, *job.Job]
 	pending             pendingJobs
 	room                roomState
+	fairShare           fairShare
 	// earlyCancels are the cancellations of jobs that are not stored, or were read before
 	// their job.
 	earlyCancels map[job.ID]earlyCancel
@@ -129,6 +134,11 @@
 	Waits, WaitsMet, WaitsGivenUp, WaitGainMillis int64
 	// Current values.
 	Running, Unfinished, Workers, Quarantined, WaitingForRack int64
+	// ContendedPools is the number of full pools for which two teams or more compete,
+	// Shares are the shares of the teams meanwhile, at most fairShareLogInterval old.
+	// The slice is not modified.
+	ContendedPools int64
+	Shares         []usage.Share
 }
 
 // New returns the state of a node that has read nothing from the store yet.
@@ -235,6 +245,7 @@
 	s.stepPoolLog(now)
 	s.stepPending(now)
 	s.stepRoom(now)
+	s.stepFairShare(now)
 	s.updateCounts(now)
 }
 
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -232,6 +232,9 @@
 	case RoomsRead:
 		value.Revision = item.revision
 		return JobsPart, value
+	case UseRead:
+		value.Revision = item.revision
+		return JobsPart, value
 	case MachineOrdersRead:
 		value.Revision = item.revision
 		return JobsPart, value
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -25,6 +25,7 @@
 	"contract/job":       {"machine"},
 	"contract/admission": {"contract/job"},
 	"contract/policy":    {"machine"},
+	"contract/usage":     {"machine"},
 	"machine/worker":     {"machine", "contract/job"},
 	"machine/upkeep":     {"machine"},
 	"machine/pools":      {"machine"},
@@ -32,7 +33,7 @@
 	"link/intake":        {"contract/policy"},
 	"zone/placement":     {"machine", "contract/job", "machine/worker"},
 	"scheduler": {
-		"machine", "contract/admission", "contract/job", "contract/policy", "link/lease",
+		"machine", "contract/admission", "contract/job", "contract/policy", "contract/usage", "link/lease",
 		"machine/worker", "machine/upkeep", "machine/pools", "zone/placement",
 	},
 }
