--- a/internal/contract/job/estimate.go
+++ b/internal/contract/job/estimate.go
@@ -91,6 +91,17 @@
 	return sum
 }
 
+// EstimatedWork returns the estimated work of all tasks, in units of each resource times
+// seconds.
+func (j *Job) EstimatedWork() machine.Resources {
+	var sum machine.Resources
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		sum = sum.Plus(s.CountedNeed().Times(float64(s.Count) * s.estimate().Seconds()))
+	}
+	return sum
+}
+
 // RemainingWork returns the estimated work of all open tasks in core-seconds.
 func (j *Job) RemainingWork() float64 {
 	sum := 0.0
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -22,16 +22,17 @@
 	"zone":     {"machine", "contract"},
 	"fleet":    {"machine", "zone", "link", "contract"},
 
-	"contract/job":    {"machine"},
-	"contract/policy": {"machine"},
-	"machine/worker":  {"machine", "contract/job"},
-	"machine/upkeep":  {"machine"},
-	"machine/pools":   {"machine"},
-	"link/lease":      {},
-	"zone/placement":  {"contract/job", "machine/worker"},
+	"contract/job":        {"machine"},
+	"contract/policy":     {"machine"},
+	"machine/worker":      {"machine", "contract/job"},
+	"machine/upkeep":      {"machine"},
+	"machine/pools":       {"machine"},
+	"machine/pools/turns": {"machine"},
+	"link/lease":          {},
+	"zone/placement":      {"contract/job", "machine/worker"},
 	"scheduler": {
 		"machine", "contract/job", "contract/policy", "link/lease",
-		"machine/worker", "machine/upkeep", "machine/pools", "zone/placement",
+		"machine/worker", "machine/upkeep", "machine/pools", "machine/pools/turns", "zone/placement",
 	},
 }
 
