scheduler: move machines before the peaks of cyclic demand

Cause: a pool gets its machines 1.6 s to 2.2 s after a peak has begun.

Change: the active scheduler records the work of arriving jobs by queue. Where a queue's demand has a cycle, its pool's demand is raised to the need expected within 2.2 s, and expected arrivals are no longer extrapolated; unexpected ones are.

--- a/internal/machine/pools/turns/cycle.go
+++ b/internal/machine/pools/turns/cycle.go
@@ -53,6 +53,9 @@
 	// maxDoubts bounds the number of periods for which a pattern must have been known
 	// after it has failed. Beyond it no queue of the load test was forecast again.
 	maxDoubts = 3
+	// maxTotal is where the totals are halved, so that they never overflow: a year of
+	// 40,000 cores.
+	maxTotal = 1 << 50
 	// storedPeriods is the part of the history that is stored, in periods. It contains
 	// the two periods that are compared, and their neighbours.
 	storedPeriods = 2.2
@@ -91,6 +94,9 @@
 	c.advance(bin)
 	if bin >= c.first {
 		c.bins[bin%historyBins] += float64(work.MilliCores)
+		if c.total.MilliCores > maxTotal || c.total.MemoryMB > maxTotal {
+			c.total, c.jobs = c.total.Times(0.5), (c.jobs+1)/2
+		}
 		c.total = c.total.Plus(work)
 		c.jobs++
 	}
--- a/internal/machine/pools/turns/turns_test.go
+++ b/internal/machine/pools/turns/turns_test.go
@@ -166,3 +166,25 @@
 		}
 	}
 }
+
+// BenchmarkAdvance measures one search for the periods of 22 queues with a full history,
+// as is due every 2 s, and their forecast.
+func BenchmarkAdvance(b *testing.B) {
+	f := NewForecaster()
+	feed(f, rand.New(rand.NewPCG(7, 7)), 0, 7*period, demand, ignore)
+	for i := range 21 {
+		copied := *f.cycles["q"]
+		f.cycles[string(rune('a'+i))+"-queue"] = &copied
+	}
+	now := start.Add(7 * period)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, c := range f.cycles {
+			c.searchAt = 0
+		}
+		f.Advance(now)
+		for queue := range f.cycles {
+			f.Need(queue, now, now.Add(lead))
+		}
+	}
+}
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -40,6 +40,8 @@
 	silencesKey = jobsPrefix + "silent"
 	// machineOrdersKey holds the machines that may have been ordered lately.
 	machineOrdersKey = jobsPrefix + "orders"
+	// turnsKey holds the recorded demand of queues with cyclic demand.
+	turnsKey = jobsPrefix + "turns"
 	// decimal is the base of the numbers in keys and values.
 	decimal = 10
 	// revisionAbsent is the revision that a condition names for a missing key.
@@ -247,6 +249,13 @@
 		var orders machineOrdersRecord
 		err := json.Unmarshal(item.Value, &orders)
 		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, err
+	case turnsKey:
+		var turns turnsRecord
+		if err := cbor.Unmarshal(item.Value, &turns); err != nil {
+			return nil, err
+		}
+		histories, err := turns.histories()
+		return scheduler.TurnsRead{WrittenAt: time.UnixMilli(turns.WrittenAt), Histories: histories, Revision: item.Revision}, err
 	case silencesKey:
 		var silences silencesRecord
 		err := json.Unmarshal(item.Value, &silences)
--- a/internal/node/codec_test.go
+++ b/internal/node/codec_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/machine/pools/turns"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
@@ -36,6 +38,7 @@
 		cancelKey + "5c0e7a21d94b36f8": []byte("1"),
 		leaderKey:                      encodeJSON(leaderRecord{Holder: "edge-1", Process: "n"}), epochKey: []byte("4"), releaseKey: []byte("3"),
 		rosterKey:     encodeJSON([]scheduler.RosterMember{{ID: "i-1", Address: "10.0.0.1:1"}}),
+		turnsKey:      encodeCBOR(newTurnsRecord(time.UnixMilli(5), map[string]turns.History{"q": {End: time.UnixMilli(4), Work: []float64{0, 7}}})),
 		waveKey + "3": encodeJSON(waveRecord{Begun: []string{"m-1"}}),
 	}
 	for key, value := range valid {
@@ -43,7 +46,7 @@
 			t.Errorf("%s: change %v, error %v", key, change, err)
 		}
 	}
-	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, leaderKey, waveKey + "x"} {
+	for _, key := range []string{jobKey + "5c0e7a21d94b36f8", jobKey + "short", progressKey + "5c0e7a21d94b36f8", epochKey, releaseKey, rosterKey, leaderKey, turnsKey, waveKey + "x"} {
 		if _, err := decodeJobsItem(platform.Item{Key: key, Value: []byte("\xff{"), Revision: 9}); err == nil {
 			t.Errorf("%s: malformed value was decoded without an error", key)
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -47,6 +47,8 @@
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
 		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
+		{"crocusjunction.demand.cycles", "Queues whose demand has a known cycle.", func(s *controlStatus) int64 { return s.Counts.KnownCycles }},
+		{"crocusjunction.demand.cycles_unused", "Queues whose known cycle is not used, because an expected peak did not occur.", func(s *controlStatus) int64 { return s.Counts.UnusedCycles }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -63,6 +65,8 @@
 		{"crocusjunction.task.lost", "Runs that were lost with their worker.", func(s *controlStatus) int64 { return s.Counts.Lost }},
 		{"crocusjunction.job.given_up", "Jobs that were ended because a task crashed its workers.", func(s *controlStatus) int64 { return s.Counts.GivenUp }},
 		{"crocusjunction.task.refused", "Starts that workers refused.", func(s *controlStatus) int64 { return s.Counts.Refused }},
+		{"crocusjunction.demand.peaks_forecast", "Peaks of demand before which a pool got machines.", func(s *controlStatus) int64 { return s.Counts.ForecastPeaks }},
+		{"crocusjunction.demand.peaks_missed", "Forecast peaks of demand that did not occur.", func(s *controlStatus) int64 { return s.Counts.MissedPeaks }},
 		{"crocusjunction.scheduler.failures_contained", "Failed decisions after which the state was read again.", func(s *controlStatus) int64 { return s.Counts.Contained }},
 		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *controlStatus) int64 { return s.Counts.Takeovers }},
 	} {
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -166,6 +166,8 @@
 		return r.readProgress(a)
 	case scheduler.StorePending:
 		return r.storePending(a)
+	case scheduler.StoreTurns:
+		return r.storeTurns(a)
 	case scheduler.StoreMachineOrders:
 		return r.storeMachineOrders(a)
 	case scheduler.RemoveJobs:
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -128,6 +128,11 @@
 	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
 }
 
+func (r *runner) storeTurns(a scheduler.StoreTurns) scheduler.Event {
+	put := platform.Put{Key: turnsKey, Value: encodeCBOR(newTurnsRecord(a.WrittenAt, a.Histories))}
+	return scheduler.TurnsStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "demand cycles", a.Expected, put)}
+}
+
 func (r *runner) removeJobs(a scheduler.RemoveJobs) {
 	txn := platform.Txn{Conditions: []platform.Condition{leaderCondition(a.Fence)}}
 	for _, j := range a.Jobs {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -293,6 +293,7 @@
 	s.flush = flushState{inFlight: make(map[job.ID]bool)}
 	s.place = placeState{roundNeeded: true}
 	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
+	s.startTurns(now)
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"flag"
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +38,15 @@
 	burstFactor     float64
 	burstAt         time.Duration
 	killSchedulerAt time.Duration
+	// irregular makes each queue's turns begin at random times. The following happens to
+	// the first queue at a time other than 0: its next turn does not occur, it gets its
+	// highest demand for 3 s, and operators remove it and its service.
+	irregular                      bool
+	skipAt, strayBurstAt, removeAt time.Duration
+	// ignoreCycles sets Options.IgnoreCycles.
+	ignoreCycles bool
+	// starts are the times at which each queue's turns begin.
+	starts [][]time.Duration
 }
 
 // loadResult counts what callers got.
@@ -43,6 +55,9 @@
 	// machineSeconds is the time of machines in pools, moves the number of moves.
 	machineSeconds float64
 	moves          int
+	// cycleWrites is the number of writes of the queues' cycles, cyclesAfterKill the
+	// number of cycles that are known 4 s after the scheduler was killed.
+	cycleWrites, cyclesAfterKill int
 }
 
 func (r loadResult) String() string {
@@ -63,15 +78,41 @@
 	}
 }
 
+// planTurns sets the times at which the turns begin.
+func (d *loadDay) planTurns(seed uint64) {
+	cycle := d.turn * time.Duration(len(d.queues))
+	d.starts = make([][]time.Duration, len(d.queues))
+	for i := range d.queues {
+		random := rand.New(rand.NewPCG(seed, uint64(len(d.queues)+i)))
+		for at := d.turn*time.Duration(i) - cycle; at < d.length; {
+			if d.skipAt == 0 || i != 0 || at < d.skipAt || at >= d.skipAt+cycle {
+				d.starts[i] = append(d.starts[i], at)
+			}
+			at += cycle
+			if d.irregular {
+				at += time.Duration((random.Float64() - 0.5) * float64(cycle))
+			}
+		}
+	}
+}
+
+// highestFactor is the factor of a queue's mean rate at the height of its turn.
+const highestFactor = 4.55
+
 // rate returns the jobs a second of queue i at a time of the day.
 func (d *loadDay) rate(i int, at time.Duration) float64 {
-	cycle := d.turn * time.Duration(len(d.queues))
-	offset := (at - d.turn*time.Duration(i) + 10*cycle) % cycle
-	// A turn rises and falls over twice its length.
-	x := float64(offset) / float64(2*d.turn)
 	factor := 0.05
-	if x < 1 {
-		factor += 4.5 * (1 - math.Cos(2*math.Pi*x)) / 2
+	for _, start := range d.starts[i] {
+		// A turn rises and falls over twice its length.
+		if x := float64(at-start) / float64(2*d.turn); x >= 0 && x < 1 {
+			factor = 0.05 + 4.5*(1-math.Cos(2*math.Pi*x))/2
+		}
+	}
+	if d.strayBurstAt > 0 && at >= d.strayBurstAt && at < d.strayBurstAt+3*time.Second && i == 0 {
+		factor = highestFactor
+	}
+	if d.removeAt > 0 && at >= d.removeAt && i == 0 {
+		factor = 0
 	}
 	if d.burstFactor > 0 && at >= d.burstAt && at < d.burstAt+4*time.Second && i == 0 {
 		factor *= d.burstFactor
@@ -79,14 +120,18 @@
 	return d.queues[i].meanRate * factor
 }
 
+// callers draws the jobs of a queue. They are the same for a seed, whatever the scheduler
+// decides.
+type callers struct{ *rand.Rand }
+
 // spread returns a value with the given mean, between half and one and a half of it.
-func (w *simulation) spread(mean float64) float64 { return mean * (0.5 + w.random.Float64()) }
+func (c callers) spread(mean float64) float64 { return mean * (0.5 + c.Float64()) }
 
 // jobOf returns a random job of a queue.
-func (w *simulation) jobOf(q loadQueue) job.Spec {
+func (c callers) jobOf(q loadQueue) job.Spec {
 	spec := job.Spec{Payload: "p"}
-	for len(spec.Steps) == 0 || float64(len(spec.Steps)) < w.spread(q.steps) {
-		step := newStep(max(1, int(w.spread(q.width))), int64(w.spread(float64(q.millicores))), int(w.spread(float64(q.work.Milliseconds()))))
+	for len(spec.Steps) == 0 || float64(len(spec.Steps)) < c.spread(q.steps) {
+		step := newStep(max(1, int(c.spread(q.width))), int64(c.spread(float64(q.millicores))), int(c.spread(float64(q.work.Milliseconds()))))
 		if n := len(spec.Steps); n > 0 {
 			step.After = []int{n - 1}
 		}
@@ -109,15 +154,21 @@
 
 // play plays the day and returns what callers got.
 func (d *loadDay) play(t *testing.T, seed uint64) loadResult {
-	w := newSimulation(t, seed, 2)
-	w.quiet = true
+	d.planTurns(seed)
+	w := newSimulation(t, seed, 0)
+	w.quiet, w.ignoreCycles = true, d.ignoreCycles
+	w.addNode("node-0")
+	w.addNode("node-1")
 	w.teamLimit = machine.Resources{MilliCores: 1 << 40}
 	queues, services := []policy.Queue{}, []policy.Service{{Name: "spare", Spare: true}}
 	for _, q := range d.queues {
 		queues = append(queues, policy.Queue{Name: q.name, Service: q.name, Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond})
 		services = append(services, policy.Service{Name: q.name, ChecksAdmission: true})
 	}
-	w.store.put("config", policy.New(2, queues, []policy.Team{{Name: "team", Keys: []string{"k"}, UpperLimit: w.teamLimit}}, services, policy.RequestLimits{}), 0)
+	configure := func(version int64, queues []policy.Queue, services []policy.Service) {
+		w.store.put("config", policy.New(version, queues, []policy.Team{{Name: "team", Keys: []string{"k"}, UpperLimit: w.teamLimit}}, services, policy.RequestLimits{}), 0)
+	}
+	configure(2, queues, services)
 	for i := range d.machines {
 		w.addMachine(i, "spare")
 	}
@@ -127,7 +178,7 @@
 	accepted := make(map[job.ID]time.Time)
 	number := 0
 	for i := range d.queues {
-		q := d.queues[i]
+		q, c := d.queues[i], callers{rand.New(rand.NewPCG(seed, uint64(i)))}
 		var next func()
 		next = func() {
 			at := w.now.Sub(start)
@@ -136,18 +187,27 @@
 			}
 			// Thinning: candidates come at the highest rate and are kept by the present one.
 			highest := q.meanRate * 5 * max(1, d.burstFactor)
-			if w.random.Float64() < d.rate(i, at)/highest {
+			if c.Float64() < d.rate(i, at)/highest {
 				number++
-				accepted[w.submitTo(q.name, number, w.jobOf(q))] = w.now
+				accepted[w.submitTo(q.name, number, c.jobOf(q))] = w.now
 			}
-			w.after(time.Duration(w.random.ExpFloat64()/highest*float64(time.Second)), next)
+			w.after(time.Duration(c.ExpFloat64()/highest*float64(time.Second)), next)
 		}
 		w.after(0, next)
 	}
 	if d.killSchedulerAt > 0 {
 		w.after(d.killSchedulerAt, func() { w.withLeader(func(n *simNode) { n.kill(2 * time.Second) }) })
 	}
+	if d.removeAt > 0 {
+		// The jobs that were accepted before end first.
+		w.after(d.removeAt+5*time.Second, func() { configure(3, queues[1:], append(slices.Clone(services[:1]), services[2:]...)) })
+	}
 	var r loadResult
+	if d.killSchedulerAt > 0 {
+		w.after(d.killSchedulerAt+4*time.Second, func() {
+			w.withLeader(func(n *simNode) { r.cyclesAfterKill = int(n.state.Counts().KnownCycles) })
+		})
+	}
 	moved := w.moves
 	const sample = 100 * time.Millisecond
 	for w.now.Sub(start) < d.length+20*time.Second {
@@ -158,7 +218,7 @@
 		}
 		w.runFor(sample)
 	}
-	r.moves = w.moves - moved
+	r.moves, r.cycleWrites = w.moves-moved, w.cycleWrites
 	for id, at := range accepted {
 		j := job.New(id, w.terms[id], w.jobs[id], 0, 0)
 		r.jobs++
@@ -197,3 +257,104 @@
 		})
 	}
 }
+
+// loadSeeds is the number of days of each kind that TestForecastOfCyclicDemand plays. The
+// table of docs/MEASUREMENTS.md is that of 6. Each takes 9 s, so that by default one day
+// of two kinds is played.
+var loadSeeds = flag.Uint64("load-seeds", 0, "days of each kind in TestForecastOfCyclicDemand, 0 for one day of some kinds")
+
+// moveCost is the cost of a move in seconds of a running machine.
+const moveCost = 1.15
+
+// TestForecastOfCyclicDemand guards against a forecast that makes more jobs late than it
+// saves, on days with four turns of each queue, and against one that costs too much where
+// demand does not continue as expected or has no cycle. It prints what callers got with
+// the present arrivals only and with the forecast.
+func TestForecastOfCyclicDemand(t *testing.T) {
+	plain := smallDay()
+	plain.length = 80 * time.Second
+	skipped, stray, removed, takeover, short, irregular := plain, plain, plain, plain, plain, plain
+	skipped.skipAt = 60 * time.Second
+	stray.strayBurstAt = 52 * time.Second
+	removed.removeAt = 55 * time.Second
+	takeover.killSchedulerAt = 50 * time.Second
+	short.turn = 2500 * time.Millisecond
+	irregular.irregular = true
+	large := plain
+	large.machines, large.queues = 3*plain.machines, slices.Clone(plain.queues)
+	for i := range large.queues {
+		large.queues[i].meanRate *= 3
+	}
+	for name, c := range map[string]struct {
+		day loadDay
+		// gains means that more jobs must be on time. maxCost bounds the factor of the
+		// cost of machines and moves.
+		gains   bool
+		maxCost float64
+		always  bool
+	}{
+		"plain": {plain, true, 1.06, false}, "peak skipped": {skipped, true, 1.08, true}, "stray burst": {stray, true, 1.06, false},
+		"service removed": {removed, true, 1.08, false}, "takeover": {takeover, true, 1.06, true}, "cycle of 10 s": {short, true, 1.06, false},
+		"no cycle": {irregular, false, 1.08, false}, "147 machines": {large, true, 1.06, false},
+	} {
+		if *loadSeeds == 0 && !c.always {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var present, forecast loadResult
+			for seed := uint64(1); seed <= max(1, *loadSeeds); seed++ {
+				day := c.day
+				forecast.add(day.play(t, seed))
+				day.ignoreCycles = true
+				present.add(day.play(t, seed))
+			}
+			if c.day.killSchedulerAt > 0 && forecast.cyclesAfterKill < 3*int(max(1, *loadSeeds)) {
+				t.Errorf("%d of 4 cycles a day known 4 s after the scheduler was killed", forecast.cyclesAfterKill)
+			}
+			if seconds := int((c.day.length + 25*time.Second) / time.Second * time.Duration(max(1, *loadSeeds))); forecast.cycleWrites > seconds || present.cycleWrites > 0 {
+				t.Errorf("%d writes of the cycles in %d s, %d without a forecast", forecast.cycleWrites, seconds, present.cycleWrites)
+			}
+			t.Logf("present arrivals %v", present)
+			t.Logf("with forecast    %v", forecast)
+			if forecast.unfinished > present.unfinished || forecast.failed > 0 {
+				t.Errorf("%d jobs unfinished and %d failed", forecast.unfinished, forecast.failed)
+			}
+			if least := present.share(present.inAim) - 0.03; c.gains && forecast.inAim <= present.inAim || forecast.share(forecast.inAim) < least {
+				t.Errorf("%d jobs on time with the forecast, %d without it", forecast.inAim, present.inAim)
+			}
+			if cost := forecast.cost() / present.cost(); cost > c.maxCost {
+				t.Errorf("machines and moves cost %.3f times as much", cost)
+			}
+		})
+	}
+}
+
+// TestPlansWithoutCycle guards against a forecast that changes plans before a demand has
+// repeated itself, or where it is steady: with and without it all jobs end at the same
+// times and the same machines move.
+func TestPlansWithoutCycle(t *testing.T) {
+	oneTurn, steady := smallDay(), smallDay()
+	oneTurn.burstFactor, oneTurn.burstAt, oneTurn.length = 3, 3*time.Second, 15*time.Second
+	steady.turn, steady.length = time.Hour, 40*time.Second
+	for name, day := range map[string]loadDay{"one turn": oneTurn, "steady": steady} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forecast := day.play(t, 3)
+			day.ignoreCycles = true
+			if present := day.play(t, 3); forecast != present || forecast.moves == 0 {
+				t.Errorf("with the forecast %v, without it %v", forecast, present)
+			}
+		})
+	}
+}
+
+func (r *loadResult) add(o loadResult) {
+	r.jobs, r.inAim, r.late, r.tooLate = r.jobs+o.jobs, r.inAim+o.inAim, r.late+o.late, r.tooLate+o.tooLate
+	r.unfinished, r.failed = r.unfinished+o.unfinished, r.failed+o.failed
+	r.machineSeconds, r.moves = r.machineSeconds+o.machineSeconds, r.moves+o.moves
+	r.cycleWrites, r.cyclesAfterKill = r.cycleWrites+o.cycleWrites, r.cyclesAfterKill+o.cyclesAfterKill
+}
+
+// cost is the cost of machines and moves in seconds of a running machine.
+func (r *loadResult) cost() float64 { return r.machineSeconds + moveCost*float64(r.moves) }
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -153,6 +153,7 @@
 		}
 	}
 	s.addDemand(byName, now)
+	s.addForecast(byName, now)
 	list := make([]pools.Pool, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		list = append(list, *byName[name])
@@ -188,19 +189,22 @@
 // arrival is an accepted job with the resources that its first tasks need.
 type arrival struct {
 	at        time.Time
+	queue     string
 	resources machine.Resources
 }
 
 // recordArrival adds a job to the arrivals from which expectedDemand extrapolates.
 func (s *Scheduler) recordArrival(j *job.Job, now time.Time) {
 	if !j.LongRunning() && !j.Ended() {
-		s.machineOps.arrivals[s.serviceOf(j)] = append(s.machineOps.arrivals[s.serviceOf(j)], arrival{now, j.InitialNeed()})
+		s.machineOps.arrivals[s.serviceOf(j)] = append(s.machineOps.arrivals[s.serviceOf(j)], arrival{now, j.Terms.Queue, j.InitialNeed()})
+		s.recordWork(j, now)
 	}
 }
 
 // expectedDemand returns the resources that jobs arriving within forecastWindow will
 // need if arrivals continue at their recent rate. Newer arrivals weigh more, so
-// that a pool shrinks soon after a burst has ended.
+// that a pool shrinks soon after a burst has ended. Arrivals that the cycle of their
+// queue led to expect do not count, because the cycle shows how they continue.
 func (s *Scheduler) expectedDemand(service string, now time.Time) machine.Resources {
 	recent := s.machineOps.arrivals[service]
 	recent = slices.DeleteFunc(recent, func(a arrival) bool { return now.Sub(a.at) > forecastWindow })
@@ -208,7 +212,7 @@
 	var sum machine.Resources
 	for _, a := range recent {
 		weight := 2 * (1 - float64(now.Sub(a.at))/float64(forecastWindow))
-		sum = sum.Plus(a.resources.Times(weight))
+		sum = sum.Plus(a.resources.Times(weight * s.turns.forecaster.Unexpected(a.queue)))
 	}
 	return sum
 }
--- a/internal/scheduler/moves_test.go
+++ b/internal/scheduler/moves_test.go
@@ -16,7 +16,7 @@
 	now := time.UnixMilli(1_700_000_000_000)
 	s.machineOps = newMachineOpsState(now, machineOrders{})
 	for at := now.Add(-2 * forecastWindow); at.Before(now); at = at.Add(interval) {
-		s.machineOps.arrivals["s"] = append(s.machineOps.arrivals["s"], arrival{at, machine.Resources{MilliCores: milliCores}})
+		s.machineOps.arrivals["s"] = append(s.machineOps.arrivals["s"], arrival{at: at, resources: machine.Resources{MilliCores: milliCores}})
 	}
 	steady := int64(forecastWindow/interval) * milliCores
 	if got := s.expectedDemand("s", now).MilliCores; got < steady*9/10 || got > steady*11/10 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,9 @@
 	// MachineOpGap is the least time between the machine operations of two
 	// successive holders of the scheduler lease.
 	MachineOpGap time.Duration
+	// IgnoreCycles makes plans of moves depend on the present arrivals only, so that
+	// both can be compared.
+	IgnoreCycles bool
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
@@ -62,8 +65,8 @@
 	election     election
 
 	// The remaining fields are used only while this node is the active scheduler.
-	// Of these, listed, expiredEntries, waves, waveProgress and storedOrders are
-	// updated from the store at all times.
+	// Of these, listed, expiredEntries, waves, waveProgress, storedOrders and the
+	// stored part of turns are updated from the store at all times.
 	leading bool
 	workers *orderedMap[string, *worker.Worker]
 	// busyWorkers is the number of workers with runs, as of the last slow step.
@@ -96,6 +99,7 @@
 	// storedOrders is the stored list of machines that may have been ordered lately.
 	storedOrders MachineOrdersRead
 	machineOps   machineOpsState
+	turns        turnsState
 	advice       adviceState
 
 	// fastStepAt and slowStepAt are when the two parts of a step are due next.
@@ -118,6 +122,10 @@
 	Starts, Ends, Failed, Lost, GivenUp, Refused, Takeovers, Contained int64
 	// Current values.
 	Running, Unfinished, Workers, Quarantined int64
+	// ForecastPeaks counts the peaks before which a pool's demand was raised, MissedPeaks
+	// the expected peaks that did not occur. KnownCycles is the number of queues with a
+	// known cycle, UnusedCycles how many of these are not used after a missed peak.
+	ForecastPeaks, MissedPeaks, KnownCycles, UnusedCycles int64
 }
 
 // New returns the state of a node that has read nothing from the store yet.
@@ -135,6 +143,7 @@
 		expiredEntries: make(map[string]time.Time),
 		waves:          newOrderedMap[int64, *upkeep.Wave](),
 		waveProgress:   make(map[int64]WaveProgressRead),
+		turns:          newTurnsState(),
 	}
 }
 
@@ -218,6 +227,7 @@
 	s.stepRuns(now)
 	s.stepPacing(now)
 	s.stepWaves(now)
+	s.stepTurns(now)
 	s.stepMoves(now)
 	s.stepMachineOrders(now)
 	s.stepRemoval(now)
--- a/internal/scheduler/sim_node_test.go
+++ b/internal/scheduler/sim_node_test.go
@@ -41,7 +41,7 @@
 	n.down, n.seenRevision, n.syncing, n.watched = false, 0, false, WatchHolder{}
 	n.guard = NewGuard(Options{
 		NodeName: n.name, ProcessID: n.process(), CPUShare: n.cpuShare, TaskLease: 5600 * time.Millisecond, MaxTaskLease: 6 * time.Second,
-		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second,
+		StatusRetention: time.Minute, MachineOpGap: 3 * time.Second, IgnoreCycles: n.w.ignoreCycles,
 	}, noStack)
 	n.state = n.guard.Scheduler()
 	n.later(n.w.latency(), n.poll)
@@ -232,6 +232,9 @@
 		}, func() { n.apply(listed) }, func() { n.apply(ProgressListed{Fence: a.Fence}) })
 	case StorePending:
 		n.writeRecord(a.Fence, "pending", PendingRead{Counts: a.Counts, AsOf: a.AsOf}, a.Expected, func(r RecordResult) Event { return PendingStored{a.Fence, r} })
+	case StoreTurns:
+		w.cycleWrites++
+		n.writeRecord(a.Fence, "turns", TurnsRead{WrittenAt: a.WrittenAt, Histories: a.Histories}, a.Expected, func(r RecordResult) Event { return TurnsStored{a.Fence, r} })
 	case StoreMachineOrders:
 		if w.loseMachineOrderLists {
 			n.reply(MachineOrdersStored{a.Fence, a.Machines, RecordResult{Outcome: StoreFailed}})
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -229,6 +229,9 @@
 	case PendingRead:
 		value.Revision = item.revision
 		return JobsPart, value
+	case TurnsRead:
+		value.Revision = item.revision
+		return JobsPart, value
 	case MachineOrdersRead:
 		value.Revision = item.revision
 		return JobsPart, value
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -53,9 +53,10 @@
 	teamLimit machine.Resources
 	// quiet drops the trace, which takes most of the time of a long simulation.
 	quiet bool
-	// ended is when the final state of a job was stored, moves the number of moves.
-	ended map[job.ID]time.Time
-	moves int
+	// ended is when the final state of a job was stored, moves the number of moves,
+	// cycleWrites that of writes of the queues' cycles.
+	ended              map[job.ID]time.Time
+	moves, cycleWrites int
 	// deadly are the tasks that crash their worker crashDelay after their start,
 	// crashes the workers that crashed under each, furtherStarts its starts after
 	// three of them.
@@ -69,6 +70,8 @@
 	// lateRecord names a record of the scheduler whose writes get no answer and are
 	// carried out after lateRecordDelay; empty for none.
 	lateRecord string
+	// ignoreCycles sets Options.IgnoreCycles of the nodes that are added later.
+	ignoreCycles bool
 }
 
 const lateRecordDelay = 3 * time.Second
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -20,6 +20,8 @@
 		return ProgressListed{Fence: a.Fence}
 	case StorePending:
 		return PendingStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
+	case StoreTurns:
+		return TurnsStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreProgress:
 		return ProgressStored{Fence: a.Fence, Writes: a.Writes, Outcome: StoreFailed}
 	case StoreMachineOrders:
