turns: name the failures of a pattern as such

Cause: 'doubts' is not a usual term, and the reason given for its bound was not measured.

The record's field keeps its number.

--- a/internal/machine/pools/turns/cycle.go
+++ b/internal/machine/pools/turns/cycle.go
@@ -25,8 +25,8 @@
 	repeatedPart = 0.9
 	// learnCorrelation is the least correlation of the last period with the one before
 	// for a period to be learnt, and keepCorrelation the least for it to remain known. On
-	// the load test 0.85 and 0.9 instead of the former learn as much of irregular demand,
-	// since two single peaks of the same shape always match.
+	// the load test 0.85 and 0.9 instead of the former gave no better plans for irregular
+	// demand, since two single peaks of the same shape always match.
 	learnCorrelation, keepCorrelation = 0.75, 0.5
 	// lagTolerance is the loss of correlation at which a shorter period is preferred:
 	// multiples of a period match as well as the period itself.
@@ -50,9 +50,10 @@
 	// maxRefinement is the change of a period in bins up to which it counts as the same
 	// pattern: the period of a queue with few jobs is known to about 1 s.
 	maxRefinement = 2
-	// maxDoubts bounds the number of periods for which a pattern must have been known
-	// after it has failed. Beyond it no queue of the load test was forecast again.
-	maxDoubts = 3
+	// maxFailures bounds the number of periods for which a pattern must have been known
+	// after it has failed. A delay that doubles up to 16 periods gave the same plans on
+	// the load test.
+	maxFailures = 3
 	// maxTotal is where the totals are halved, so that they never overflow: a year of
 	// 40,000 cores.
 	maxTotal = 1 << 50
@@ -80,10 +81,10 @@
 	lag, searchAt int64
 	// missed is set while the last expected peak has not occurred.
 	missed bool
-	// doubts is the number of further periods for which a period must have been known
+	// failures is the number of further periods for which a period must have been known
 	// before it is used. It grows when an expected peak does not occur or a period is
 	// lost. knownSince is the bin in which the period was learnt.
-	doubts, knownSince int64
+	failures, knownSince int64
 }
 
 func newCycle(bin int64) *cycle { return &cycle{first: bin, last: bin} }
@@ -105,7 +106,7 @@
 // advance begins the bins up to the given one.
 func (c *cycle) advance(to int64) {
 	if to-c.last >= historyBins {
-		*c = cycle{first: to, last: to, total: c.total, jobs: c.jobs, doubts: c.doubts}
+		*c = cycle{first: to, last: to, total: c.total, jobs: c.jobs, failures: c.failures}
 		return
 	}
 	for c.last < to {
@@ -130,7 +131,7 @@
 }
 
 // setLag sets the period. A small change refines the one that is known. The loss of one
-// is a doubt, unless a missed peak has already been one.
+// is a failure of the pattern, unless a missed peak has already been counted.
 func (c *cycle) setLag(lag int64) {
 	if lag == c.lag {
 		return
@@ -140,18 +141,18 @@
 		return
 	}
 	if c.lag != 0 && !c.missed {
-		c.doubt()
+		c.recordFailure()
 	}
 	c.lag, c.knownSince, c.missed = lag, c.last, false
 }
 
-// doubt makes a pattern that has failed count later.
-func (c *cycle) doubt() { c.doubts = min(c.doubts+1, maxDoubts) }
+// recordFailure makes a pattern that has failed count later.
+func (c *cycle) recordFailure() { c.failures = min(c.failures+1, maxFailures) }
 
 // usable reports whether the forecast counts: the last expected peak occurred, and the
 // period has been known for long enough.
 func (c *cycle) usable() bool {
-	return c.lag != 0 && !c.missed && c.last-c.knownSince >= c.doubts*c.lag
+	return c.lag != 0 && !c.missed && c.last-c.knownSince >= c.failures*c.lag
 }
 
 // smooth returns the work of a bin, averaged with that of its neighbours. The present
@@ -225,7 +226,7 @@
 	case expected < checkedBins*c.mean():
 	case observed < missedPart*expected:
 		if !c.missed {
-			c.doubt()
+			c.recordFailure()
 		}
 		c.missed = true
 	case observed > seenPart*expected:
@@ -304,7 +305,7 @@
 // history returns the last storedPeriods periods.
 func (c *cycle) history() History {
 	from := max(c.first, c.last-int64(math.Ceil(storedPeriods*float64(c.lag))))
-	h := History{End: time.UnixMilli(c.last * binWidth.Milliseconds()), Total: c.total, Jobs: c.jobs, Doubts: c.doubts, Work: make([]float64, c.last-from)}
+	h := History{End: time.UnixMilli(c.last * binWidth.Milliseconds()), Total: c.total, Jobs: c.jobs, Failures: c.failures, Work: make([]float64, c.last-from)}
 	for i := range h.Work {
 		h.Work[i] = c.bins[(from+int64(i))%historyBins]
 	}
--- a/internal/machine/pools/turns/turns.go
+++ b/internal/machine/pools/turns/turns.go
@@ -16,9 +16,9 @@
 	// recentBins is the number of past bins, 1.5 s, whose arrivals Unexpected compares
 	// with their forecast.
 	recentBins = 3
-	// surpriseFactor is how far arrivals may exceed their forecast and still count as
+	// excessFactor is how far arrivals may exceed their forecast and still count as
 	// expected. In 1.5 s of a peak about 50 jobs arrive, give or take 7.
-	surpriseFactor = 1.3
+	excessFactor = 1.3
 	// maxRestoredAge is the age up to which a stored history is continued. The arrivals
 	// since its end are known from the jobs themselves, which remain stored for longer.
 	maxRestoredAge = 30 * time.Second
@@ -55,8 +55,8 @@
 	// their number.
 	Total machine.Resources
 	Jobs  int64
-	// Doubts is how often the pattern has failed.
-	Doubts int64
+	// Failures is how often the pattern has failed.
+	Failures int64
 }
 
 // Forecaster holds the cycles of all queues.
@@ -133,7 +133,7 @@
 		return 1
 	}
 	expected, observed := c.compare(recentBins)
-	if observed <= surpriseFactor*expected {
+	if observed <= excessFactor*expected {
 		return 0
 	}
 	return 1 - expected/observed
@@ -178,7 +178,7 @@
 	for i, work := range h.Work {
 		c.bins[(c.first+int64(i))%historyBins] = work
 	}
-	c.total, c.jobs, c.doubts = h.Total, h.Jobs, max(0, min(h.Doubts, maxDoubts))
+	c.total, c.jobs, c.failures = h.Total, h.Jobs, max(0, min(h.Failures, maxFailures))
 	c.searchAt = end
 	f.cycles[queue] = c
 	return true
--- a/internal/node/turns_record.go
+++ b/internal/node/turns_record.go
@@ -19,12 +19,12 @@
 // historyRecord is the stored form of turns.History. Work has one byte for each bin, in
 // units of Unit, because every node reads the record: 22 queues take 3,027 bytes.
 type historyRecord struct {
-	End    int64             `cbor:"1,keyasint"`
-	Unit   float64           `cbor:"2,keyasint"`
-	Work   []byte            `cbor:"3,keyasint"`
-	Total  machine.Resources `cbor:"4,keyasint"`
-	Doubts int64             `cbor:"5,keyasint,omitempty"`
-	Jobs   int64             `cbor:"6,keyasint"`
+	End      int64             `cbor:"1,keyasint"`
+	Unit     float64           `cbor:"2,keyasint"`
+	Work     []byte            `cbor:"3,keyasint"`
+	Total    machine.Resources `cbor:"4,keyasint"`
+	Failures int64             `cbor:"5,keyasint,omitempty"`
+	Jobs     int64             `cbor:"6,keyasint"`
 }
 
 func newTurnsRecord(writtenAt time.Time, histories map[string]turns.History) turnsRecord {
@@ -34,7 +34,7 @@
 		for _, work := range h.Work {
 			highest = max(highest, work)
 		}
-		q := historyRecord{End: h.End.UnixMilli(), Unit: max(highest, 1) / math.MaxUint8, Work: make([]byte, len(h.Work)), Total: h.Total, Jobs: h.Jobs, Doubts: h.Doubts}
+		q := historyRecord{End: h.End.UnixMilli(), Unit: max(highest, 1) / math.MaxUint8, Work: make([]byte, len(h.Work)), Total: h.Total, Jobs: h.Jobs, Failures: h.Failures}
 		for i, work := range h.Work {
 			q.Work[i] = byte(math.Round(work / q.Unit))
 		}
@@ -51,7 +51,7 @@
 		if !(q.Unit > 0 && q.Unit < 1e12) {
 			return nil, errors.Errorf("queue %s: unit %v of the recorded work", queue, q.Unit)
 		}
-		h := turns.History{End: time.UnixMilli(q.End), Total: q.Total, Jobs: q.Jobs, Doubts: q.Doubts, Work: make([]float64, len(q.Work))}
+		h := turns.History{End: time.UnixMilli(q.End), Total: q.Total, Jobs: q.Jobs, Failures: q.Failures, Work: make([]float64, len(q.Work))}
 		for i, b := range q.Work {
 			h.Work[i] = float64(b) * q.Unit
 		}
--- a/internal/node/turns_record_test.go
+++ b/internal/node/turns_record_test.go
@@ -14,7 +14,7 @@
 // demand, against a record that loads every node's link, and against numbers that are not
 // finite, which would make every later forecast one.
 func TestDemandRecord(t *testing.T) {
-	want := turns.History{End: time.UnixMilli(1_700_000_000_500), Total: machine.Resources{MilliCores: 9, MemoryMB: 3}, Jobs: 2, Doubts: 1}
+	want := turns.History{End: time.UnixMilli(1_700_000_000_500), Total: machine.Resources{MilliCores: 9, MemoryMB: 3}, Jobs: 2, Failures: 1}
 	for i := range 88 {
 		want.Work = append(want.Work, 1e5*float64(i))
 	}
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	got := read["a-submit-queue"]
-	if !got.End.Equal(want.End) || got.Total != want.Total || got.Doubts != want.Doubts || got.Jobs != want.Jobs || len(got.Work) != len(want.Work) {
+	if !got.End.Equal(want.End) || got.Total != want.Total || got.Failures != want.Failures || got.Jobs != want.Jobs || len(got.Work) != len(want.Work) {
 		t.Fatalf("read %+v", got)
 	}
 	for i := range want.Work {
