--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -55,6 +55,8 @@
 			return int64(len(s.Rooms.ByService))
 		}},
 		{"crocusjunction.share.contended_pools", "Full pools for which two teams or more compete.", func(s *controlStatus) int64 { return s.Counts.ContendedPools }},
+		{"crocusjunction.demand.cycles", "Queues whose demand has a known cycle.", func(s *controlStatus) int64 { return s.Counts.KnownCycles }},
+		{"crocusjunction.demand.cycles_unused", "Queues whose known cycle is not used, because an expected peak did not occur.", func(s *controlStatus) int64 { return s.Counts.UnusedCycles }},
 		{"crocusjunction.workers.known", "Workers that the scheduler knows.", func(s *controlStatus) int64 { return s.Counts.Workers }},
 	} {
 		if err := m.RegisterGauge(g.name, "", g.description, fromStatus(g.read)); err != nil {
@@ -75,6 +77,8 @@
 		{"crocusjunction.placement.waits_met", "Waits that ended with a start in the rack.", func(s *controlStatus) int64 { return s.Counts.WaitsMet }},
 		{"crocusjunction.placement.waits_given_up", "Waits that ended with a start elsewhere.", func(s *controlStatus) int64 { return s.Counts.WaitsGivenUp }},
 		{"crocusjunction.placement.wait_gain_ms", "Run time in ms that met waits saved, less their lengths.", func(s *controlStatus) int64 { return s.Counts.WaitGainMillis }},
+		{"crocusjunction.demand.peaks_forecast", "Peaks of demand before which a pool got machines.", func(s *controlStatus) int64 { return s.Counts.ForecastPeaks }},
+		{"crocusjunction.demand.peaks_missed", "Forecast peaks of demand that did not occur.", func(s *controlStatus) int64 { return s.Counts.MissedPeaks }},
 		{"crocusjunction.scheduler.failures_contained", "Failed decisions after which the state was read again.", func(s *controlStatus) int64 { return s.Counts.Contained }},
 		{"crocusjunction.scheduler.takeovers", "Times that this node became the scheduler.", func(s *controlStatus) int64 { return s.Counts.Takeovers }},
 	} {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 	// ShareHalfLife is the half-life of the use by which teams that compete for a full
 	// pool are served; 0 means that only their present use counts.
 	ShareHalfLife time.Duration
+	// IgnoreCycles makes plans of moves depend on the present arrivals only, so that
+	// both can be compared.
+	IgnoreCycles bool
 }
 
 // Scheduler is the control state of a node. It is not safe for concurrent use.
@@ -75,8 +78,8 @@
 	election     election
 
 	// The remaining fields are used only while this node is the active scheduler.
-	// Of these, listed, expiredEntries, waves, waveProgress and storedOrders are
-	// updated from the store at all times.
+	// Of these, listed, expiredEntries, waves, waveProgress, storedOrders and the
+	// stored part of turns are updated from the store at all times.
 	leading bool
 	workers *orderedMap[string, *worker.Worker]
 	// busyWorkers is the number of workers with runs, as of the last slow step.
@@ -109,6 +112,7 @@
 	// storedOrders is the stored list of machines that may have been ordered lately.
 	storedOrders MachineOrdersRead
 	machineOps   machineOpsState
+	turns        turnsState
 	advice       adviceState
 
 	// fastStepAt and slowStepAt are when the two parts of a step are due next.
@@ -139,6 +143,10 @@
 	// The slice is not modified.
 	ContendedPools int64
 	Shares         []usage.Share
+	// ForecastPeaks counts the peaks before which a pool's demand was raised, MissedPeaks
+	// the expected peaks that did not occur. KnownCycles is the number of queues with a
+	// known cycle, UnusedCycles how many of these are not used after a missed peak.
+	ForecastPeaks, MissedPeaks, KnownCycles, UnusedCycles int64
 }
 
 // New returns the state of a node that has read nothing from the store yet.
@@ -156,6 +164,7 @@
 		expiredEntries: make(map[string]time.Time),
 		waves:          newOrderedMap[int64, *upkeep.Wave](),
 		waveProgress:   make(map[int64]WaveProgressRead),
+		turns:          newTurnsState(),
 	}
 }
 
@@ -239,6 +248,7 @@
 	s.stepRuns(now)
 	s.stepPacing(now)
 	s.stepWaves(now)
+	s.stepTurns(now)
 	s.stepMoves(now)
 	s.stepMachineOrders(now)
 	s.stepRemoval(now)
