--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -170,6 +170,8 @@
 		return r.storeRooms(a)
 	case scheduler.StoreUse:
 		return r.storeUse(a)
+	case scheduler.StoreTurns:
+		return r.storeTurns(a)
 	case scheduler.StoreMachineOrders:
 		return r.storeMachineOrders(a)
 	case scheduler.RemoveJobs:
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -298,6 +298,7 @@
 	s.place = placeState{roundNeeded: true, waits: placement.NewWaits(s.options.RemoteFactor)}
 	s.machineOps = newMachineOpsState(s.machineOpsFrom(now), s.inheritMachineOrders())
 	s.machineOps.orderRate = upkeep.NewOrderRate(s.options.MachineOrdersPerSecond)
+	s.startTurns(now)
 	s.advice = adviceState{steps: make(map[string]map[string]permission)}
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
--- a/internal/scheduler/sim_store_test.go
+++ b/internal/scheduler/sim_store_test.go
@@ -235,6 +235,9 @@
 	case UseRead:
 		value.Revision = item.revision
 		return JobsPart, value
+	case TurnsRead:
+		value.Revision = item.revision
+		return JobsPart, value
 	case MachineOrdersRead:
 		value.Revision = item.revision
 		return JobsPart, value
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -24,6 +24,8 @@
 		return RoomsStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreUse:
 		return UseStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
+	case StoreTurns:
+		return TurnsStored{Fence: a.Fence, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreProgress:
 		return ProgressStored{Fence: a.Fence, Writes: a.Writes, Outcome: StoreFailed}
 	case StoreMachineOrders:
