--- a/internal/command/explain_where.go
+++ b/internal/command/explain_where.go
@@ -23,7 +23,7 @@
 		Name:  "where",
 		Usage: "show where a job would go now and why, without sending it",
 		Description: "The node is asked at its metrics address and must be the scheduler; another node names it. " +
-			"The job is a known one (--job) or the body of a submission (--file), with its queue and team.",
+			"The job is a known one (--job) or a job's body (--file), with its queue and team.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "node", Usage: "metrics `ADDRESS` of the scheduler as ip:port", Required: true},
 			&cli.StringFlag{Name: "job", Usage: "`ID` of a known job"},
--- a/internal/ingress/admit_by_room.go
+++ b/internal/ingress/admit_by_room.go
@@ -16,8 +16,8 @@
 // storeUnlessRefused stores a job, or refuses it and sets the answer.
 func (s *Service) storeUnlessRefused(a *matched, j *job.Job, now, until time.Time) (result WriteResult, refused bool) {
 	result = WriteUnknown
-	s.submissions.begin(j.ID)
-	defer func() { s.submissions.end(j.ID, result == WriteUnknown, s.clock()) }()
+	s.openJobs.begin(j.ID)
+	defer func() { s.openJobs.end(j.ID, result == WriteUnknown, s.clock()) }()
 	refused, held := s.refuseByRoom(a, j, now, until)
 	switch {
 	case refused:
@@ -25,7 +25,7 @@
 	case held:
 		result = Stored
 	default:
-		s.submissions.beginWrite(j.ID)
+		s.openJobs.beginWrite(j.ID)
 		result = s.store.Accept(j, until)
 	}
 	return result, refused
@@ -36,13 +36,13 @@
 // and that no write of it from this node is under way. Held is true if the store holds
 // the job.
 func (s *Service) refuseByRoom(a *matched, j *job.Job, now, until time.Time) (refused, held bool) {
-	d := a.rooms.Decide(admission.DemandOf(j, a.queue.Service, teamLimit(a.config, a.team)), s.submissions.firstRefusal(j.ID, now), now)
+	d := a.rooms.Decide(admission.DemandOf(j, a.queue.Service, teamLimit(a.config, a.team)), s.openJobs.firstRefusal(j.ID, now), now)
 	timeout := min(refusalReadTimeout, until.Sub(now))
 	if d.Accept || timeout <= 0 {
 		return false, false
 	}
 	held, err := s.store.Holds(j.ID, timeout)
-	if held || err != nil || !s.submissions.recordRefusal(j.ID, now) {
+	if held || err != nil || !s.openJobs.recordRefusal(j.ID, now) {
 		return false, held
 	}
 	a.answer.Code, a.answer.Reason = OverCapacity, d.Reason()
@@ -67,11 +67,11 @@
 	maxUnsettled = 8192
 )
 
-// submissions are the submissions of jobs that this node serves, and those whose write it
+// openJobs are the jobs that callers hand in at this node now, and those whose write it
 // left unsettled. It is safe for concurrent use.
-type submissions struct {
+type openJobs struct {
 	mu   sync.Mutex
-	open map[job.ID]*submission
+	open map[job.ID]*openJob
 	// unsettled are the unsettled writes in the order of their ends.
 	unsettled []unsettledWrite
 	// noneUntil is until when no job may be refused, because too many writes were
@@ -80,8 +80,8 @@
 	refusals  admission.Refusals
 }
 
-// submission is the state of one job's submissions.
-type submission struct {
+// openJob is the state of one job.
+type openJob struct {
 	// users is the number of requests and of unsettled writes of the job.
 	users int
 	// written is set once a write of the job has begun.
@@ -93,29 +93,29 @@
 	until time.Time
 }
 
-// begin records that a submission is being served.
-func (s *submissions) begin(id job.ID) {
+// begin records that a request to store the job is being served.
+func (s *openJobs) begin(id job.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
-		s.open = make(map[job.ID]*submission)
+		s.open = make(map[job.ID]*openJob)
 	}
 	if s.open[id] == nil {
-		s.open[id] = &submission{}
+		s.open[id] = &openJob{}
 	}
 	s.open[id].users++
 }
 
 // beginWrite records that a write of the job follows.
-func (s *submissions) beginWrite(id job.ID) {
+func (s *openJobs) beginWrite(id job.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[id].written = true
 }
 
-// end records the end of a submission. Unsettled means that a write of it may still take
+// end records the end of such a request. Unsettled means that a write of it may still take
 // effect.
-func (s *submissions) end(id job.ID, unsettled bool, now time.Time) {
+func (s *openJobs) end(id job.ID, unsettled bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.unsettled) > 0 && !now.Before(s.unsettled[0].until) {
@@ -134,23 +134,23 @@
 }
 
 // release removes one user of a job.
-func (s *submissions) release(id job.ID) {
+func (s *openJobs) release(id job.ID) {
 	if s.open[id].users--; s.open[id].users == 0 {
 		delete(s.open, id)
 	}
 }
 
 // firstRefusal returns when a job was refused first, zero for never.
-func (s *submissions) firstRefusal(id job.ID, now time.Time) time.Time {
+func (s *openJobs) firstRefusal(id job.ID, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.refusals.First(id, now)
 }
 
-// recordRefusal records that a submission of the job is refused, and returns false if it
+// recordRefusal records that the job is refused, and returns false if it
 // must not be: a write of the job may be under way. The store was read after begin, so
 // that every earlier write that is settled was found.
-func (s *submissions) recordRefusal(id job.ID, now time.Time) bool {
+func (s *openJobs) recordRefusal(id job.ID, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open[id].written || now.Before(s.noneUntil) {
--- a/internal/ingress/admit_by_room_test.go
+++ b/internal/ingress/admit_by_room_test.go
@@ -67,9 +67,9 @@
 		s := New(fullControl{}, c.store, func() time.Time { return testNow }, time.Second)
 		c.store.onRead = func() {
 			if name == "written meanwhile" {
-				s.submissions.begin(testJob)
-				s.submissions.beginWrite(testJob)
-				s.submissions.end(testJob, false, testNow)
+				s.openJobs.begin(testJob)
+				s.openJobs.beginWrite(testJob)
+				s.openJobs.end(testJob, false, testNow)
 			}
 		}
 		a := submitTo(s, c.step)
@@ -96,17 +96,17 @@
 		t.Errorf("with an unsettled write: %v after %d writes", a.Code, store.writes)
 	}
 	now = now.Add(unsettledMemory)
-	s.submissions.begin("fedcba9876543210")
-	s.submissions.end("fedcba9876543210", false, now)
-	if len(s.submissions.open) != 0 {
-		t.Errorf("%d submissions are remembered", len(s.submissions.open))
+	s.openJobs.begin("fedcba9876543210")
+	s.openJobs.end("fedcba9876543210", false, now)
+	if len(s.openJobs.open) != 0 {
+		t.Errorf("%d jobs are remembered", len(s.openJobs.open))
 	}
 }
 
 // TestTooManyUnsettledWrites guards against refusals by a node that cannot remember all of
 // its unsettled writes.
 func TestTooManyUnsettledWrites(t *testing.T) {
-	var s submissions
+	var s openJobs
 	for i := range maxUnsettled + 1 {
 		id := job.ID(rune(i))
 		s.begin(id)
