contract/usage: a short history decides little

Cause, from the log line of shares: after 0.25 s the use of all teams was a few core-seconds, and a team that had run one task had a factor of 803. Change: what the history lacks of one at the present use counts as used fairly.

--- a/internal/contract/usage/usage.go
+++ b/internal/contract/usage/usage.go
@@ -53,6 +53,9 @@
 	Team string
 	// Used is the team's decayed use, Fair its weighted part of the use of all teams.
 	Used, Fair float64
+	// Assumed is what the team counts as having used fairly in addition, because the
+	// history is short for the present use of all teams.
+	Assumed float64
 }
 
 // Ratio returns the use as a multiple of the fair share. It is above 1 for a team that
@@ -61,7 +64,7 @@
 	if s.Fair <= 0 {
 		return 1
 	}
-	return s.Used / s.Fair
+	return (s.Used + s.Assumed) / (s.Fair + s.Assumed)
 }
 
 // Factor returns the factor on the sort key of the team's jobs: the jobs with the
@@ -78,6 +81,8 @@
 	asOf time.Time
 	// used is, by team, the use in core-seconds, decayed to asOf.
 	used map[string]float64
+	// presentCores is what all teams used at asOf.
+	presentCores float64
 	// shares and factors are as of the last Divide.
 	shares  []Share
 	factors map[string]float64
@@ -102,7 +107,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	l.asOf = now
+	l.asOf, l.presentCores = now, 0
 	kept := math.Exp2(-elapsed.Seconds() / l.halfLife.Seconds())
 	// The integral of the decay over the elapsed time, in seconds.
 	seconds := (1 - kept) * l.halfLife.Seconds() / math.Ln2
@@ -114,21 +119,26 @@
 	}
 	for team, p := range present {
 		if p.MilliCores > 0 {
+			l.presentCores += float64(p.MilliCores) / milliCoresPerCore
 			l.used[team] += seconds * float64(p.MilliCores) / milliCoresPerCore
 		}
 	}
 }
 
-// Divide computes the shares of the teams that have a claim.
+// Divide computes the shares of the teams that have a claim. At the beginning of a peak, the
+// history is a few core-seconds of single tasks and says nothing about the teams: as much
+// as it lacks of a history at the present use counts as used fairly.
 func (l *Ledger) Divide(claims []Claim) {
 	sumWeight, sumUsed := 0.0, 0.0
 	for _, c := range claims {
 		sumWeight += c.Weight
 		sumUsed += l.used[c.Team]
 	}
+	missing := max(0, l.presentCores*l.halfLife.Seconds()/math.Ln2-sumUsed)
 	l.shares, l.factors = make([]Share, len(claims)), make(map[string]float64, len(claims))
 	for i, c := range claims {
-		l.shares[i] = Share{Team: c.Team, Used: l.used[c.Team], Fair: sumUsed * c.Weight / sumWeight}
+		part := c.Weight / sumWeight
+		l.shares[i] = Share{Team: c.Team, Used: l.used[c.Team], Fair: sumUsed * part, Assumed: missing * part}
 		l.factors[c.Team] = l.shares[i].Factor()
 	}
 }
--- a/internal/contract/usage/usage_test.go
+++ b/internal/contract/usage/usage_test.go
@@ -82,3 +82,21 @@
 		t.Errorf("shares are %+v", shares)
 	}
 }
+
+// TestShortHistoryDecidesLittle guards against jobs that wait behind all others because
+// their team had the first task of a peak.
+func TestShortHistoryDecidesLittle(t *testing.T) {
+	present := map[string]machine.Resources{"first": {MilliCores: 6000}, "second": {MilliCores: 2000}}
+	claims := []Claim{NewClaim("first", 1), NewClaim("second", 1)}
+	l := NewLedger(HalfLife, nil, start, start)
+	l.Advance(present, start.Add(50*time.Millisecond))
+	l.Divide(claims)
+	if f := l.Factor("first"); f < 1 || f > 1.05 {
+		t.Errorf("after 50 ms the factor is %.3f, want about 1", f)
+	}
+	l.Advance(present, start.Add(10*HalfLife))
+	l.Divide(claims)
+	if f, want := l.Factor("first"), math.Pow(1.5, exponent); f < 0.99*want || f > want {
+		t.Errorf("after ten half-lives the factor is %.3f, want %.3f", f, want)
+	}
+}
