scheduler: shares by past use only where the settings ask for them

Change: shares.half-life-s of the settings switches them on; 0, the default, keeps the order as it was.

--- a/internal/contract/usage/usage.go
+++ b/internal/contract/usage/usage.go
@@ -13,7 +13,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
-// HalfLife is the time after which a use counts half. Peaks of demand last for some
+// HalfLife is the recommended time after which a use counts half. Peaks of demand last for some
 // seconds and recur every 18 s to 20 s: a team's surplus of a peak counts until its end,
 // and a sixteenth of it at the next one.
 const HalfLife = 5 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
-	"github.com/crocusjunction/crocusjunction/internal/contract/usage"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
@@ -119,7 +118,7 @@
 		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
 		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap, RemoteFactor: b.RemoteFactor,
 		MachineOrdersPerSecond: s.MachineOrdersPerSecond,
-		ShareHalfLife:          usage.HalfLife,
+		ShareHalfLife:          s.ShareHalfLife,
 	}
 }
 
