scheduler: keep a machine until the ends of its tasks are stored

So the end was never stored, the worker that still listed it was gone, and the successor waited 6.4 s for it and ran the task again. Ruled out: the new step found room and workers; no start was refused. Change: a machine counts as idle, and a draining one as ready for its upkeep, only when the ends of its runs are stored. Measured: TestMachineWithUnstoredEndIsKept fails without it.

--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -148,7 +148,7 @@
 		if !inWave[name] && s.countsInPool(w, p.Spare, m, now) {
 			p.Machines = append(p.Machines, pools.Machine{
 				Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
-				Idle: !s.heldBack(name, now) && (w == nil || len(w.Runs()) == 0 && runsKnown(w, now)),
+				Idle: !s.heldBack(name, now) && (w == nil || len(w.Runs()) == 0 && runsKnown(w, now) && !holdsEnds(w)),
 			})
 		}
 	}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -284,7 +284,7 @@
 	if w.BusyCount() >= w.MaxConcurrent || !s.authorized(now) {
 		return
 	}
-	if wk != nil && (!runsKnown(wk, now) || !s.evictRuns(wk, now.Sub(m.Since), now)) {
+	if wk != nil && (!runsKnown(wk, now) || holdsEnds(wk) || !s.evictRuns(wk, now.Sub(m.Since), now)) {
 		return
 	}
 	m.EnterPhase(upkeep.Ordered, now)
@@ -295,6 +295,11 @@
 	}
 }
 
+// holdsEnds reports whether a worker is the only one that keeps the end of a run for a
+// successor of this scheduler, because the store does not hold it yet. Taken down now, it
+// would take the end with it, and a task that is done would run again.
+func holdsEnds(wk *worker.Worker) bool { return wk.HasUnacknowledgedEnds() || wk.EndsOutstanding }
+
 // runsKnown reports whether the runs on a worker are known: it has answered
 // this scheduler, or nothing can be running on it any longer.
 func runsKnown(wk *worker.Worker, now time.Time) bool { return wk.Answered || wk.Expired(now) }
--- a/internal/scheduler/waves_test.go
+++ b/internal/scheduler/waves_test.go
@@ -6,8 +6,10 @@
 	"testing"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
 	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
+	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
 // TestMachineInUpkeepOfAnotherWave guards against a machine that counts as done for
@@ -67,3 +69,41 @@
 		t.Error("upkeep not ordered although all other tasks serve again")
 	}
 }
+
+// TestMachineWithUnstoredEndIsKept guards against a machine that is moved or taken down
+// right after the last task on it has ended: if the store then fails, nobody knows that
+// the task is done, and it runs again (found by a hunt: vdm-bookings-grown, rewind, seed
+// 752373125504).
+func TestMachineWithUnstoredEndIsKept(t *testing.T) {
+	s, now := newLoadedScheduler(1, 1, 1)
+	s.config = policy.New(2, s.config.Queues(), nil, []policy.Service{{Name: "s0", ChecksAdmission: true}, {Name: "spare", Spare: true}}, policy.RequestLimits{})
+	w := s.workers.get("i-0")
+	j := s.jobs.get("0000000000000000")
+	j.EachOpenOccurrence(func(o *job.Occurrence) {
+		s.start(&o.Tasks(0)[0], w, 1, now)
+		w.Runs()[0].Phase = job.RunActive
+	})
+	s.applyReport(w, WorkerAnswered{Worker: w.ID, Report: worker.Report{Ended: []worker.EndReport{
+		{Number: 1, Task: w.Runs()[0].Task.Name(), Run: 1, Reason: worker.EndDone},
+	}}}, now)
+	idle := func() bool {
+		for _, p := range s.poolStates(now) {
+			if len(p.Machines) > 0 {
+				return p.Machines[0].Idle
+			}
+		}
+		return false
+	}
+	wave := upkeep.NewWave(upkeep.Order{Wave: 1, Machines: []string{"mi-0"}, MaxConcurrent: 1}, now)
+	if len(w.Runs()) != 0 || idle() {
+		t.Errorf("%d runs, idle %v: the machine may be moved before the end is stored", len(w.Runs()), idle())
+	}
+	if s.stepWave(wave, now); wave.Members[0].Phase != upkeep.Draining {
+		t.Error("upkeep is ordered before the end is stored")
+	}
+	p, version := j.Unflushed()
+	j.MarkFlushed(p, version, 9)
+	if s.stepWave(wave, now); !idle() || wave.Members[0].Phase != upkeep.Ordered {
+		t.Error("the machine is kept although the end is stored")
+	}
+}
