--- a/internal/scheduler/waves_test.go
+++ b/internal/scheduler/waves_test.go
@@ -72,8 +72,7 @@
 
 // TestMachineWithUnstoredEndIsKept guards against a machine that is moved or taken down
 // right after the last task on it has ended: if the store then fails, nobody knows that
-// the task is done, and it runs again (found by a hunt: vdm-bookings-grown, rewind, seed
-// 752373125504).
+// the task is done, and it runs again.
 func TestMachineWithUnstoredEndIsKept(t *testing.T) {
 	s, now := newLoadedScheduler(1, 1, 1)
 	s.config = policy.New(2, s.config.Queues(), nil, []policy.Service{{Name: "s0", ChecksAdmission: true}, {Name: "spare", Spare: true}}, policy.RequestLimits{})
