--- a/test/clients/serving_test.go
+++ b/test/clients/serving_test.go
@@ -107,6 +107,7 @@
 // being served then.
 func TestStopDuringAttack(t *testing.T) {
 	n := startNode(t)
+	to := n.target(n.front)
 	var held []net.Conn
 	defer func() {
 		for _, c := range held {
@@ -121,9 +122,9 @@
 		held = append(held, c)
 		switch i % 3 {
 		case 0:
-			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head("POST", i, ""), len(ordinaryJob)+1, ordinaryJob)
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", to.head("POST", i, ""), len(ordinaryJob)+1, ordinaryJob)
 		case 1:
-			_, _ = fmt.Fprint(c, head("POST", i, ""))
+			_, _ = fmt.Fprint(c, to.head("POST", i, ""))
 		}
 	}
 	// The store does not answer the write of the job, so that the request is served until
@@ -136,9 +137,7 @@
 		}
 		return site.StoreNoFault
 	})
-	if err := n.command.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	n.signal(syscall.SIGTERM)
 	time.Sleep(500 * time.Millisecond)
 	status, err := submit(&http.Client{Timeout: waitTimeout}, n.front, "00000000000000ff", ordinaryJob)
 	if err != nil || status != http.StatusGatewayTimeout && status != http.StatusOK {
