clientserver: the node's handling of clients in a package of its own

Entry instances have none of the limits of docs/design/client_limits.md, because the code that carries them out was part of the node. It moves unchanged to internal/clientserver; the encoding of refusals and the log line are functions of the user, so that both programs can use it.

The tests of the listener and of the bounded log moved with it. The latter checked the node's log line as well, which TestRefusalLogLine does now.

--- a/internal/node/client_conn.go
+++ b/internal/clientserver/conn.go
@@ -1,4 +1,4 @@
-package node
+package clientserver
 
 import (
 	"bytes"
@@ -14,7 +14,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/crocusjunction/crocusjunction/internal/link/intake"
-	"github.com/crocusjunction/crocusjunction/platform"
 )
 
 const (
@@ -42,12 +41,12 @@
 // clientListener accepts the connections that the gate takes in.
 type clientListener struct {
 	net.Listener
-	clients *clients
+	clients *Clients
 	server  intake.Server
 }
 
-// listen listens on address for clients of the server.
-func (s *clients) listen(ctx context.Context, server intake.Server, address string) (net.Listener, error) {
+// Listen listens on a TCP address for clients of the server.
+func (s *Clients) Listen(ctx context.Context, server intake.Server, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
 	}}
@@ -64,7 +63,12 @@
 		_ = l.Close()
 		return nil, errors.Wrapf(err, "limit the backlog on %s", address)
 	}
-	return &clientListener{l, s, server}, nil
+	return s.Accepting(server, l), nil
+}
+
+// Accepting returns a listener that accepts those connections of l that the gate takes in.
+func (s *Clients) Accepting(server intake.Server, l net.Listener) net.Listener {
+	return &clientListener{l, s, server}
 }
 
 // control calls f with the descriptor of a socket.
@@ -96,10 +100,10 @@
 }
 
 // open returns the connection if the gate takes it in, else it refuses it and returns nil.
-func (s *clients) open(server intake.Server, raw net.Conn) net.Conn {
+func (s *Clients) open(server intake.Server, raw net.Conn) net.Conn {
 	host, _, _ := net.SplitHostPort(raw.RemoteAddr().String())
 	s.mu.Lock()
-	state, evicted, refused := s.gate.Open(server, host, s.now())
+	state, evicted, refused := s.gate.Open(server, host, s.options.Now())
 	var victim *clientConn
 	if evicted != nil {
 		victim = s.connections[evicted]
@@ -122,8 +126,8 @@
 }
 
 // refuseNew refuses a connection that was not taken in.
-func (s *clients) refuseNew(raw net.Conn, reason intake.Reason) {
-	writeRefusal(raw, reason)
+func (s *Clients) refuseNew(raw net.Conn, reason intake.Reason) {
+	s.writeRefusal(raw, reason)
 	tcp, isTCP := raw.(*net.TCPConn)
 	select {
 	case s.lingering <- struct{}{}:
@@ -143,16 +147,16 @@
 	}()
 }
 
-func writeRefusal(c net.Conn, reason intake.Reason) {
+func (s *Clients) writeRefusal(c net.Conn, reason intake.Reason) {
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = c.Write(platform.EncodeConnectionRefusal(reason.Text(), refusalRetryAfter))
+	_, _ = c.Write(s.options.EncodeRefusal(Refusal{reason, refusalRetryAfter}))
 }
 
 // clientConn is a connection of a client. It reports what it receives to the gate, and
 // closes when the client does not read.
 type clientConn struct {
 	net.Conn
-	clients *clients
+	clients *Clients
 	state   *intake.Connection
 	// writing is held while something is written, so that a refusal is not written into
 	// an answer.
@@ -168,7 +172,7 @@
 	}
 	s := c.clients
 	s.mu.Lock()
-	refused := s.gate.Received(c.state, n, bytes.Count(p[:n], []byte{'\n'}), s.now())
+	refused := s.gate.Received(c.state, n, bytes.Count(p[:n], []byte{'\n'}), s.options.Now())
 	s.mu.Unlock()
 	if refused != "" {
 		c.refuse(refused)
@@ -216,7 +220,7 @@
 // connection.
 func (c *clientConn) refuse(reason intake.Reason) {
 	if c.writing.TryLock() {
-		writeRefusal(c.Conn, reason)
+		c.clients.writeRefusal(c.Conn, reason)
 		_ = c.CloseWrite()
 		c.writing.Unlock()
 	}
--- a/internal/node/client_requests.go
+++ b/internal/clientserver/requests.go
@@ -1,4 +1,4 @@
-package node
+package clientserver
 
 import (
 	"context"
@@ -9,9 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/link/intake"
-	"github.com/crocusjunction/crocusjunction/platform"
 )
 
 const (
@@ -34,25 +32,25 @@
 }
 
 // connectionState follows the phases of the connections that the server knows.
-func (s *clients) connectionState(c net.Conn, state http.ConnState) {
+func (s *Clients) connectionState(c net.Conn, state http.ConnState) {
 	if state != http.StateIdle {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gate.Answered(c.(*clientConn).state, s.now())
+	s.gate.Answered(c.(*clientConn).state, s.options.Now())
 }
 
-// admit passes the requests that the gate takes in to next.
-func (s *clients) admit(next http.Handler) http.Handler {
+// Admit passes the requests that the gate takes in to next.
+func (s *Clients) Admit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connectionOf(r)
 		size, lines := headSize(r)
 		s.mu.Lock()
-		refused := s.gate.Begin(c.state, size, lines, s.now())
+		refused := s.gate.Begin(c.state, size, lines, s.options.Now())
 		s.mu.Unlock()
 		if refused != "" {
-			platform.RefuseRequest(w, s.refusal(c, w, refused))
+			s.refuse(c, w, refused)
 			return
 		}
 		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
@@ -77,11 +75,11 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// withoutBody refuses requests with a body.
-func (s *clients) withoutBody(next http.Handler) http.Handler {
-	return s.admit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, refusal := s.readBody(w, r); refusal != nil {
-			platform.RefuseRequest(w, *refusal)
+// WithoutBody is Admit for a server that takes no bodies.
+func (s *Clients) WithoutBody(next http.Handler) http.Handler {
+	return s.Admit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, refusal := s.ReadBody(w, r); refusal != nil {
+			s.options.Refuse(w, *refusal)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -100,37 +98,43 @@
 	return size, lines
 }
 
-// refusal ends the connection after the answer that it returns.
-func (s *clients) refusal(c *clientConn, w http.ResponseWriter, reason intake.Reason) ingress.Answer {
+// refuse answers a request, and ends its connection after that.
+func (s *Clients) refuse(c *clientConn, w http.ResponseWriter, reason intake.Reason) {
+	s.options.Refuse(w, s.refusal(c, w, reason))
+}
+
+// refusal returns the refusal of a request, after whose answer the connection ends.
+func (s *Clients) refusal(c *clientConn, w http.ResponseWriter, reason intake.Reason) Refusal {
 	s.mu.Lock()
-	s.gate.Refused(c.state, s.now())
+	s.gate.Refused(c.state, s.options.Now())
 	s.mu.Unlock()
 	w.Header().Set("Connection", "close")
-	return ingress.Answer{Code: ingress.NotRun, Reason: reason.Text(), RetryAfter: refusalRetryAfter}
+	return Refusal{reason, refusalRetryAfter}
 }
 
-// readBody implements platform.ReadBody. It reads a body for which the gate has reserved
-// memory.
-func (s *clients) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *ingress.Answer) {
+// ReadBody reads the body of a request that Admit has passed on, after the gate has
+// reserved memory for it. If the body is refused, it returns the refusal, which the caller
+// has to answer.
+func (s *Clients) ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	c := connectionOf(r)
 	s.mu.Lock()
-	reason := s.gate.BeginBody(c.state, r.ContentLength, s.now())
+	reason := s.gate.BeginBody(c.state, r.ContentLength, s.options.Now())
 	s.mu.Unlock()
 	var body []byte
 	if reason == "" {
 		body, reason = s.receiveBody(c, r)
 	}
 	if reason != "" {
-		answer := s.refusal(c, w, reason)
-		return nil, &answer
+		refusal := s.refusal(c, w, reason)
+		return nil, &refusal
 	}
 	return body, nil
 }
 
-func (s *clients) receiveBody(c *clientConn, r *http.Request) ([]byte, intake.Reason) {
+func (s *Clients) receiveBody(c *clientConn, r *http.Request) ([]byte, intake.Reason) {
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
@@ -144,7 +148,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if reason := s.gate.Serve(c.state, s.now()); reason != "" {
+	if reason := s.gate.Serve(c.state, s.options.Now()); reason != "" {
 		return nil, reason
 	}
 	if err != nil {
@@ -155,7 +159,7 @@
 
 // receiveChunks reads a body of unknown length. It reserves each buffer before it
 // allocates it.
-func (s *clients) receiveChunks(c *clientConn, from io.Reader) ([]byte, intake.Reason, error) {
+func (s *Clients) receiveChunks(c *clientConn, from io.Reader) ([]byte, intake.Reason, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
@@ -178,7 +182,7 @@
 
 // extend returns a copy of a body with room for more bytes. It refuses a body that is
 // longer than the limit.
-func (s *clients) extend(c *clientConn, body []byte) ([]byte, intake.Reason) {
+func (s *Clients) extend(c *clientConn, body []byte) ([]byte, intake.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := s.gate.MaxBody()
@@ -186,7 +190,7 @@
 		return nil, s.gate.Count(intake.BodyTooLarge)
 	}
 	size := min(max(firstBodyBuffer, 2*len(body)), limit+1)
-	if reason := s.gate.Extend(c.state, size, size, s.now()); reason != "" {
+	if reason := s.gate.Extend(c.state, size, size, s.options.Now()); reason != "" {
 		return nil, reason
 	}
 	return append(make([]byte, 0, size), body...), ""
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -7,14 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
+	"github.com/crocusjunction/crocusjunction/internal/clientserver"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
@@ -50,13 +50,14 @@
 func (openStore) RetryAfter() time.Duration { return time.Second }
 
 // newCallersServer returns a server for callers and its clients.
-func newCallersServer(t testing.TB, contained platform.Contained) (*clients, *http.Server) {
-	s := newClients(intake.CapacityOf(intake.Settings{}), asynclog.New(io.Discard, nil), time.Now, func() policy.RequestLimits { return policy.RequestLimits{} })
-	n := &node{clients: s}
+func newCallersServer(t testing.TB, contained platform.Contained) (*clientserver.Clients, *http.Server) {
+	n := &node{log: asynclog.New(io.Discard, nil), clock: newBootClock()}
+	n.loop = newControlLoop(scheduler.NewGuard(scheduler.Options{}, debug.Stack), n.clock, nil)
+	n.clients = n.newClients()
 	service := ingress.New(openControl{}, openStore{}, time.Now, time.Hour)
-	server := n.newCallersServer(platform.CallersHandler(t.Context(), service, s.readBody, func(string, ingress.Answer, time.Duration) {}, contained))
+	server := n.newCallersServer(platform.CallersHandler(t.Context(), service, n.readBody, func(string, ingress.Answer, time.Duration) {}, contained))
 	t.Cleanup(func() { _ = server.Close() })
-	return s, server
+	return n.clients, server
 }
 
 // recordedConn is a connection whose client has sent everything and reads nothing. It
@@ -141,7 +142,7 @@
 	s, server := newCallersServer(f, func(cause any, _ []byte) { panic(cause) })
 	l := connListener{connections: make(chan net.Conn)}
 	f.Cleanup(func() { close(l.connections) })
-	go func() { _ = server.Serve(&clientListener{l, s, intake.Callers}) }()
+	go func() { _ = server.Serve(s.Accepting(intake.Callers, l)) }()
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		c := &recordedConn{sent: bytes.NewReader(sent), closed: make(chan struct{})}
 		l.connections <- c
@@ -155,7 +156,7 @@
 		if answer := c.received.String(); answer != "" && !strings.HasPrefix(answer, "HTTP/1.") {
 			t.Errorf("answered by %.40q", answer)
 		}
-		if connections, reserved := s.used(); connections != 0 || reserved != 0 {
+		if connections, reserved := s.Used(); connections != 0 || reserved != 0 {
 			t.Fatalf("%d connections and %d bytes remain", connections, reserved)
 		}
 	})
@@ -165,7 +166,7 @@
 // announced length is refused.
 func TestRefusedByLengthBeforeBody(t *testing.T) {
 	s, server := newCallersServer(t, func(cause any, _ []byte) { t.Error(cause) })
-	l, err := s.listen(t.Context(), intake.Callers, "127.0.0.1:0")
+	l, err := s.Listen(t.Context(), intake.Callers, "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -189,70 +190,17 @@
 	}
 }
 
-// shortListener has no descriptors for its first connections.
-type shortListener struct {
-	net.Listener
-	failures int
-}
-
-// Accept implements net.Listener.
-func (l *shortListener) Accept() (net.Conn, error) {
-	if l.failures > 0 {
-		l.failures--
-		return nil, &net.OpError{Op: "accept", Err: unix.EMFILE}
-	}
-	return l.Listener.Accept()
-}
-
-// TestAcceptsAfterLackOfDescriptors guards against a server, and with it a process, that
-// ends because a connection could not be accepted for lack of descriptors.
-func TestAcceptsAfterLackOfDescriptors(t *testing.T) {
-	s, _ := newCallersServer(t, nil)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	client, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = client.Close() }()
-	c, err := (&clientListener{&shortListener{l, 2}, s, intake.Callers}).Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = c.Close()
-	totals := make(map[string]int64)
-	s.eachRefusal(func(reason string, total int64) { totals[reason] = total })
-	if totals[string(intake.NoDescriptors)] != 2 {
-		t.Errorf("counted %v", totals)
-	}
-}
-
-// TestRefusalLogIsBounded guards against a log that grows with the number of refused
-// clients.
-func TestRefusalLogIsBounded(t *testing.T) {
-	const seconds = 10
+// TestRefusalLogLine guards against refusals that the log does not show.
+func TestRefusalLogLine(t *testing.T) {
 	var out bytes.Buffer
 	log := asynclog.New(&out, nil)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- log.Run(ctx) }()
-	now := time.Unix(1_700_000_000, 0)
-	s := newClients(intake.CapacityOf(intake.Settings{}), log, func() time.Time { return now }, nil)
-	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(intakeInterval) {
-		for range 1000 {
-			s.count(intake.NoMemory)
-		}
-		s.logRefusals()
-	}
+	(&node{log: log}).logRefusals(map[intake.Reason]int64{intake.NoMemory: 5000}, 3, 4096)
 	stop()
 	<-done
-	if lines := strings.Count(out.String(), "clients: refused"); lines != seconds {
-		t.Errorf("%d lines in %d s, want one each:\n%s", lines, seconds, out.String())
-	}
-	if !strings.Contains(out.String(), `"no-memory":5000`) {
-		t.Errorf("no line has the refusals of a second:\n%s", out.String())
+	if line := out.String(); !strings.Contains(line, "clients: refused") || !strings.Contains(line, `"no-memory":5000`) {
+		t.Errorf("logged %q", line)
 	}
 }
--- a/internal/node/explain_where.go
+++ b/internal/node/explain_where.go
@@ -36,7 +36,7 @@
 func (n *node) operatorsHandler(ctx context.Context, service *ingress.Service) http.Handler {
 	metrics := n.metrics.handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, refusal := n.clients.readBody(w, r)
+		body, refusal := n.readBody(w, r)
 		switch {
 		case refusal != nil:
 			platform.RefuseRequest(w, *refusal)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
-	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 )
@@ -89,7 +88,7 @@
 	if err := m.RegisterCounter("crocusjunction.log.dropped", "{line}", "Log lines that were dropped.", n.log.Dropped); err != nil {
 		return nil, err
 	}
-	if err := registerClientMetrics(m, n.clients); err != nil {
+	if err := n.clients.RegisterMetrics(m); err != nil {
 		return nil, err
 	}
 	err = m.RegisterLabelledGauge("crocusjunction.share.ratio", "What a team has used as a multiple of its weighted share, while teams compete for a full pool.", "team", func(observe func(string, float64)) {
@@ -116,26 +115,6 @@
 	return &metrics{m, jobs, refused, refusedJobs}, err
 }
 
-// registerClientMetrics registers what the process has taken in of its clients, with its
-// limits.
-func registerClientMetrics(m *telemetry.Metrics, c *clients) error {
-	capacity := c.gate.Capacity()
-	for _, g := range []struct {
-		name, unit, description string
-		read                    func() int64
-	}{
-		{"crocusjunction.clients.connections", "", "Open connections of clients.", func() int64 { connections, _ := c.used(); return int64(connections) }},
-		{"crocusjunction.clients.connections_limit", "", "Limit of the callers' connections.", func() int64 { return int64(capacity.Connections[intake.Callers]) }},
-		{"crocusjunction.clients.request_memory", "By", "Memory reserved for requests.", func() int64 { _, used := c.used(); return used }},
-		{"crocusjunction.clients.request_memory_limit", "By", "Limit of the memory of all requests.", func() int64 { return capacity.RequestBytes }},
-	} {
-		if err := m.RegisterGauge(g.name, g.unit, g.description, g.read); err != nil {
-			return err
-		}
-	}
-	return m.RegisterLabelledCounter("crocusjunction.clients.refused", "Requests and connections of clients that were refused, by reason.", "reason", c.eachRefusal)
-}
-
 // recordJob records the time that a job took to its first start or its end.
 func (m *metrics) recordJob(j scheduler.JobMeasured) {
 	m.jobs.Record(j.Elapsed, j.Queue, string(j.Milestone))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusjunction/crocusjunction/internal/asynclog"
+	"github.com/crocusjunction/crocusjunction/internal/clientserver"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
@@ -62,7 +63,7 @@
 	loop     *controlLoop
 	runner   *runner
 	metrics  *metrics
-	clients  *clients
+	clients  *clientserver.Clients
 	health   storeHealth
 	draining atomic.Bool
 }
@@ -103,7 +104,7 @@
 	n.loop.reportSlow = n.reportSlowEvent
 	n.runner.send, n.runner.done = n.loop.Send, n.loop.stopped
 	n.runner.watcher = newHolderWatcher(n.loop.Send)
-	n.clients = newClients(intake.CapacityOf(s.Intake), n.log, n.clock.Now, n.requestLimits)
+	n.clients = n.newClients()
 	var err error
 	n.metrics, err = newMetrics(n)
 	n.runner.metrics = n.metrics
@@ -137,7 +138,7 @@
 	}()
 
 	service := ingress.New(n.loop, jobStore{n.client, n.clock, n.log, &n.health}, n.clock.Now, n.maxConfigAge())
-	callersServer := n.newCallersServer(platform.CallersHandler(componentsCtx, service, n.clients.readBody, n.observe, n.logContained))
+	callersServer := n.newCallersServer(platform.CallersHandler(componentsCtx, service, n.readBody, n.observe, n.logContained))
 	readinessServer, metricsServer := n.newReadinessServer(), n.newMetricsServer(n.operatorsHandler(componentsCtx, service))
 	callers, err := n.serve(ctx, group, callersServer, intake.Callers, n.settings.CallersAddress)
 	if err != nil {
@@ -163,7 +164,7 @@
 	for _, m := range n.mirrors() {
 		group.Go(func() error { return m.run(groupCtx) })
 	}
-	group.Go(func() error { return n.clients.watch(groupCtx) })
+	group.Go(func() error { return n.clients.Watch(groupCtx) })
 	group.Go(func() error { return n.watchReload(groupCtx, reload) })
 	n.log.Write("node", "started", logrus.Fields{"datacentre": n.settings.DataCentre, "callers": n.settings.CallersAddress, "store": n.settings.StoreAddress})
 	group.Go(func() error {
@@ -285,7 +286,7 @@
 	remaining := n.settings.Bounds.Grace - shutdownReserve - n.clock.Now().Sub(startedAt)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
-	n.clients.drain(ctx, callers)
+	n.clients.Drain(ctx, callers)
 	if err := callersServer.Shutdown(ctx); err != nil {
 		_ = callersServer.Close()
 		n.log.Write("node", "requests aborted at the end of the grace period", logrus.Fields{"error": err.Error()})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,53 +2,71 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusjunction/crocusjunction/internal/clientserver"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
 
-// drainInterval is the interval at which a stopping node looks for connections on which
-// no request is under way.
-const drainInterval = 20 * time.Millisecond
+// newClients returns the clients of the node's servers.
+func (n *node) newClients() *clientserver.Clients {
+	return clientserver.New(clientserver.Options{
+		Capacity: intake.CapacityOf(n.settings.Intake), Now: n.clock.Now, Limits: n.requestLimits,
+		LogRefusals: n.logRefusals,
+		EncodeRefusal: func(r clientserver.Refusal) []byte {
+			return platform.EncodeConnectionRefusal(r.Reason.Text(), r.RetryAfter)
+		},
+		Refuse: func(w http.ResponseWriter, r clientserver.Refusal) { platform.RefuseRequest(w, refusedAnswer(r)) },
+	})
+}
+
+func refusedAnswer(r clientserver.Refusal) ingress.Answer {
+	return ingress.Answer{Code: ingress.NotRun, Reason: r.Reason.Text(), RetryAfter: r.RetryAfter}
+}
+
+// readBody implements platform.ReadBody.
+func (n *node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *ingress.Answer) {
+	body, refusal := n.clients.ReadBody(w, r)
+	if refusal == nil {
+		return body, nil
+	}
+	answer := refusedAnswer(*refusal)
+	return nil, &answer
+}
 
-// newServer returns a server for the clients that the gate takes in. Its timeouts are
-// those of the gate, because the configuration changes them while the server runs. The
-// caller starts it with serve.
-func (n *node) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ConnContext: withConnection, ConnState: n.clients.connectionState,
-		// All methods are answered by the handler.
-		DisableGeneralOptionsHandler: true,
-		// The request log covers the messages about single connections.
-		ErrorLog: log.New(io.Discard, "", 0),
+// logRefusals writes one line for all refusals since the last one.
+func (n *node) logRefusals(refusals map[intake.Reason]int64, connections int, requestBytes int64) {
+	fields := logrus.Fields{"connections": connections, "request_bytes": requestBytes}
+	for reason, count := range refusals {
+		fields[string(reason)] = count
 	}
+	n.log.Write("clients", "refused", fields)
 }
 
 func (n *node) newCallersServer(handler http.Handler) *http.Server {
-	return n.newServer(n.clients.admit(n.closeWhileDraining(handler)))
+	return n.clients.NewServer(n.clients.Admit(n.closeWhileDraining(handler)))
 }
 
 func (n *node) newReadinessServer() *http.Server {
-	return n.newServer(n.clients.withoutBody(platform.ReadyHandler(n.ready)))
+	return n.clients.NewServer(n.clients.WithoutBody(platform.ReadyHandler(n.ready)))
 }
 
 func (n *node) newMetricsServer(handler http.Handler) *http.Server {
-	return n.newServer(n.clients.admit(handler))
+	return n.clients.NewServer(n.clients.Admit(handler))
 }
 
 // serve listens on address and serves s in group. The server ends when it is shut down or
 // the listener is closed.
 func (n *node) serve(ctx context.Context, group *errgroup.Group, s *http.Server, kind intake.Server, address string) (net.Listener, error) {
-	l, err := n.clients.listen(ctx, kind, address)
+	l, err := n.clients.Listen(ctx, kind, address)
 	if err != nil {
 		return nil, err
 	}
@@ -90,31 +108,3 @@
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
-
-// drain accepts no further connections, closes those of callers on which no request is
-// under way, and waits until the others have been answered or ctx is done. http.Server.Shutdown alone does not
-// answer a request whose head has been read in part.
-func (s *clients) drain(ctx context.Context, callers net.Listener) {
-	// Closing a listener fails only if it was closed before.
-	_ = callers.Close()
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		waiting, unfinished := s.gate.Waiting(intake.Callers, s.now())
-		for _, state := range waiting {
-			// The request that has arrived is read and answered.
-			if c := s.connections[state]; c.unread() == 0 {
-				s.gate.Close(state)
-				delete(s.connections, state)
-				// Close of the embedded connection takes no lock.
-				_ = c.Conn.Close()
-			} else {
-				unfinished = true
-			}
-		}
-		s.mu.Unlock()
-		if !unfinished {
-			return
-		}
-		sleep(ctx, drainInterval)
-	}
-}
