front: limits for clients of entry instances

Callers saw instances that ended or swapped: 300 connections with bodies of 1 MiB one byte short took 336 MB on, silent connections were held without end, and nothing ended a head, body or answer without progress.

Cause: fasthttp reads each body whole, up to 1 MiB, before any code of the instance sees the request, on any number of connections. The limits of the node (docs/design/client_limits.md) were not used here.

Ruled out: answers of endpoints and the store; requests that never become complete have the highest peaks.

Change: the front end is served by internal/clientserver. Handlers get an exchange, whose body was read after the gate reserved its memory. The limits are settings under "clients"; refusals carry Crocus-Outcome: not-run. A panic in a handler no longer ends the process. The listener of a stopping process may be closed twice (TestReadinessDuringPlannedStop failed on the way).

Evidence: TestEntryAttacks and TestEntryDecoding failed before (272 to 830 MB, 401 to 427 descriptors; 408 to 692 MB) and pass now (27 to 41 MB, 111 to 250 descriptors). BenchmarkKeyedRequest/none takes 92 us instead of 67.

Open: clients inside the limits can hold all places, as on the node; TestEntryServesBesideCrowd and TestEntryTakeoverBesideCrowd stay red.

--- a/internal/clientserver/conn.go
+++ b/internal/clientserver/conn.go
@@ -43,14 +43,19 @@
 	net.Listener
 	clients *Clients
 	server  intake.Server
+	close   func() error
 }
 
+// Close implements net.Listener. Drain closes the listener before its server does, which
+// is no error.
+func (l *clientListener) Close() error { return l.close() }
+
 // Listen listens on a TCP address for clients of the server.
 func (s *Clients) Listen(ctx context.Context, server intake.Server, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
 	}}
-	l, err := config.Listen(ctx, "tcp4", address)
+	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
@@ -68,7 +73,7 @@
 
 // Accepting returns a listener that accepts those connections of l that the gate takes in.
 func (s *Clients) Accepting(server intake.Server, l net.Listener) net.Listener {
-	return &clientListener{l, s, server}
+	return &clientListener{l, s, server, sync.OnceValue(l.Close)}
 }
 
 // control calls f with the descriptor of a socket.
--- a/internal/clientserver/requests.go
+++ b/internal/clientserver/requests.go
@@ -50,7 +50,7 @@
 		refused := s.gate.Begin(c.state, size, lines, s.options.Now())
 		s.mu.Unlock()
 		if refused != "" {
-			s.refuse(c, w, refused)
+			s.Refuse(w, s.refusal(c, w, refused))
 			return
 		}
 		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
@@ -79,7 +79,7 @@
 func (s *Clients) WithoutBody(next http.Handler) http.Handler {
 	return s.Admit(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, refusal := s.ReadBody(w, r); refusal != nil {
-			s.options.Refuse(w, *refusal)
+			s.Refuse(w, *refusal)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -98,10 +98,8 @@
 	return size, lines
 }
 
-// refuse answers a request, and ends its connection after that.
-func (s *Clients) refuse(c *clientConn, w http.ResponseWriter, reason intake.Reason) {
-	s.options.Refuse(w, s.refusal(c, w, reason))
-}
+// Refuse answers a request with a refusal of ReadBody.
+func (s *Clients) Refuse(w http.ResponseWriter, r Refusal) { s.options.Refuse(w, r) }
 
 // refusal returns the refusal of a request, after whose answer the connection ends.
 func (s *Clients) refusal(c *clientConn, w http.ResponseWriter, reason intake.Reason) Refusal {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -22,6 +23,9 @@
 			if err != nil {
 				return cli.Exit(err.Error(), ExitUsage)
 			}
+			if mb := s.Clients.MemoryMB; mb > 0 {
+				debug.SetMemoryLimit(int64(mb) << 20 * memoryLimitPercent / 100)
+			}
 			log := telemetry.NewLog(s.LogLevel).WithFields(logrus.Fields{"instance": s.ID})
 			return entry.Run(ctx, s, rest.NewClient(s.Platform), log)
 		},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -15,6 +14,7 @@
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/link"
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
 	"github.com/crocusjunction/crocusjunction/internal/settings"
@@ -24,10 +24,6 @@
 // Run runs an entry instance until ctx is cancelled and then stops it
 // gracefully. It returns when the instance has stopped.
 func Run(ctx context.Context, s settings.Entry, p platform.Platform, log *logrus.Entry) error {
-	listener, err := net.Listen("tcp", s.HTTP)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
 	self := link.Member{
 		ID:          s.ID,
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -81,7 +77,16 @@
 		Dropped: endpoints.Dropped.Counts,
 		Log:     log,
 		Clock:   time.Now,
+
+		Capacity: intake.CapacityOf(s.Clients.Intake()), RequestLimits: s.Clients.RequestLimits(),
 	})
+	if err := server.RegisterMetrics(metrics); err != nil {
+		return err
+	}
+	listener, err := server.Listen(ctx, s.HTTP)
+	if err != nil {
+		return err
+	}
 	stop := plannedStop{drainDelay: s.DrainDelay(), log: log, steps: []handOverStep{
 		{name: "departure", timeout: handOverTimeout, run: func(ctx context.Context) error { return announceDeparture(ctx, loop, node) }},
 		{name: "forwarded requests", timeout: shutdownTimeout, run: forwarder.forwarded.drain},
@@ -101,12 +106,13 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loop.Run(loopCtx) })
 	group.Go(func() error { return node.Serve(loopCtx) })
+	group.Go(func() error { return server.Watch(loopCtx) })
 	group.Go(func() error { return server.Serve(l) })
 	group.Go(func() error {
 		defer func() { _ = node.Close() }()
 		defer stopLoop()
 		<-groupCtx.Done()
-		return stop.run(context.WithoutCancel(ctx), server)
+		return stop.run(context.WithoutCancel(ctx), server, l)
 	})
 	stop.log.Infof("front: listening on %s", l.Addr())
 	return group.Wait()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -50,14 +51,14 @@
 // performs the steps. It does not revoke the leases of claimed idempotency keys,
 // which expire: revoking them would delete the claims, so that a repeated
 // request would run a second time.
-func (p plannedStop) run(ctx context.Context, server *front.Server) error {
+func (p plannedStop) run(ctx context.Context, server *front.Server, l net.Listener) error {
 	p.log.Infof("front: readiness withdrawn, accepting for another %v", p.drainDelay)
 	server.Drain()
 	time.Sleep(p.drainDelay)
 	p.log.Info("front: closing the listener and waiting for running requests")
 	timeoutCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	if err := server.Shutdown(timeoutCtx); err != nil {
+	if err := server.Shutdown(timeoutCtx, l); err != nil {
 		return err
 	}
 	for _, step := range p.steps {
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/control"
@@ -54,28 +54,28 @@
 
 func (s *Server) configRoutes() []route {
 	return []route{
-		{method: fasthttp.MethodPost, prefix: "/v1/config/change", handle: s.changeConfig},
-		{method: fasthttp.MethodGet, prefix: "/v1/config/status", handle: s.configStatus},
-		{method: fasthttp.MethodGet, prefix: "/v1/config/", handle: s.listObjects},
+		{method: http.MethodPost, prefix: "/v1/config/change", handle: s.changeConfig},
+		{method: http.MethodGet, prefix: "/v1/config/status", handle: s.configStatus},
+		{method: http.MethodGet, prefix: "/v1/config/", handle: s.listObjects},
 	}
 }
 
 // changeConfig serves POST /v1/config/change.
-func (s *Server) changeConfig(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) changeConfig(x *exchange, _ string) {
 	var change contract.Change
-	if err := strictjson.Decode(ctx.PostBody(), &change); err != nil {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
+	if err := strictjson.Decode(x.body, &change); err != nil {
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
 	if change.ID == "" || change.Author == "" {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "id and author are required"})
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "id and author are required"})
 		return
 	}
 	commitCtx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	outcome, err := s.deps.Committer.Commit(commitCtx, change)
 	if err != nil {
-		writeCommitError(ctx, err)
+		writeCommitError(x, err)
 		return
 	}
 	answer := ChangeAnswer{Result: outcome.Result, Revision: outcome.Revision, Reason: outcome.Reason}
@@ -83,7 +83,7 @@
 		s.deps.Log.Infof("front: accepted change of %s at revision %d by %s", change.Object.Ref, outcome.Revision, change.Author)
 		answer.Propagation = s.propagate(commitCtx, outcome.Head)
 	}
-	writeJSON(ctx, changeResultStatus(outcome.Result), answer)
+	writeJSON(x, changeResultStatus(outcome.Result), answer)
 }
 
 // propagate hands a committed head to the control thread, forwards it to the
@@ -125,35 +125,35 @@
 
 // writeCommitError writes the reply for a change that was not committed, or whose
 // commit has an unknown outcome.
-func writeCommitError(ctx *fasthttp.RequestCtx, err error) {
+func writeCommitError(x *exchange, err error) {
 	code := "not-accepted"
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		code = "unknown"
 	}
-	writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: code, Reason: err.Error(), RetryAfterMS: 1000})
+	writeError(x, http.StatusServiceUnavailable, Error{Code: code, Reason: err.Error(), RetryAfterMS: 1000})
 }
 
 // changeResultStatus returns the HTTP status for the result of a change.
 func changeResultStatus(r contract.ChangeResult) int {
 	switch r {
 	case contract.ChangeAccepted:
-		return fasthttp.StatusOK
+		return http.StatusOK
 	case contract.ChangeConflict:
-		return fasthttp.StatusConflict
+		return http.StatusConflict
 	default:
-		return fasthttp.StatusUnprocessableEntity
+		return http.StatusUnprocessableEntity
 	}
 }
 
 // listObjects serves /v1/config/{kind} and /v1/config/{kind}/{name}.
-func (s *Server) listObjects(ctx *fasthttp.RequestCtx, path string) {
+func (s *Server) listObjects(x *exchange, path string) {
 	snapshot := s.deps.Loop.Snapshot()
 	kind, name, single := strings.Cut(path, "/")
 	objects := snapshot.Objects(contract.Kind(kind))
 	if single {
 		object, ok := contract.Find(objects, name)
 		if !ok {
-			writeError(ctx, fasthttp.StatusNotFound, Error{Code: "not-found", Reason: "no object " + path})
+			writeError(x, http.StatusNotFound, Error{Code: "not-found", Reason: "no object " + path})
 			return
 		}
 		objects = []contract.Object{object}
@@ -161,5 +161,5 @@
 	if objects == nil {
 		objects = []contract.Object{}
 	}
-	writeJSON(ctx, fasthttp.StatusOK, ObjectList{Revision: snapshot.Revision, Objects: objects})
+	writeJSON(x, http.StatusOK, ObjectList{Revision: snapshot.Revision, Objects: objects})
 }
--- a/internal/front/endpoint.go
+++ b/internal/front/endpoint.go
@@ -1,7 +1,7 @@
 package front
 
 import (
-	"github.com/valyala/fasthttp"
+	"net/http"
 
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
@@ -36,12 +36,12 @@
 }
 
 func (s *Server) endpointRoutes() []route {
-	return []route{{method: fasthttp.MethodGet, prefix: "/v1/endpoints", handle: s.listEndpoints}}
+	return []route{{method: http.MethodGet, prefix: "/v1/endpoints", handle: s.listEndpoints}}
 }
 
 // listEndpoints serves GET /v1/endpoints.
-func (s *Server) listEndpoints(ctx *fasthttp.RequestCtx, _ string) {
-	endpoints, ok := queryControl(s, ctx, func(reply chan<- []fleet.EndpointView) fleet.Event { return fleet.EndpointQuery{Reply: reply} })
+func (s *Server) listEndpoints(x *exchange, _ string) {
+	endpoints, ok := queryControl(s, x, func(reply chan<- []fleet.EndpointView) fleet.Event { return fleet.EndpointQuery{Reply: reply} })
 	if !ok {
 		return
 	}
@@ -52,5 +52,5 @@
 			Running: e.Running, Bound: e.Bound(), DataCentreOut: e.DataCentreOut,
 		})
 	}
-	writeJSON(ctx, fasthttp.StatusOK, answer)
+	writeJSON(x, http.StatusOK, answer)
 }
--- a/internal/front/explain.go
+++ b/internal/front/explain.go
@@ -1,10 +1,9 @@
 package front
 
 import (
+	"net/http"
 	"strings"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 )
 
@@ -15,22 +14,22 @@
 }
 
 func (s *Server) explainRoutes() []route {
-	return []route{{method: fasthttp.MethodGet, prefix: "/v1/explain/", handle: s.explain}}
+	return []route{{method: http.MethodGet, prefix: "/v1/explain/", handle: s.explain}}
 }
 
 // explain serves GET /v1/explain/{kind}/{name}.
-func (s *Server) explain(ctx *fasthttp.RequestCtx, path string) {
+func (s *Server) explain(x *exchange, path string) {
 	kind, name, found := strings.Cut(path, "/")
 	if !found || name == "" {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "the path must be /v1/explain/KIND/NAME"})
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "the path must be /v1/explain/KIND/NAME"})
 		return
 	}
 	subject := fleet.Subject{Kind: fleet.SubjectKind(kind), Name: name}
-	decisions, ok := queryControl(s, ctx, func(reply chan<- []fleet.Decision) fleet.Event {
+	decisions, ok := queryControl(s, x, func(reply chan<- []fleet.Decision) fleet.Event {
 		return fleet.ExplainQuery{Subject: subject, Reply: reply}
 	})
 	if !ok {
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, Explanation{Decisions: decisions})
+	writeJSON(x, http.StatusOK, Explanation{Decisions: decisions})
 }
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
@@ -39,13 +38,13 @@
 type LimitsReader func(ctx context.Context) ([]control.LimitRecord, error)
 
 func (s *Server) limitsRoutes() []route {
-	return []route{{method: fasthttp.MethodGet, prefix: "/v1/limits", handle: s.showLimits}}
+	return []route{{method: http.MethodGet, prefix: "/v1/limits", handle: s.showLimits}}
 }
 
 // showLimits serves GET /v1/limits. The report of this instance is returned even
 // when the platform's records cannot be read.
-func (s *Server) showLimits(ctx *fasthttp.RequestCtx, _ string) {
-	report, ok := queryControl(s, ctx, func(reply chan<- fleet.LimitsReport) fleet.Event { return fleet.LimitsQuery{Reply: reply} })
+func (s *Server) showLimits(x *exchange, _ string) {
+	report, ok := queryControl(s, x, func(reply chan<- fleet.LimitsReport) fleet.Event { return fleet.LimitsQuery{Reply: reply} })
 	if !ok {
 		return
 	}
@@ -61,5 +60,5 @@
 			Limit: r.Limit, Held: r.Record.Sum(), Holders: r.Record.Entries, Recorded: r.Record.Limit,
 		})
 	}
-	writeJSON(ctx, fasthttp.StatusOK, answer)
+	writeJSON(x, http.StatusOK, answer)
 }
--- a/internal/front/maintenance.go
+++ b/internal/front/maintenance.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/control"
@@ -83,7 +83,7 @@
 }
 
 func (s *Server) maintenanceRoutes() []route {
-	get, post := fasthttp.MethodGet, fasthttp.MethodPost
+	get, post := http.MethodGet, http.MethodPost
 	return []route{
 		{method: get, prefix: "/v1/maintenance/instances", handle: readHandler(s.listInstances)},
 		{method: get, prefix: "/v1/maintenance/budgets", handle: readHandler(s.listBudgets)},
@@ -98,30 +98,30 @@
 
 // writeMaintenanceResult writes the result of an order or query, or the error
 // reply for err.
-func writeMaintenanceResult(ctx *fasthttp.RequestCtx, value any, err error) {
+func writeMaintenanceResult(x *exchange, value any, err error) {
 	switch {
 	case err == nil:
-		writeJSON(ctx, fasthttp.StatusOK, value)
+		writeJSON(x, http.StatusOK, value)
 	case errors.Is(err, control.ErrOrderRefused):
-		writeError(ctx, fasthttp.StatusConflict, Error{Code: "refused", Reason: err.Error()})
+		writeError(x, http.StatusConflict, Error{Code: "refused", Reason: err.Error()})
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "unknown", Reason: err.Error()})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: "unknown", Reason: err.Error()})
 	default:
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "not-accepted", Reason: err.Error(), RetryAfterMS: 1000})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: "not-accepted", Reason: err.Error(), RetryAfterMS: 1000})
 	}
 }
 
-func writeBadRequest(ctx *fasthttp.RequestCtx, reason string) {
-	writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
+func writeBadRequest(x *exchange, reason string) {
+	writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
 }
 
 // readHandler returns a handler that answers with the result of read.
 func readHandler[T any](read func(context.Context) (T, error)) handlerFunc {
-	return func(ctx *fasthttp.RequestCtx, _ string) {
+	return func(x *exchange, _ string) {
 		readCtx, cancel := maintenanceContext()
 		defer cancel()
 		value, err := read(readCtx)
-		writeMaintenanceResult(ctx, value, err)
+		writeMaintenanceResult(x, value, err)
 	}
 }
 
@@ -141,63 +141,63 @@
 }
 
 // moveInstance serves POST /v1/maintenance/move.
-func (s *Server) moveInstance(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) moveInstance(x *exchange, _ string) {
 	var r MoveRequest
-	if err := strictjson.Decode(ctx.PostBody(), &r); err != nil {
-		writeBadRequest(ctx, err.Error())
+	if err := strictjson.Decode(x.body, &r); err != nil {
+		writeBadRequest(x, err.Error())
 		return
 	}
 	if r.Instance == "" || strings.Contains(r.Instance, "/") || r.Author == "" {
-		writeBadRequest(ctx, "instance and author are required")
+		writeBadRequest(x, "instance and author are required")
 		return
 	}
 	if !s.poolExists(r.Pool) {
-		writeBadRequest(ctx, "no pool "+r.Pool+" in the configuration")
+		writeBadRequest(x, "no pool "+r.Pool+" in the configuration")
 		return
 	}
 	orderCtx, cancel := maintenanceContext()
 	defer cancel()
 	order, err := s.deps.Orders.Move(orderCtx, r.Instance, r.Pool, r.Author)
-	writeMaintenanceResult(ctx, order, err)
+	writeMaintenanceResult(x, order, err)
 }
 
 // startWave serves POST /v1/maintenance/wave/start.
-func (s *Server) startWave(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) startWave(x *exchange, _ string) {
 	var r WaveRequest
-	if err := strictjson.Decode(ctx.PostBody(), &r); err != nil {
-		writeBadRequest(ctx, err.Error())
+	if err := strictjson.Decode(x.body, &r); err != nil {
+		writeBadRequest(x, err.Error())
 		return
 	}
 	if r.Name == "" || strings.Contains(r.Name, "/") || r.Author == "" || len(r.Pools) == 0 {
-		writeBadRequest(ctx, "name, author and at least one pool are required")
+		writeBadRequest(x, "name, author and at least one pool are required")
 		return
 	}
 	for _, pool := range r.Pools {
 		if !s.poolExists(pool) {
-			writeBadRequest(ctx, "no pool "+pool+" in the configuration")
+			writeBadRequest(x, "no pool "+pool+" in the configuration")
 			return
 		}
 	}
 	orderCtx, cancel := maintenanceContext()
 	defer cancel()
 	w, err := s.deps.Orders.StartWave(orderCtx, machine.Wave{Name: r.Name, Pools: r.Pools, OneByOne: r.OneByOne, Author: r.Author})
-	writeMaintenanceResult(ctx, w, err)
+	writeMaintenanceResult(x, w, err)
 }
 
 // pauseWave serves POST /v1/maintenance/wave/pause/{name}.
-func (s *Server) pauseWave(ctx *fasthttp.RequestCtx, name string) {
+func (s *Server) pauseWave(x *exchange, name string) {
 	orderCtx, cancel := maintenanceContext()
 	defer cancel()
 	w, err := s.deps.Orders.PauseWave(orderCtx, name)
-	writeMaintenanceResult(ctx, w, err)
+	writeMaintenanceResult(x, w, err)
 }
 
 // resumeWave serves POST /v1/maintenance/wave/resume/{name}.
-func (s *Server) resumeWave(ctx *fasthttp.RequestCtx, name string) {
+func (s *Server) resumeWave(x *exchange, name string) {
 	orderCtx, cancel := maintenanceContext()
 	defer cancel()
 	w, err := s.deps.Orders.ResumeWave(orderCtx, name)
-	writeMaintenanceResult(ctx, w, err)
+	writeMaintenanceResult(x, w, err)
 }
 
 func (s *Server) listInstances(ctx context.Context) (InstanceList, error) {
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -1,17 +1,14 @@
 package front
 
-import (
-	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
-)
+import "net/http"
 
 // metricsRoutes returns the route of GET /metrics, which answers in the Prometheus
 // text format.
 func (s *Server) metricsRoutes() []route {
-	handler := fasthttpadaptor.NewFastHTTPHandler(s.deps.Metrics.Handler())
+	handler := s.deps.Metrics.Handler()
 	return []route{{
-		method: fasthttp.MethodGet,
+		method: http.MethodGet,
 		prefix: "/metrics",
-		handle: func(ctx *fasthttp.RequestCtx, _ string) { handler(ctx) },
+		handle: func(x *exchange, _ string) { handler.ServeHTTP(x, x.request) },
 	}}
 }
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-
-	"github.com/valyala/fasthttp"
+	"net/http"
 
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
@@ -13,12 +12,12 @@
 // returns the reply. When none arrives within statusTimeout, it writes the error
 // reply and returns false. It does not use the request's context, because that is
 // cancelled at a planned stop while the request is still being served.
-func queryControl[T any](s *Server, ctx *fasthttp.RequestCtx, newEvent func(reply chan<- T) fleet.Event) (T, bool) {
+func queryControl[T any](s *Server, x *exchange, newEvent func(reply chan<- T) fleet.Event) (T, bool) {
 	queryCtx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	result, err := control.Ask(queryCtx, s.deps.Loop, newEvent)
 	if err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
 		return result, false
 	}
 	return result, true
--- a/internal/front/ready.go
+++ b/internal/front/ready.go
@@ -1,21 +1,21 @@
 package front
 
 import (
-	"github.com/valyala/fasthttp"
+	"net/http"
 
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 )
 
 func (s *Server) readyRoutes() []route {
 	return []route{
-		{method: fasthttp.MethodGet, prefix: "/v1/ready", handle: s.ready},
-		{method: fasthttp.MethodGet, prefix: "/v1/live", handle: s.live},
+		{method: http.MethodGet, prefix: "/v1/ready", handle: s.ready},
+		{method: http.MethodGet, prefix: "/v1/live", handle: s.live},
 	}
 }
 
 // ready serves GET /v1/ready, with which a load balancer decides whether to send
 // new requests to this instance.
-func (s *Server) ready(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) ready(x *exchange, _ string) {
 	reason := ""
 	switch {
 	case s.draining.Load():
@@ -24,16 +24,16 @@
 		reason = "configuration is not loaded"
 	}
 	if reason != "" {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: reason})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: reason})
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, map[string]bool{"ready": true})
+	writeJSON(x, http.StatusOK, map[string]bool{"ready": true})
 }
 
 // live serves GET /v1/live, with which the platform checks that the process
 // answers.
-func (s *Server) live(ctx *fasthttp.RequestCtx, _ string) {
-	writeJSON(ctx, fasthttp.StatusOK, map[string]bool{"live": true})
+func (s *Server) live(x *exchange, _ string) {
+	writeJSON(x, http.StatusOK, map[string]bool{"live": true})
 }
 
 // Drain withdraws readiness. The server still accepts connections and serves
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,17 +5,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
+	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
+	"github.com/crocusjunction/crocusjunction/internal/clientserver"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/telemetry"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
@@ -49,11 +53,15 @@
 	Metrics   *telemetry.Metrics
 	Log       *logrus.Entry
 	Clock     func() time.Time
+	// Capacity is what the server takes in of its clients, RequestLimits what it allows
+	// each request.
+	Capacity      intake.Capacity
+	RequestLimits policy.RequestLimits
 }
 
 // handlerFunc serves one request. The name argument is the rest of the path after
 // the route's prefix.
-type handlerFunc func(ctx *fasthttp.RequestCtx, name string)
+type handlerFunc func(x *exchange, name string)
 
 // route maps a method and a path prefix to a handler.
 type route struct {
@@ -63,9 +71,10 @@
 
 // Server is the HTTP server of one entry instance.
 type Server struct {
-	deps   Dependencies
-	routes []route
-	http   *fasthttp.Server
+	deps    Dependencies
+	routes  []route
+	clients *clientserver.Clients
+	http    *http.Server
 	// draining is true once Drain has withdrawn readiness: the instance reports
 	// that it is not ready and closes each connection after its current request.
 	draining atomic.Bool
@@ -85,34 +94,49 @@
 	s.routes = append(s.routes, s.maintenanceRoutes()...)
 	s.routes = append(s.routes, s.metricsRoutes()...)
 	s.routes = append(s.routes, s.limitsRoutes()...)
-	s.http = &fasthttp.Server{
-		Handler:            s.serve,
-		MaxRequestBodySize: MaxBodySize,
-		Name:               "crocusjunction",
-		ErrorHandler:       s.protocolError,
-		CloseOnShutdown:    true,
-	}
+	s.clients = s.newClients(deps.Capacity, deps.RequestLimits)
+	s.http = s.clients.NewServer(s.clients.Admit(s))
 	return s
 }
 
-// Serve accepts connections on l and serves them until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+// Serve accepts connections on a listener of Listen and serves them until Shutdown. The
+// caller runs Watch meanwhile.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
 
-// Shutdown stops accepting connections and waits until the running requests have
+// Shutdown stops accepting connections on l and waits until the running requests have
 // ended or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context, l net.Listener) error {
+	s.clients.Drain(ctx, l)
+	return s.http.Shutdown(ctx)
+}
 
-func (s *Server) serve(ctx *fasthttp.RequestCtx) {
-	s.route(ctx)
-	if s.draining.Load() {
-		ctx.SetConnectionClose()
+// ServeHTTP implements http.Handler. A request whose handling fails unexpectedly may have
+// run.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{ResponseWriter: w, server: s, request: r}
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.deps.Log.WithField("stack", string(debug.Stack())).Errorf("front: serving %s failed: %v", r.URL.Path, cause)
+			writeOutcome(x, traffic.Outcome{Kind: traffic.Unknown, Reason: "unexpected failure"})
+		}
+	}()
+	body, refusal := s.clients.ReadBody(w, r)
+	if refusal != nil {
+		s.clients.Refuse(w, *refusal)
+		return
 	}
+	x.body = body
+	s.route(x)
 }
 
 // route calls the handler of the first route that matches the method and path.
-func (s *Server) route(ctx *fasthttp.RequestCtx) {
-	path := string(ctx.Path())
-	method := string(ctx.Method())
+func (s *Server) route(x *exchange) {
+	path, method := x.request.URL.Path, x.request.Method
 	found := false
 	for _, r := range s.routes {
 		name, ok := strings.CutPrefix(path, r.prefix)
@@ -121,36 +145,13 @@
 		}
 		found = true
 		if method == r.method {
-			r.handle(ctx, name)
+			r.handle(x, name)
 			return
 		}
 	}
 	if found {
-		writeError(ctx, fasthttp.StatusMethodNotAllowed, Error{Code: "method-not-allowed", Reason: method + " is not allowed at " + path})
-		return
-	}
-	writeError(ctx, fasthttp.StatusNotFound, Error{Code: "not-found", Reason: "no route " + path})
-}
-
-// protocolError replies to a request that fasthttp could not read.
-func (s *Server) protocolError(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
-		status = fasthttp.StatusRequestEntityTooLarge
-	}
-	ctx.Response.Header.Set(HeaderOutcome, string(traffic.NotRun))
-	writeError(ctx, status, Error{Code: "bad-request", Reason: err.Error()})
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		writeError(x, http.StatusMethodNotAllowed, Error{Code: "method-not-allowed", Reason: method + " is not allowed at " + path})
 		return
 	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	writeError(x, http.StatusNotFound, Error{Code: "not-found", Reason: "no route " + path})
 }
-
-func writeError(ctx *fasthttp.RequestCtx, status int, e Error) { writeJSON(ctx, status, e) }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/crocusjunction/crocusjunction/internal/control"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 )
@@ -59,19 +58,19 @@
 }
 
 // configStatus serves GET /v1/config/status.
-func (s *Server) configStatus(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) configStatus(x *exchange, _ string) {
 	queryCtx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	status, err := control.Ask(queryCtx, s.deps.Loop, func(reply chan<- fleet.ConfigStatus) fleet.Event {
 		return fleet.ConfigStatusQuery{Reply: reply}
 	})
 	if err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error()})
 		return
 	}
 	answer := newConfigStatus(status)
 	answer.Propagation = s.awaitConfirmations(queryCtx, status.Plan)
-	writeJSON(ctx, fasthttp.StatusOK, answer)
+	writeJSON(x, http.StatusOK, answer)
 }
 
 func newConfigStatus(s fleet.ConfigStatus) ConfigStatus {
--- a/internal/front/tasks.go
+++ b/internal/front/tasks.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/machine"
@@ -66,29 +66,29 @@
 
 func (s *Server) taskRoutes() []route {
 	return []route{
-		{method: fasthttp.MethodPost, prefix: "/v1/task/submit/", handle: s.submitTasks},
-		{method: fasthttp.MethodPost, prefix: "/v1/task/cancel", handle: s.cancelTasks},
-		{method: fasthttp.MethodGet, prefix: "/v1/task/list/", handle: s.listTasks},
-		{method: fasthttp.MethodGet, prefix: "/v1/task/show/", handle: s.showTask},
+		{method: http.MethodPost, prefix: "/v1/task/submit/", handle: s.submitTasks},
+		{method: http.MethodPost, prefix: "/v1/task/cancel", handle: s.cancelTasks},
+		{method: http.MethodGet, prefix: "/v1/task/list/", handle: s.listTasks},
+		{method: http.MethodGet, prefix: "/v1/task/show/", handle: s.showTask},
 	}
 }
 
 // submitTasks serves POST /v1/task/submit/{service}.
-func (s *Server) submitTasks(ctx *fasthttp.RequestCtx, service string) {
+func (s *Server) submitTasks(x *exchange, service string) {
 	var body TaskSubmission
-	if err := strictjson.Decode(ctx.PostBody(), &body); err != nil {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
+	if err := strictjson.Decode(x.body, &body); err != nil {
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
 	batch := traffic.TaskBatch{
-		Service: service, Secret: string(ctx.Request.Header.Peek(HeaderKey)), DataCentre: body.DataCentre,
+		Service: service, Secret: x.header(HeaderKey), DataCentre: body.DataCentre,
 	}
 	for _, t := range body.Tasks {
 		batch.Tasks = append(batch.Tasks, newTask(t))
 	}
 	submitCtx, cancel := context.WithTimeout(context.Background(), taskTimeout)
 	defer cancel()
-	writeTaskAnswer(ctx, s.deps.Traffic.SubmitTasks(submitCtx, batch))
+	writeTaskAnswer(x, s.deps.Traffic.SubmitTasks(submitCtx, batch))
 }
 
 func newTask(t TaskSpec) machine.Task {
@@ -99,21 +99,21 @@
 }
 
 // cancelTasks serves POST /v1/task/cancel.
-func (s *Server) cancelTasks(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) cancelTasks(x *exchange, _ string) {
 	var body TaskCancellation
-	if err := strictjson.Decode(ctx.PostBody(), &body); err != nil {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
+	if err := strictjson.Decode(x.body, &body); err != nil {
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
 	dataCentre, ok := dataCentreOf(body.IDs)
 	if !ok {
-		writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "ids must be 1 to 4096 task ids of one data centre"})
+		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: "ids must be 1 to 4096 task ids of one data centre"})
 		return
 	}
 	cancelCtx, cancel := context.WithTimeout(context.Background(), taskTimeout)
 	defer cancel()
-	secret := string(ctx.Request.Header.Peek(HeaderKey))
-	writeTaskAnswer(ctx, s.deps.Traffic.CancelTasks(cancelCtx, secret, dataCentre, body.IDs))
+	secret := x.header(HeaderKey)
+	writeTaskAnswer(x, s.deps.Traffic.CancelTasks(cancelCtx, secret, dataCentre, body.IDs))
 }
 
 // dataCentreOf returns the data centre of the ids. It returns false when an id is
@@ -131,20 +131,20 @@
 	return first.DataCentre, ok
 }
 
-func writeTaskAnswer(ctx *fasthttp.RequestCtx, a fleet.TaskAnswer) {
+func writeTaskAnswer(x *exchange, a fleet.TaskAnswer) {
 	if a.Refusal != nil {
-		ctx.Response.Header.Set(HeaderOutcome, string(traffic.NotRun))
-		writeError(ctx, taskRefusalStatus(a.Refusal.Code), Error{
+		x.Header().Set(HeaderOutcome, string(traffic.NotRun))
+		writeError(x, taskRefusalStatus(a.Refusal.Code), Error{
 			Code: a.Refusal.Code, Reason: a.Refusal.Reason, RetryAfterMS: a.Refusal.RetryAfter.Milliseconds(),
 		})
 		return
 	}
 	answer := TaskAnswer{Outcome: "accepted", IDs: a.IDs}
-	status := fasthttp.StatusAccepted
+	status := http.StatusAccepted
 	if a.Outcome != zone.GroupWritten {
-		answer.Outcome, status = string(traffic.Unknown), fasthttp.StatusBadGateway
+		answer.Outcome, status = string(traffic.Unknown), http.StatusBadGateway
 	}
-	writeJSON(ctx, status, answer)
+	writeJSON(x, status, answer)
 }
 
 // taskRefusalStatus returns the HTTP status for the refusal code of a submission
@@ -152,43 +152,43 @@
 func taskRefusalStatus(code string) int {
 	switch code {
 	case fleet.CodeImpossible:
-		return fasthttp.StatusUnprocessableEntity
+		return http.StatusUnprocessableEntity
 	case fleet.CodeDataCentreOut, fleet.CodeNotAccepted:
-		return fasthttp.StatusServiceUnavailable
+		return http.StatusServiceUnavailable
 	default:
 		if status, ok := refusalStatus[code]; ok {
 			return status
 		}
-		return fasthttp.StatusServiceUnavailable
+		return http.StatusServiceUnavailable
 	}
 }
 
 // showTask serves GET /v1/task/show/{id}.
-func (s *Server) showTask(ctx *fasthttp.RequestCtx, id string) {
-	task, err := s.deps.Tasks.Show(ctx, id)
+func (s *Server) showTask(x *exchange, id string) {
+	task, err := s.deps.Tasks.Show(x.request.Context(), id)
 	if errors.Is(err, platform.ErrNotFound) {
 		reason := "no task " + id + "; ended tasks are kept for " + zone.Retention.String()
-		writeError(ctx, fasthttp.StatusNotFound, Error{Code: "not-found", Reason: reason})
+		writeError(x, http.StatusNotFound, Error{Code: "not-found", Reason: reason})
 		return
 	}
 	if err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfterMS: 1000})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfterMS: 1000})
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, task)
+	writeJSON(x, http.StatusOK, task)
 }
 
 // listTasks serves GET /v1/task/list/{datacentre} and
 // /v1/task/list/{datacentre}/{team}.
-func (s *Server) listTasks(ctx *fasthttp.RequestCtx, path string) {
+func (s *Server) listTasks(x *exchange, path string) {
 	dataCentre, team, _ := strings.Cut(path, "/")
-	tasks, err := s.deps.Tasks.List(ctx, dataCentre, team)
+	tasks, err := s.deps.Tasks.List(x.request.Context(), dataCentre, team)
 	if err != nil {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfterMS: 1000})
+		writeError(x, http.StatusServiceUnavailable, Error{Code: fleet.CodeNotReady, Reason: err.Error(), RetryAfterMS: 1000})
 		return
 	}
 	if tasks == nil {
 		tasks = []machine.Task{}
 	}
-	writeJSON(ctx, fasthttp.StatusOK, TaskList{Tasks: tasks})
+	writeJSON(x, http.StatusOK, TaskList{Tasks: tasks})
 }
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/crocusjunction/crocusjunction/internal/contract"
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 )
@@ -20,23 +19,23 @@
 }
 
 func (s *Server) ticketRoutes() []route {
-	return []route{{method: fasthttp.MethodPost, prefix: "/v1/tickets", handle: s.issueTickets}}
+	return []route{{method: http.MethodPost, prefix: "/v1/tickets", handle: s.issueTickets}}
 }
 
 // issueTickets serves POST /v1/tickets?count=N. The count defaults to 1.
-func (s *Server) issueTickets(ctx *fasthttp.RequestCtx, _ string) {
+func (s *Server) issueTickets(x *exchange, _ string) {
 	count := 1
-	if param := string(ctx.QueryArgs().Peek("count")); param != "" {
+	if param := x.request.URL.Query().Get("count"); param != "" {
 		var err error
 		if count, err = strconv.Atoi(param); err != nil || count < 1 || count > contract.MaxTicketsPerCall {
 			reason := fmt.Sprintf("count must be 1 to %d", contract.MaxTicketsPerCall)
-			writeError(ctx, fasthttp.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
+			writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: reason})
 			return
 		}
 	}
-	list, refusal := s.deps.Traffic.IssueTickets(context.Background(), string(ctx.Request.Header.Peek(HeaderKey)), count)
+	list, refusal := s.deps.Traffic.IssueTickets(context.Background(), x.header(HeaderKey), count)
 	if refusal != nil {
-		writeError(ctx, refusalStatus[refusal.Code], Error{
+		writeError(x, refusalStatus[refusal.Code], Error{
 			Code: refusal.Code, Reason: refusal.Reason, RetryAfterMS: refusal.RetryAfter.Milliseconds(),
 		})
 		return
@@ -45,5 +44,5 @@
 	for _, t := range list {
 		answer.Tickets = append(answer.Tickets, t.String())
 	}
-	writeJSON(ctx, fasthttp.StatusOK, answer)
+	writeJSON(x, http.StatusOK, answer)
 }
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -4,11 +4,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/crocusjunction/crocusjunction/internal/fleet"
 	"github.com/crocusjunction/crocusjunction/internal/traffic"
 )
@@ -41,14 +40,14 @@
 )
 
 func (s *Server) workRoutes() []route {
-	return []route{{method: fasthttp.MethodPost, prefix: "/v1/work/", handle: s.serveWork}}
+	return []route{{method: http.MethodPost, prefix: "/v1/work/", handle: s.serveWork}}
 }
 
 // serveWork serves POST /v1/work/{service}.
-func (s *Server) serveWork(ctx *fasthttp.RequestCtx, service string) {
-	deadline, ok := s.deadline(ctx)
+func (s *Server) serveWork(x *exchange, service string) {
+	deadline, ok := s.deadline(x)
 	if !ok {
-		writeOutcome(ctx, traffic.Outcome{Kind: traffic.NotRun, Refusal: &fleet.Refusal{
+		writeOutcome(x, traffic.Outcome{Kind: traffic.NotRun, Refusal: &fleet.Refusal{
 			Code: fleet.CodeBadRequest, Reason: HeaderDeadline + " must be 1 to 60000 milliseconds",
 		}})
 		return
@@ -56,19 +55,19 @@
 	r := traffic.Request{
 		ID:             newRequestID(),
 		Service:        service,
-		Secret:         string(ctx.Request.Header.Peek(HeaderKey)),
-		Body:           ctx.PostBody(),
+		Secret:         x.header(HeaderKey),
+		Body:           x.body,
 		Deadline:       deadline,
-		IdempotencyKey: string(ctx.Request.Header.Peek(HeaderIdempotencyKey)),
-		NonIdempotent:  string(ctx.Request.Header.Peek(HeaderIdempotent)) == "false",
+		IdempotencyKey: x.header(HeaderIdempotencyKey),
+		NonIdempotent:  x.header(HeaderIdempotent) == "false",
 	}
-	ctx.Response.Header.Set(HeaderRequestID, r.ID)
+	x.Header().Set(HeaderRequestID, r.ID)
 	started := s.deps.Clock()
-	// fasthttp cancels its context when the server stops. Running requests must
-	// still be finished then, so they use another context.
+	// The context of the request ends when the caller closes the connection. A request
+	// that has been sent is then still finished, so that its outcome is recorded.
 	outcome := s.deps.Traffic.Serve(context.Background(), r)
 	s.recordMetrics(outcome, s.deps.Clock().Sub(started))
-	writeOutcome(ctx, outcome)
+	writeOutcome(x, outcome)
 }
 
 // recordMetrics adds an outcome and its duration to the metrics of its team.
@@ -82,8 +81,8 @@
 
 // deadline returns the deadline of a request. It returns false when the value of
 // HeaderDeadline is invalid.
-func (s *Server) deadline(ctx *fasthttp.RequestCtx) (time.Time, bool) {
-	text := string(ctx.Request.Header.Peek(HeaderDeadline))
+func (s *Server) deadline(x *exchange) (time.Time, bool) {
+	text := x.header(HeaderDeadline)
 	if text == "" {
 		return s.deps.Clock().Add(DefaultDeadline), true
 	}
@@ -106,37 +105,45 @@
 
 // refusalStatus maps refusal codes to HTTP statuses.
 var refusalStatus = map[string]int{
-	fleet.CodeNotReady:             fasthttp.StatusServiceUnavailable,
-	fleet.CodeUnknownService:       fasthttp.StatusNotFound,
-	fleet.CodeKeyRefused:           fasthttp.StatusForbidden,
-	fleet.CodeUpperLimit:           fasthttp.StatusTooManyRequests,
-	fleet.CodeNoEndpoint:           fasthttp.StatusServiceUnavailable,
-	fleet.CodeDeadline:             fasthttp.StatusGatewayTimeout,
-	fleet.CodeBadRequest:           fasthttp.StatusBadRequest,
-	fleet.CodeOverloaded:           fasthttp.StatusServiceUnavailable,
-	fleet.CodeStaleConfiguration:   fasthttp.StatusServiceUnavailable,
-	fleet.CodePlatformUnavailable:  fasthttp.StatusServiceUnavailable,
-	fleet.CodeIdempotencyKeyReused: fasthttp.StatusUnprocessableEntity,
-	fleet.CodeTicketRefused:        fasthttp.StatusForbidden,
-	fleet.CodeFirstNotRun:          fasthttp.StatusServiceUnavailable,
-	fleet.CodeDataCentreOut:        fasthttp.StatusServiceUnavailable,
+	fleet.CodeNotReady:             http.StatusServiceUnavailable,
+	fleet.CodeUnknownService:       http.StatusNotFound,
+	fleet.CodeKeyRefused:           http.StatusForbidden,
+	fleet.CodeUpperLimit:           http.StatusTooManyRequests,
+	fleet.CodeNoEndpoint:           http.StatusServiceUnavailable,
+	fleet.CodeDeadline:             http.StatusGatewayTimeout,
+	fleet.CodeBadRequest:           http.StatusBadRequest,
+	fleet.CodeOverloaded:           http.StatusServiceUnavailable,
+	fleet.CodeStaleConfiguration:   http.StatusServiceUnavailable,
+	fleet.CodePlatformUnavailable:  http.StatusServiceUnavailable,
+	fleet.CodeIdempotencyKeyReused: http.StatusUnprocessableEntity,
+	fleet.CodeTicketRefused:        http.StatusForbidden,
+	fleet.CodeFirstNotRun:          http.StatusServiceUnavailable,
+	fleet.CodeDataCentreOut:        http.StatusServiceUnavailable,
 }
 
 // writeOutcome writes the reply to a request.
-func writeOutcome(ctx *fasthttp.RequestCtx, o traffic.Outcome) {
-	ctx.Response.Header.Set(HeaderOutcome, string(o.Kind))
+func writeOutcome(x *exchange, o traffic.Outcome) {
+	x.Header().Set(HeaderOutcome, string(o.Kind))
 	if o.Repeated {
-		ctx.Response.Header.Set(HeaderRepeated, "true")
+		x.Header().Set(HeaderRepeated, "true")
 	}
 	switch o.Kind {
 	case traffic.Answered:
-		ctx.SetStatusCode(o.Status)
-		ctx.SetBody(o.Body)
+		x.respond(answerStatus(o.Status), "text/plain; charset=utf-8", o.Body)
 	case traffic.NotRun:
-		writeError(ctx, refusalStatus[o.Refusal.Code], Error{
+		writeError(x, refusalStatus[o.Refusal.Code], Error{
 			Code: o.Refusal.Code, Reason: o.Refusal.Reason, RetryAfterMS: o.Refusal.RetryAfter.Milliseconds(),
 		})
 	default:
-		writeError(ctx, fasthttp.StatusBadGateway, Error{Code: string(traffic.Unknown), Reason: o.Reason})
+		writeError(x, http.StatusBadGateway, Error{Code: string(traffic.Unknown), Reason: o.Reason})
+	}
+}
+
+// answerStatus returns the HTTP status with which an endpoint's answer is passed on. A
+// status that can't end an answer becomes 502.
+func answerStatus(status int) int {
+	if status < http.StatusOK || status > 999 {
+		return http.StatusBadGateway
 	}
+	return status
 }
--- a/internal/link/intake/capacity.go
+++ b/internal/link/intake/capacity.go
@@ -108,6 +108,12 @@
 	}
 }
 
+// Fits reports whether a request with a body of so many bytes fits into the memory of
+// requests.
+func (c Capacity) Fits(bodyBytes int) bool {
+	return bodyShare(bodyBytes) <= c.RequestBytes*largeBodyPercent/100
+}
+
 func orDefault(value, fallback int) int {
 	if value > 0 {
 		return value
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	FreshnessHorizonMS int64 `json:"freshness_horizon_ms,omitempty"`
 	// Limits are the terms on which slots are held.
 	Limits Limits `json:"limits,omitzero"`
+	// Clients limit what the instance takes in of its clients.
+	Clients Clients `json:"clients,omitzero"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"log_level,omitempty"`
 	// DrainDelayMS is how long a stopping instance still accepts connections after
@@ -143,6 +145,7 @@
 		c.requireAddress(field+"address", seed.Address)
 	}
 	e.Limits.check(&c)
+	e.Clients.check(&c)
 	horizon := e.FreshnessHorizon().Milliseconds()
 	c.require(horizon >= MinFreshnessHorizonMS && horizon <= MaxFreshnessHorizonMS, "freshness_horizon_ms", fmt.Sprint(horizon),
 		fmt.Sprintf("%d to %d ms", MinFreshnessHorizonMS, MaxFreshnessHorizonMS))
--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -82,6 +82,7 @@
 		ID: name, DataCentre: "north", HTTP: e.front, Peer: e.peers, Platform: platformAddress,
 		DataCentres: map[string]string{"north": "west"},
 		TLS:         settings.TLS{CA: files.CA, Certificate: files.Certificate, Key: files.Key},
+		Clients:     settings.Clients{MemoryMB: memoryMB, MaxDescriptors: maxDescriptors},
 	})
 	if err != nil {
 		t.Fatal(err)
