link/intake: places rotate while a crowd fills a server

Callers saw 503 on every new connection, for as long as clients inside the limits kept all connections of a process and sent a small valid request on each now and then. The same crowd on the readiness address kept health checks out.

Cause: a connection with one successful request is closed for another one only after the idle time, because a request may be on its way on it. Nothing else made such a place free.

Change: while 85% of a server's connections are in use, each answer ends its connection. A caller that is told so loses no request, and no caller inside the limits meets this in calm.

Weighed: closing the connection that has been idle for longest; with requests at a fixed interval that is the one whose next request comes first.

--- a/internal/clientserver/requests.go
+++ b/internal/clientserver/requests.go
@@ -48,11 +48,15 @@
 		size, lines := headSize(r)
 		s.mu.Lock()
 		refused := s.gate.Begin(c.state, size, lines, s.options.Now())
+		crowded := s.gate.Crowded(c.state)
 		s.mu.Unlock()
 		if refused != "" {
 			s.Refuse(w, s.refusal(c, w, refused))
 			return
 		}
+		if crowded {
+			w.Header().Set("Connection", "close")
+		}
 		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
 		next.ServeHTTP(recorder, r)
 		if recorder.status < http.StatusMultipleChoices {
--- a/internal/link/intake/gate.go
+++ b/internal/link/intake/gate.go
@@ -76,6 +76,10 @@
 	// reads the refusal meanwhile.
 	closingFor = 50 * time.Millisecond
 	maxClosing = time.Second
+	// crowdedPercent is the part of a server's connections from which each answer ends its
+	// connection. Callers that keep connections open then leave places to others, without
+	// the loss of a request that is on its way.
+	crowdedPercent = 85
 	// firstRequestGrace is the age up to which a stopping process waits for the first
 	// request of a connection.
 	firstRequestGrace = time.Second
@@ -344,6 +348,11 @@
 	c.enter(closing, now)
 }
 
+// Crowded reports whether the answer to a request has to end its connection.
+func (g *Gate) Crowded(c *Connection) bool {
+	return len(g.connections[c.server])*100 >= g.capacity.Connections[c.server]*crowdedPercent
+}
+
 // Prove records that a request of the connection was successful.
 func (g *Gate) Prove(c *Connection) { c.proven = true }
 
--- a/internal/link/intake/gate_test.go
+++ b/internal/link/intake/gate_test.go
@@ -309,3 +309,59 @@
 		t.Errorf("after the connection was closed: %q", refused)
 	}
 }
+
+// TestPlacesRotateInCrowd guards, under a load of callers inside the limits that keep their
+// connections open, against callers that find no place: the former hold all of them.
+func TestPlacesRotateInCrowd(t *testing.T) {
+	const places, members = 100, 300
+	const step, interval, retry = 10 * time.Millisecond, 2 * time.Second, time.Second
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		g := NewGate(CapacityOf(Settings{Connections: places}))
+		request := func(c *Connection, now time.Time) (open bool) {
+			if g.Begin(c, 300, 8, now) != "" {
+				return false
+			}
+			crowded := g.Crowded(c)
+			g.Prove(c)
+			g.Answered(c, now)
+			if crowded {
+				g.Close(c)
+			}
+			return !crowded
+		}
+		var crowd [members]*Connection
+		var next [members]time.Time
+		for i := range next {
+			next[i] = start.Add(time.Duration(random.Int64N(int64(time.Second))))
+		}
+		served, refused := 0, 0
+		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
+			for i, c := range crowd {
+				if now.Before(next[i]) {
+					continue
+				}
+				next[i] = now.Add(interval)
+				if c == nil || !c.open {
+					if c, _, _ = g.Open(Callers, "10.0.0.1", now); c == nil {
+						next[i] = now.Add(retry)
+					}
+				}
+				if crowd[i] = c; c != nil && !request(c, now) {
+					crowd[i] = nil
+				}
+			}
+			// Another caller needs a place for one request.
+			if c, _, _ := g.Open(Callers, "10.0.0.2", now); c != nil {
+				request(c, now)
+				g.Close(c)
+				served++
+			} else {
+				refused++
+			}
+		}
+		if refused > 0 || served == 0 {
+			t.Errorf("seed %d: %d of %d callers found no place: %v", seed, refused, served+refused, g.Totals())
+		}
+	}
+}
