node: limit the connections of other nodes by descriptors and by address

Operators would see a node out of descriptors, and with it no calls to the store or to workers: 400 silent connections to the address for other nodes, beside 400 callers, made 699 descriptors with a limit of 384. A crowd that held all 512 places also kept out the other nodes, which then learn of the scheduler's end only when its lease expires.

Cause: the number of places was a constant, apart from the capacity that is derived from the machine, and a place was kept by whoever came first.

Change: intake.Peers holds these connections. Their number is the same part of the reserved descriptors on each machine, 512 from 4,000 descriptors on. While all are taken, the address with the most connections gives one up. The number of refused connections that stay open for their answer follows the callers' connections on small machines.

--- a/internal/clientserver/clients.go
+++ b/internal/clientserver/clients.go
@@ -62,8 +62,9 @@
 
 // New returns Clients without connections. The caller runs Watch.
 func New(o Options) *Clients {
+	lingering := min(maxLingering, o.Capacity.Connections[intake.Callers]*lingeringPercent/100)
 	return &Clients{
-		options: o, lingering: make(chan struct{}, maxLingering),
+		options: o, lingering: make(chan struct{}, lingering),
 		gate: intake.NewGate(o.Capacity), connections: make(map[*intake.Connection]*clientConn),
 	}
 }
--- a/internal/clientserver/conn.go
+++ b/internal/clientserver/conn.go
@@ -28,11 +28,13 @@
 	// refusalWriteTimeout bounds the writing of a refusal outside of a request. It fits
 	// into the empty buffer of the connection.
 	refusalWriteTimeout = time.Millisecond
-	// maxLingering and lingerTime bound the refused connections that stay open until
-	// their client has read the refusal: closing a connection with unread data resets
-	// it, which can remove the refusal from the client's buffer.
-	maxLingering = 32
-	lingerTime   = 300 * time.Millisecond
+	// maxLingering, lingeringPercent of the callers' connections, and lingerTime bound the
+	// refused connections that stay open until their client has read the refusal: closing
+	// a connection with unread data resets it, which can remove the refusal from the
+	// client's buffer.
+	maxLingering     = 32
+	lingeringPercent = 8
+	lingerTime       = 300 * time.Millisecond
 	// acceptPause is the pause after a connection could not be accepted for lack of
 	// descriptors or memory.
 	acceptPause = 50 * time.Millisecond
--- a/internal/link/intake/capacity.go
+++ b/internal/link/intake/capacity.go
@@ -25,10 +25,12 @@
 	// its goroutine, two buffers of 4 KiB, and what the kernel holds of it unread.
 	connectionBytes = 40 * kib
 
-	// reservedDescriptors are left for files (200), 1,200 workers, 512 connections of
+	// reservedDescriptors are left for files (200), 1,200 workers, the connections of
 	// other nodes, and the store and operators. If the process has less than twice as
 	// many, half of its descriptors are left.
 	reservedDescriptors = 2000
+	// peerConnections are those of other nodes: one of each, or two while it restarts.
+	peerConnections = 512
 
 	// readinessConnections and metricsConnections are far above what a load balancer
 	// and its operators open.
@@ -80,6 +82,8 @@
 	// ConnectionsPerAddress limits the callers' connections from one address, 0 for no
 	// limit.
 	ConnectionsPerAddress int
+	// Peers limits the connections of other nodes.
+	Peers int
 	// RequestBytes limits the memory of all callers' requests together, and
 	// OtherRequestBytes that of all requests for readiness and metrics.
 	RequestBytes      int64
@@ -94,6 +98,7 @@
 	clients := (memory - control) * clientPercent / 100
 	descriptors := orDefault(s.Descriptors, defaultDescriptors)
 	byDescriptors := max(descriptors-reservedDescriptors, descriptors/2)
+	reserved := descriptors - byDescriptors
 	connections := int(min(int64(byDescriptors), clients/2/connectionBytes))
 	return Capacity{
 		Connections: [serverCount]int{
@@ -102,6 +107,7 @@
 			orDefault(s.MetricsConnections, metricsConnections),
 		},
 		ConnectionsPerAddress: s.ConnectionsPerAddress,
+		Peers:                 max(1, min(peerConnections, reserved*peerConnections/reservedDescriptors)),
 		RequestBytes:          int64(orDefault(s.RequestMemoryMB*mib, int(max(mib, clients/2-otherRequestBytes)))),
 		OtherRequestBytes:     otherRequestBytes,
 		MinBytesPerSecond:     orDefault(s.MinBytesPerSecond, minBytesPerSecond),
--- a/internal/node/liveness.go
+++ b/internal/node/liveness.go
@@ -5,13 +5,14 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 )
 
@@ -29,15 +30,27 @@
 	// livenessRetryDelay is the delay after a probe that did not show whether the
 	// process has ended, and after a failed accept.
 	livenessRetryDelay = 100 * time.Millisecond
-	// maxLivenessConnections bounds the connections that a node accepts. Each
-	// other node opens one, or two while it restarts.
-	maxLivenessConnections = 512
 )
 
-// serveLiveness accepts connections from other nodes on address. It greets each
-// with the name of this process and keeps it open until ctx is done. The
-// listener is open when serveLiveness returns; its goroutines run in group.
-func serveLiveness(ctx context.Context, group *errgroup.Group, address, process string) error {
+// livenessServer keeps the connections of other nodes.
+type livenessServer struct {
+	// process is the name of this process, with which each connection is greeted.
+	process string
+
+	// mu guards the fields below.
+	mu          sync.Mutex
+	peers       *intake.Peers
+	connections map[*intake.PeerConnection]net.Conn
+}
+
+func newLivenessServer(capacity intake.Capacity, process string) *livenessServer {
+	return &livenessServer{process: process, peers: intake.NewPeers(capacity), connections: make(map[*intake.PeerConnection]net.Conn)}
+}
+
+// serve accepts connections from other nodes on address. It greets each with the name of
+// this process and keeps it open until ctx is done. The listener is open when serve
+// returns; its goroutines run in group.
+func (s *livenessServer) serve(ctx context.Context, group *errgroup.Group, address string) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for other nodes on %s", address)
@@ -47,7 +60,6 @@
 		return l.Close()
 	})
 	group.Go(func() error {
-		connectionSlots := semaphore.NewWeighted(maxLivenessConnections)
 		for {
 			conn, err := l.Accept()
 			if err != nil {
@@ -57,19 +69,41 @@
 				sleep(ctx, livenessRetryDelay)
 				continue
 			}
-			if !connectionSlots.TryAcquire(1) {
-				_ = conn.Close()
-				continue
+			if state := s.open(conn); state != nil {
+				go func() {
+					defer s.close(state)
+					holdConnection(ctx, conn, s.process)
+				}()
 			}
-			go func() {
-				defer connectionSlots.Release(1)
-				holdConnection(ctx, conn, process)
-			}()
 		}
 	})
 	return nil
 }
 
+// open takes in a connection. It returns nil if the connection was closed instead.
+func (s *livenessServer) open(conn net.Conn) *intake.PeerConnection {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, evicted := s.peers.Open(host)
+	s.connections[state] = conn
+	if evicted != nil {
+		_ = s.connections[evicted].Close()
+		delete(s.connections, evicted)
+	}
+	if evicted == state {
+		return nil
+	}
+	return state
+}
+
+func (s *livenessServer) close(state *intake.PeerConnection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers.Close(state)
+	delete(s.connections, state)
+}
+
 // holdConnection sends the greeting and keeps the connection open until the
 // peer closes it or ctx is done.
 func holdConnection(ctx context.Context, conn net.Conn, process string) {
--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusjunction/crocusjunction/internal/link/intake"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 )
 
@@ -26,7 +27,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	group, groupCtx := errgroup.WithContext(ctx)
-	if err := serveLiveness(groupCtx, group, address, process); err != nil {
+	if err := newLivenessServer(intake.CapacityOf(intake.Settings{}), process).serve(groupCtx, group, address); err != nil {
 		t.Fatal(err)
 	}
 	return address, func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	if n.settings.PeerAddress != "" {
 		// The listener must be open before this process can acquire the lease: the
 		// other nodes conclude from a refused connection that the process has ended.
-		if err := serveLiveness(groupCtx, group, n.settings.PeerAddress, n.runner.process); err != nil {
+		if err := newLivenessServer(intake.CapacityOf(n.settings.Intake), n.runner.process).serve(groupCtx, group, n.settings.PeerAddress); err != nil {
 			return err
 		}
 	}
