peer: limit the handshakes in progress

Operators would see an entry instance grow by 40 KB for each client that begins a QUIC handshake at the address for other instances and sends nothing more: 4,000 of them made 152 to 181 MB, on a machine with 96 MB.

Cause: a handshake takes memory before the client's certificate is known, for 2 s, and neither its address was validated nor the number limited.

Refused handshakes have a counter.

Ruled out: messages of clients; streams exist only after the certificate was checked.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -33,6 +33,9 @@
 		{"crocusjunction.peer.received", "By", "Bytes received from other entry instances, without IP and UDP headers.",
 			func() int64 { return int64(node.Counters().ReceivedBytes) }},
 	}
+	if err := m.RegisterCounter("crocusjunction.peer.refused_handshakes", "", "Handshakes refused because too many were in progress.", node.RefusedHandshakes); err != nil {
+		return nil, err
+	}
 	for _, g := range gauges {
 		if err := m.RegisterGauge(g.name, g.unit, g.description, g.read); err != nil {
 			return nil, err
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -89,6 +89,7 @@
 	listener   *quic.Listener
 	handlers   map[Kind]ConfirmedHandler
 	pool       *pool
+	handshakes *handshakes
 	goroutines sync.WaitGroup
 }
 
@@ -103,8 +104,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	n := &Node{self: o.Self, log: o.Log, keys: keys, handlers: make(map[Kind]ConfirmedHandler), socket: socket}
-	n.transport = &quic.Transport{Conn: n.socket}
+	n := &Node{self: o.Self, log: o.Log, keys: keys, handlers: make(map[Kind]ConfirmedHandler), socket: socket, handshakes: newHandshakes()}
+	n.transport = &quic.Transport{Conn: n.socket, VerifySourceAddress: n.handshakes.validate, ConnContext: n.handshakes.begin}
 	if n.listener, err = n.transport.Listen(keys.serverTLS(), transportConfig()); err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
@@ -139,6 +140,10 @@
 // Counters returns the bytes and packets sent and received so far.
 func (n *Node) Counters() Counters { return n.socket.counters() }
 
+// RefusedHandshakes returns the number of handshakes that were refused because too many
+// were in progress.
+func (n *Node) RefusedHandshakes() int64 { return n.handshakes.refused() }
+
 // Handle registers the handler for one kind of message. It must be called before
 // Serve.
 func (n *Node) Handle(kind Kind, h Handler) {
@@ -169,6 +174,7 @@
 			}
 			return errors.Wrap(err, "accept peer")
 		}
+		n.handshakes.complete(connection)
 		n.goroutines.Go(func() { n.serveConnection(ctx, connection) })
 	}
 }
--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -244,6 +245,7 @@
 // other entry instances and send nothing more, so that the instance keeps their state.
 func TestEntryPeerAddress(t *testing.T) {
 	e := startEntry(t)
+	go e.watchDescriptors(t.Context())
 	packets := make([][]byte, handshakeCount)
 	var group sync.WaitGroup
 	const workers = 8
@@ -269,6 +271,22 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
+	second := startEntryAt(t, e.platform, entryNames[1])
 	e.checkBounds()
 	e.checkServes()
+	e.waitFor("the instances exchange messages", func() bool { return second.hears(entryNames[0]) })
+}
+
+// hears reports whether the instance has received a message of another one.
+func (e *entryProcess) hears(member string) bool {
+	response, err := http.Get("http://" + e.front + "/v1/config/status")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status front.ConfigStatus
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return false
+	}
+	return slices.ContainsFunc(status.Members, func(m front.MemberStatus) bool { return m.ID == member && m.HeardAgoMS >= 0 })
 }
