front: bound what a body decodes to before it is decoded

Cause: the number of tasks, ids and pools was checked after all of them had been decoded.

Change: strictjson.DecodeBounded scans the body first. The ids of a cancellation are decoded into a list of their final size, and checked up to the first one that is malformed.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -19,6 +19,10 @@
 // confirmations.
 const commitTimeout = 10 * time.Second
 
+// maxOperatorValues bounds the values in the body of an operator's change or order. The
+// largest name a few for each of 140 teams or 22 pools.
+const maxOperatorValues = 2048
+
 // ChangeAnswer is the JSON answer to POST /v1/config/change.
 type ChangeAnswer struct {
 	Result   contract.ChangeResult `json:"result"`
@@ -63,7 +67,7 @@
 // changeConfig serves POST /v1/config/change.
 func (s *Server) changeConfig(x *exchange, _ string) {
 	var change contract.Change
-	if err := strictjson.Decode(x.body, &change); err != nil {
+	if err := strictjson.DecodeBounded(x.body, &change, maxOperatorValues); err != nil {
 		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
--- a/internal/front/maintenance.go
+++ b/internal/front/maintenance.go
@@ -143,7 +143,7 @@
 // moveInstance serves POST /v1/maintenance/move.
 func (s *Server) moveInstance(x *exchange, _ string) {
 	var r MoveRequest
-	if err := strictjson.Decode(x.body, &r); err != nil {
+	if err := strictjson.DecodeBounded(x.body, &r, maxOperatorValues); err != nil {
 		writeBadRequest(x, err.Error())
 		return
 	}
@@ -164,7 +164,7 @@
 // startWave serves POST /v1/maintenance/wave/start.
 func (s *Server) startWave(x *exchange, _ string) {
 	var r WaveRequest
-	if err := strictjson.Decode(x.body, &r); err != nil {
+	if err := strictjson.DecodeBounded(x.body, &r, maxOperatorValues); err != nil {
 		writeBadRequest(x, err.Error())
 		return
 	}
--- a/internal/front/tasks.go
+++ b/internal/front/tasks.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"strings"
@@ -16,6 +17,14 @@
 	"github.com/crocusjunction/crocusjunction/internal/zone"
 )
 
+// Bounds of the values in a body (strictjson.DecodeBounded).
+const (
+	// maxSubmissionValues is above zone.SegmentTasks tasks with all their fields,
+	// maxCancellationValues above zone.MaxCancels ids.
+	maxSubmissionValues   = 16 * zone.SegmentTasks
+	maxCancellationValues = zone.MaxCancels + 8
+)
+
 // taskTimeout bounds one submission or cancellation of tasks.
 const taskTimeout = 10 * time.Second
 
@@ -76,7 +85,7 @@
 // submitTasks serves POST /v1/task/submit/{service}.
 func (s *Server) submitTasks(x *exchange, service string) {
 	var body TaskSubmission
-	if err := strictjson.Decode(x.body, &body); err != nil {
+	if err := strictjson.DecodeBounded(x.body, &body, maxSubmissionValues); err != nil {
 		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
@@ -100,8 +109,9 @@
 
 // cancelTasks serves POST /v1/task/cancel.
 func (s *Server) cancelTasks(x *exchange, _ string) {
-	var body TaskCancellation
-	if err := strictjson.Decode(x.body, &body); err != nil {
+	// A list that grows while it is decoded takes five times its final size.
+	body := TaskCancellation{IDs: make([]string, 0, min(zone.MaxCancels, bytes.Count(x.body, []byte{','})+1))}
+	if err := strictjson.DecodeBounded(x.body, &body, maxCancellationValues); err != nil {
 		writeError(x, http.StatusBadRequest, Error{Code: fleet.CodeBadRequest, Reason: err.Error()})
 		return
 	}
@@ -124,11 +134,15 @@
 		return "", false
 	}
 	first, _, ok := zone.ParseTaskID(ids[0])
+	if !ok {
+		return "", false
+	}
 	for _, id := range ids {
-		ref, _, valid := zone.ParseTaskID(id)
-		ok = ok && valid && ref.DataCentre == first.DataCentre
+		if ref, _, valid := zone.ParseTaskID(id); !valid || ref.DataCentre != first.DataCentre {
+			return "", false
+		}
 	}
-	return first.DataCentre, ok
+	return first.DataCentre, true
 }
 
 func writeTaskAnswer(x *exchange, a fleet.TaskAnswer) {
