--- a/test/clients/crowds_test.go
+++ b/test/clients/crowds_test.go
@@ -159,14 +159,41 @@
 	first.kill()
 	second.waitUntilScheduling()
 	second.checkServes()
+	second.waitForCompletedJob()
+	second.checkBounds()
+}
+
+// waitForCompletedJob waits until the node accepts a job and shows it as completed.
+func (n *nodeProcess) waitForCompletedJob() {
+	n.t.Helper()
 	client := site.Caller{Queue: site.Queue{Host: host, Prefix: prefix}, Key: key}
 	id := fmt.Sprintf("%016x", 1<<33)
-	second.waitFor("a job is accepted and completed", func() bool {
-		if state, err := client.State(second.front, id); err == nil && state == "completed" {
+	n.waitFor("a job is accepted and completed", func() bool {
+		if state, err := client.State(n.front, id); err == nil && state == "completed" {
 			return true
 		}
-		_, _ = submit(http.DefaultClient, second.front, id, ordinaryJob)
+		_, _ = submit(http.DefaultClient, n.front, id, ordinaryJob)
 		return false
 	})
-	second.checkBounds()
+}
+
+// TestExplainWhereBesideCrowd guards against questions of operators, with the largest
+// bodies that they may have, which keep a scheduler from scheduling or from serving
+// callers.
+func TestExplainWhereBesideCrowd(t *testing.T) {
+	n := startNode(t)
+	step := `{"count":128,"cpu":100,"mem-mb":10,"est-runtime-ms":5}`
+	questions := target{
+		address: n.metrics, header: "Host: x\r\n",
+		path: func(int) string { return "/explain/where?queue=quick&team=depots" },
+		body: `{"spec":"` + strings.Repeat("x", 4000) + `","steps":[` + step + strings.Repeat(","+step, 63) + `]}`,
+	}
+	if status, err := send(http.DefaultClient, newRequest(http.MethodPost, "http://"+n.metrics+questions.path(0), []byte(questions.body))); status != http.StatusOK {
+		t.Fatalf("a question is answered by %d, %v", status, err)
+	}
+	n.join(questions, ordinaryCrowd)
+	n.join(questions, pipeliningCrowd)
+	n.checkServes()
+	n.waitForCompletedJob()
+	n.checkBounds()
 }
