--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -1,14 +1,17 @@
 package clients
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +20,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract"
+	"github.com/crocusjunction/crocusjunction/internal/endpointclient"
 	"github.com/crocusjunction/crocusjunction/internal/front"
 	"github.com/crocusjunction/crocusjunction/internal/peer"
 	"github.com/crocusjunction/crocusjunction/internal/platform"
@@ -47,9 +51,18 @@
 // startEntry starts stand-ins of the platform and of an endpoint, and an entry instance
 // that serves requests.
 func startEntry(t *testing.T) *entryProcess {
+	t.Helper()
+	return startEntryBefore(t, standin.NewEndpoint(time.Millisecond))
+}
+
+// listenerServer is a stand-in that serves the connections of a listener.
+type listenerServer interface{ Serve(net.Listener) error }
+
+// startEntryBefore is startEntry with an endpoint of the caller.
+func startEntryBefore(t *testing.T, server listenerServer) *entryProcess {
 	t.Helper()
 	platformAddress, endpoint := freeAddress(t), freeAddress(t)
-	serve := func(address string, s interface{ Serve(net.Listener) error }) {
+	serve := func(address string, s listenerServer) {
 		l, err := net.Listen("tcp4", address)
 		if err != nil {
 			t.Fatal(err)
@@ -58,7 +71,7 @@
 		go func() { _ = s.Serve(l) }()
 	}
 	serve(platformAddress, standin.NewPlatformServer(standin.NewStore(time.Now)))
-	serve(endpoint, standin.NewEndpoint(time.Millisecond))
+	serve(endpoint, server)
 	post(t, platformAddress, standin.PathUpdateInstance, platform.Instance{ID: "e1", Service: service, DataCentre: "north", Address: endpoint})
 	e := startEntryAt(t, platformAddress, entryNames[0])
 	for i, object := range []contract.Object{
@@ -290,3 +303,33 @@
 	}
 	return slices.ContainsFunc(status.Members, func(m front.MemberStatus) bool { return m.ID == member && m.HeardAgoMS >= 0 })
 }
+
+// TestEntryLargeAnswers guards against answers of legal size that clients ask for by small
+// requests and don't read, so that the instance keeps them.
+func TestEntryLargeAnswers(t *testing.T) {
+	answer := make([]byte, 1<<20)
+	e := startEntryBefore(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, name := range []string{endpointclient.HeaderRequestID, endpointclient.HeaderAttempt} {
+			w.Header().Set(name, r.Header.Get(name))
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = w.Write(answer)
+	})})
+	e.join(e.target(), crowd{"answers that are never read", func(c net.Conn, to target) error {
+		// The kernel keeps little of an answer for the client, as on a slow link.
+		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			return err
+		}
+		if _, err := io.WriteString(c, to.ordinary()); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			return err
+		}
+		time.Sleep(3 * requestInterval)
+		return nil
+	}})
+	e.checkServes()
+	e.checkBounds()
+}
