--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,8 +1,9 @@
 // Package soak runs nodes as separate processes against the stand-in for the
 // users' platform and injects random faults that overlap: proxies delay, reset
 // or silence connections to the store or drop its responses; signals stop,
-// pause and kill nodes; the store and the workers fail calls. It checks the
-// responses to callers and the runs on the workers.
+// pause and kill nodes; the store and the workers fail calls; crowds of clients
+// exceed the limits of a node. It checks the responses to callers, the runs on the
+// workers and the memory of the nodes.
 package soak
 
 import (
@@ -193,6 +194,7 @@
 	s.checkWithdrawnKey()
 	s.checkJobs()
 	s.checkRuns()
+	s.checkMemory()
 }
 
 // startNode writes the settings of a node, which name the proxy as the store,
@@ -212,6 +214,8 @@
 		s.t.Fatal(err)
 	}
 	data := bytes.ReplaceAll(s.site.NodeSettings(name, "north", p.frontAddress, p.readyAddress, port), []byte(s.site.StoreAddress()), []byte(store.address()))
+	limits := fmt.Sprintf(`{"limits":{"memory-mb":%d,"max-fds":%d,"cpu-share":1},`, memoryMB, maxDescriptors)
+	data = bytes.Replace(data, []byte("{"), []byte(limits), 1)
 	if err := os.WriteFile(p.settingsPath, data, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -297,7 +301,7 @@
 	worker := workers[s.random.IntN(len(workers))]
 	undoLater := func(undo func()) { time.AfterFunc(duration, undo) }
 	name := ""
-	switch s.random.IntN(12) {
+	switch s.random.IntN(13) {
 	case 0:
 		name = "kill " + p.name
 		go p.restart(s, syscall.SIGKILL, duration/4)
@@ -343,6 +347,10 @@
 	case 11:
 		name = "reload " + p.name
 		p.signal(syscall.SIGHUP)
+	case 12:
+		kind := s.random.IntN(len(crowdKinds))
+		name = fmt.Sprintf("crowd %d at %s", kind, p.name)
+		go joinCrowd(p, kind, duration)
 	}
 	s.faults = append(s.faults, fmt.Sprintf("%s %s for %v", time.Now().Format("15:04:05.000"), name, duration))
 }
