--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -239,6 +239,22 @@
 	}
 }
 
+// TestWaveAfterPowerLosses guards against a machine of a wave that stays without its
+// upkeep after two losses of power in succession. On 5bd514b, seeds from 2 on failed.
+func TestWaveAfterPowerLosses(t *testing.T) {
+	const seeds = 6
+	for i, first := range faults {
+		for k, second := range faults {
+			if second.name != "all nodes lose power" || first.name != "scheduler loses power" && first.name != "scheduler taken for ended" {
+				continue
+			}
+			for seed := range uint64(seeds) {
+				runFaultPair(t, seed*1000+uint64(i*len(faults)+k), first, second)
+			}
+		}
+	}
+}
+
 // TestQueueThatRequiresAdvice guards against tasks that start without a valid
 // ticket, and against jobs that make no progress because their tickets expire.
 func TestQueueThatRequiresAdvice(t *testing.T) {
--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,6 +211,36 @@
 	second.checkBounds()
 }
 
+// TestEntryStopsDuringAttack guards against an instance that does not end after SIGTERM
+// while clients hold connections, and against closing the connection of a request that is
+// being served then.
+func TestEntryStopsDuringAttack(t *testing.T) {
+	e := startEntryBefore(t, standin.NewEndpoint(3*time.Second))
+	leave := e.join(e.target(), silentCrowd)
+	defer leave()
+	served := make(chan error, 1)
+	go func() {
+		status, err := send(http.DefaultClient, newRequest(http.MethodPost, "http://"+e.front+"/v1/work/"+service, []byte(workBody), front.HeaderKey, workSecret))
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+		served <- err
+	}()
+	time.Sleep(time.Second)
+	e.signal(syscall.SIGTERM)
+	if err := <-served; err != nil {
+		t.Errorf("the request that was served at the stop: %v", err)
+	}
+	select {
+	case <-e.exited:
+	case <-time.After(waitTimeout):
+		t.Fatal("the process has not ended")
+	}
+	if code := e.command.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // handshakeCount is the number of handshakes that clients begin at a peer address.
 const handshakeCount = 4000
 
