ingress: limit the memory of the accepted jobs that every node keeps

Callers saw, by clients that stay inside all limits: all nodes grow at the same time until they are killed, and again after each start. A flood of small valid jobs takes 2 KB each on every node; jobs of 8,192 tasks stop the scheduler's control thread, so that no other team's job is accepted.

Cause: memory was limited for requests while they are served, not for the jobs that they leave behind.

Ruled out: unread requests and answers (their memory stays below its limit), the log, a leak (the memory follows the number of unfinished jobs).

Change: admission.JobMemory sums what the known jobs take, by team; every node publishes it four times a second and adds what it has admitted itself in the last second. A team may have as much as is left over, so that one flood gets half, and a team with little always finds room. A refusal is proved by a read of the store, like one for lack of capacity; without the proof the answer is 504 and nothing is written.

--- a/internal/contract/job/spec.go
+++ b/internal/contract/job/spec.go
@@ -151,6 +151,15 @@
 	return n
 }
 
+// OpenTasks returns the largest number of tasks that the job can have open.
+func (s *Spec) OpenTasks() int {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	return min(tasks*max(1, s.Times), maxOpenTasks)
+}
+
 // CheckStructure checks what decisions about a job rely on, and returns a SpecError
 // for the first part that does not hold. A stored job may be of another version of
 // the program, whose other bounds differ from those of Check.
--- a/internal/ingress/admit_by_room.go
+++ b/internal/ingress/admit_by_room.go
@@ -18,7 +18,10 @@
 	result = WriteUnknown
 	s.openJobs.begin(j.ID)
 	defer func() { s.openJobs.end(j.ID, result == WriteUnknown, s.clock()) }()
-	refused, held := s.refuseByRoom(a, j, now, until)
+	refused, held := s.refuseByMemory(a, j, now, until)
+	if !refused && !held {
+		refused, held = s.refuseByRoom(a, j, now, until)
+	}
 	switch {
 	case refused:
 		result = NotStored
@@ -32,21 +35,31 @@
 }
 
 // refuseByRoom decides whether a job that could not be completed in time to be of use is
-// refused, and sets the answer then. A refusal needs the proof that the job is not stored
-// and that no write of it from this node is under way. Held is true if the store holds
-// the job.
+// refused, and sets the answer then. Held is true if the store holds the job.
 func (s *Service) refuseByRoom(a *matched, j *job.Job, now, until time.Time) (refused, held bool) {
 	d := a.rooms.Decide(admission.DemandOf(j, a.queue.Service, teamLimit(a.config, a.team)), s.openJobs.firstRefusal(j.ID, now), now)
+	if d.Accept {
+		return false, false
+	}
+	if refused, held = s.mayRefuse(j.ID, now, until); refused {
+		a.answer.Code, a.answer.Reason = OverCapacity, d.Reason()
+		a.answer.RetryAfter, a.answer.Refusal = d.RetryAfter, d
+	}
+	return refused, held
+}
+
+// mayRefuse reports whether a job may be refused: that needs the proof that it is not
+// stored and that no write of it from this node is under way. Held is true if the store
+// holds the job.
+func (s *Service) mayRefuse(id job.ID, now, until time.Time) (refuse, held bool) {
 	timeout := min(refusalReadTimeout, until.Sub(now))
-	if d.Accept || timeout <= 0 {
+	if timeout <= 0 {
 		return false, false
 	}
-	held, err := s.store.Holds(j.ID, timeout)
-	if held || err != nil || !s.openJobs.recordRefusal(j.ID, now) {
+	held, err := s.store.Holds(id, timeout)
+	if held || err != nil || !s.openJobs.recordRefusal(id, now) {
 		return false, held
 	}
-	a.answer.Code, a.answer.Reason = OverCapacity, d.Reason()
-	a.answer.RetryAfter, a.answer.Refusal = d.RetryAfter, d
 	return true, false
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -113,6 +113,8 @@
 	// Rooms are the services with more work than they can do in time, nil if every job
 	// is accepted.
 	Rooms *admission.Rooms
+	// JobMemory is what the known jobs take, nil if every job is accepted.
+	JobMemory *admission.JobMemory
 }
 
 // Control gives access to the control state. It is safe for concurrent use.
@@ -172,6 +174,7 @@
 	clock        func() time.Time
 	maxConfigAge time.Duration
 	openJobs     openJobs
+	recentJobs   recentJobs
 }
 
 // New returns a service. It refuses requests if the node has not confirmed its
@@ -210,9 +213,10 @@
 	// jobPath is the part of the path after the queue's prefix: the job's ID, or
 	// empty.
 	jobPath string
-	// rooms are those of the view that the request was matched by, config its
+	// rooms and memory are those of the view that the request was matched by, config its
 	// configuration.
 	rooms  *admission.Rooms
+	memory *admission.JobMemory
 	config *policy.Configuration
 	// answer is the answer so far. Its Code is Accepted unless the request was
 	// refused.
@@ -242,7 +246,7 @@
 		a.answer.Code, a.answer.Reason, a.answer.Queue = BadKey, "the API key is unknown", queue.Name
 		return a
 	}
-	a.queue, a.team, a.jobPath, a.rooms, a.config = queue, team, rest, view.Rooms, view.Config
+	a.queue, a.team, a.jobPath, a.rooms, a.memory, a.config = queue, team, rest, view.Rooms, view.JobMemory, view.Config
 	a.answer.Queue, a.answer.Team = queue.Name, team
 	return a
 }
--- a/internal/link/intake/capacity.go
+++ b/internal/link/intake/capacity.go
@@ -18,6 +18,8 @@
 	// node of 184 MB has used 70 MB at most.
 	controlMemoryMB = 128
 	controlPercent  = 55
+	// jobPercent is the part of the control memory for the jobs that every node keeps.
+	jobPercent = 50
 	// clientPercent is the part of the other memory that clients may use. The rest is
 	// for garbage until the next collection.
 	clientPercent = 66
@@ -88,13 +90,16 @@
 	// OtherRequestBytes that of all requests for readiness and metrics.
 	RequestBytes      int64
 	OtherRequestBytes int64
+	// JobBytes limits the memory of all known jobs. Every node keeps them, so that it is
+	// not above that of the smallest machine.
+	JobBytes          int64
 	MinBytesPerSecond int
 }
 
 // CapacityOf derives the capacity of a process from its settings.
 func CapacityOf(s Settings) Capacity {
 	memory := int64(orDefault(s.MemoryMB, defaultMemoryMB)) * mib
-	control := min(controlMemoryMB*mib, memory*controlPercent/100)
+	control := controlBytes(memory)
 	clients := (memory - control) * clientPercent / 100
 	descriptors := orDefault(s.Descriptors, defaultDescriptors)
 	byDescriptors := max(descriptors-reservedDescriptors, descriptors/2)
@@ -110,10 +115,14 @@
 		Peers:                 max(1, min(peerConnections, reserved*peerConnections/reservedDescriptors)),
 		RequestBytes:          int64(orDefault(s.RequestMemoryMB*mib, int(max(mib, clients/2-otherRequestBytes)))),
 		OtherRequestBytes:     otherRequestBytes,
+		JobBytes:              controlBytes(min(memory, defaultMemoryMB*mib)) * jobPercent / 100,
 		MinBytesPerSecond:     orDefault(s.MinBytesPerSecond, minBytesPerSecond),
 	}
 }
 
+// controlBytes returns the memory that the process needs for everything but its clients.
+func controlBytes(memory int64) int64 { return min(controlMemoryMB*mib, memory*controlPercent/100) }
+
 // Fits reports whether a request with a body of so many bytes fits into the memory of
 // requests.
 func (c Capacity) Fits(bodyBytes int) bool {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -137,7 +137,7 @@
 	sched := l.guard.Scheduler()
 	previous := l.Status()
 	next := &controlStatus{
-		View:        ingress.View{Config: sched.Config(), ConfigAsOf: sched.ConfigAsOf(), ConfigSuperseded: sched.ConfigSuperseded(), Rooms: sched.Rooms()},
+		View:        ingress.View{Config: sched.Config(), ConfigAsOf: sched.ConfigAsOf(), ConfigSuperseded: sched.ConfigSuperseded(), Rooms: sched.Rooms(), JobMemory: sched.JobMemory()},
 		JobsAsOf:    sched.JobsAsOf(),
 		Elected:     sched.Elected(),
 		Leading:     sched.Leading(),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -44,6 +44,7 @@
 			return 0
 		}},
 		{"crocusjunction.tasks.running", "Runs that may be alive.", func(s *controlStatus) int64 { return s.Counts.Running }},
+		{"crocusjunction.jobs.memory_bytes", "Memory of all known jobs, by estimate.", func(s *controlStatus) int64 { return s.Counts.JobBytes }},
 		{"crocusjunction.jobs.unfinished", "Jobs that have not ended.", func(s *controlStatus) int64 { return s.Counts.Unfinished }},
 		{"crocusjunction.placement.waiting", "Tasks and gangs that have room and wait for room in a rack.", func(s *controlStatus) int64 { return s.Counts.WaitingForRack }},
 		{"crocusjunction.records.quarantined", "Records in quarantine.", func(s *controlStatus) int64 { return s.Counts.Quarantined }},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,7 @@
 		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap, RemoteFactor: b.RemoteFactor,
 		MachineOrdersPerSecond: s.MachineOrdersPerSecond,
 		ShareHalfLife:          s.ShareHalfLife,
+		JobMemory:              intake.CapacityOf(s.Intake).JobBytes,
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	// ShareHalfLife is the half-life of the use by which teams that compete for a full
 	// pool are served; 0 means that only their present use counts.
 	ShareHalfLife time.Duration
+	// JobMemory limits the memory of all known jobs, in bytes, 0 for no limit.
+	JobMemory int64
 	// IgnoreCycles makes plans of moves depend on the present arrivals only, so that
 	// both can be compared.
 	IgnoreCycles bool
@@ -70,6 +72,7 @@
 	jobs                *orderedMap[job.ID, *job.Job]
 	pending             pendingJobs
 	room                roomState
+	jobMemory           jobMemoryState
 	fairShare           fairShare
 	// earlyCancels are the cancellations of jobs that are not stored, or were read before
 	// their job.
@@ -138,6 +141,8 @@
 	Waits, WaitsMet, WaitsGivenUp, WaitGainMillis int64
 	// Current values.
 	Running, Unfinished, Workers, Quarantined, WaitingForRack int64
+	// JobBytes is the memory of all known jobs.
+	JobBytes int64
 	// ContendedPools is the number of full pools for which two teams or more compete,
 	// Shares are the shares of the teams meanwhile, at most fairShareLogInterval old.
 	// The slice is not modified.
@@ -214,6 +219,7 @@
 func (s *Scheduler) step(now time.Time) {
 	s.nextTickAt = time.Time{}
 	s.stepElection(now)
+	s.stepJobMemory(now)
 	if !s.leading {
 		return
 	}
--- a/test/clients/crowds_test.go
+++ b/test/clients/crowds_test.go
@@ -34,8 +34,15 @@
 	run  func(c net.Conn, to target) error
 }
 
-// ordinaryCrowd sends one ordinary request at a time on an open connection.
-var ordinaryCrowd = crowd{"one request at a time", func(c net.Conn, to target) error {
+// ordinaryCrowd sends one ordinary request at a time on an open connection, floodingCrowd
+// without a pause.
+var (
+	ordinaryCrowd = crowd{"one request at a time", func(c net.Conn, to target) error { return sendOrdinary(c, to, requestInterval) }}
+	floodingCrowd = crowd{"requests without a pause", func(c net.Conn, to target) error { return sendOrdinary(c, to, 0) }}
+)
+
+// sendOrdinary sends one ordinary request at a time until the connection ends.
+func sendOrdinary(c net.Conn, to target, interval time.Duration) error {
 	reader := bufio.NewReader(c)
 	for {
 		if _, err := io.WriteString(c, to.ordinary()); err != nil {
@@ -51,9 +58,9 @@
 		if response.Close {
 			return nil
 		}
-		time.Sleep(requestInterval)
+		time.Sleep(interval)
 	}
-}}
+}
 
 // pipeliningCrowd sends 50 ordinary requests at a time and reads no answer.
 var pipeliningCrowd = crowd{"pipelined requests, answers never read", func(c net.Conn, to target) error {
@@ -197,3 +204,25 @@
 	n.waitForCompletedJob()
 	n.checkBounds()
 }
+
+// floodTime is how long a flood of jobs lasts.
+const floodTime = 8 * time.Second
+
+// TestFloodOfJobs guards against callers inside the limits whose accepted jobs take the
+// memory of every node, which has a copy of all jobs, and against refusing other teams for
+// them.
+func TestFloodOfJobs(t *testing.T) {
+	large := `{"spec":"` + strings.Repeat("x", 4000) + `","steps":[{"count":4096,"cpu":100,"mem-mb":10,"est-runtime-ms":5},{"count":4096,"cpu":100,"mem-mb":10,"est-runtime-ms":5,"after":[0]}]}`
+	for name, body := range map[string]string{"small jobs": ordinaryJob, "jobs of 8,192 tasks": large} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t)
+			to := n.target(n.front)
+			to.body = body
+			leave := n.join(to, floodingCrowd)
+			time.Sleep(floodTime)
+			n.checkServesTeam(otherKey)
+			leave()
+			n.checkBounds()
+		})
+	}
+}
--- a/test/clients/node_test.go
+++ b/test/clients/node_test.go
@@ -27,6 +27,8 @@
 	maxBodyBytes = 262144
 
 	host, prefix, key = "quick.example", "/quick/", "key-1"
+	// otherKey is the key of another team.
+	otherKey = "key-2"
 )
 
 // nodeProcess is one node that runs as a process.
@@ -45,7 +47,7 @@
 	t.Cleanup(cancel)
 	s, err := site.Start(ctx, site.Options{
 		Queues:  []site.Queue{{Name: "quick", Host: host, Prefix: prefix, Service: "quick", Attempts: 3}},
-		Teams:   []site.Team{{Name: "depots", Keys: []string{key}, CPU: 20000}},
+		Teams:   []site.Team{{Name: "depots", Keys: []string{key}, CPU: 20000}, {Name: "crafts", Keys: []string{otherKey}, CPU: 20000}},
 		Workers: map[string]int{"quick": 3, "spare": 1}, SparePool: "spare",
 		Zones: []string{"north"}, CPU: 8000, MemoryMB: 16000,
 		RunBehavior: func(string, string, int) (time.Duration, site.Outcome) { return 5 * time.Millisecond, site.Done },
@@ -107,14 +109,17 @@
 }
 
 // checkServes checks that the node accepts an ordinary job.
-func (n *nodeProcess) checkServes() {
+func (n *nodeProcess) checkServes() { n.checkServesTeam(key) }
+
+// checkServesTeam checks that the node accepts an ordinary job of the team with a key.
+func (n *nodeProcess) checkServesTeam(key string) {
 	n.t.Helper()
 	client := &http.Client{Timeout: 4 * time.Second}
 	defer client.CloseIdleConnections()
 	attempt := 0
 	n.waitFor("an ordinary job is accepted", func() bool {
 		attempt++
-		status, _ := submit(client, n.front, fmt.Sprintf("%016x", 1<<32+attempt), ordinaryJob)
+		status, _ := submitAs(client, n.front, key, fmt.Sprintf("%016x", 1<<32+attempt), ordinaryJob)
 		return status == http.StatusOK
 	})
 	n.waitFor("the node is ready again", func() bool { return site.Ready(n.ready) })
@@ -124,6 +129,10 @@
 
 // submit sends a job with a body of the given content and returns the HTTP status.
 func submit(client *http.Client, address, id, body string) (int, error) {
+	return submitAs(client, address, key, id, body)
+}
+
+func submitAs(client *http.Client, address, key, id, body string) (int, error) {
 	request := newRequest(http.MethodPost, "http://"+address+prefix+id, []byte(body), platform.KeyHeader, key, platform.DeadlineHeader, "3000")
 	request.Host = host
 	return send(client, request)
