ingress: limit the cancellations of unknown jobs

A client inside the limits can cancel jobs that don't exist, each by another id.

Cause: as for jobs, nothing but the store's writes limited what requests leave behind.

Change: these cancellations count in the memory of jobs as if they were a team's. Beyond it a cancellation of an unknown job is answered 503 and not stored; those of known jobs are not affected.

--- a/internal/contract/admission/memory.go
+++ b/internal/contract/admission/memory.go
@@ -5,10 +5,16 @@
 // What a known job takes of the memory of a node, in bytes. Every node keeps a copy of all
 // jobs; the scheduler also keeps the tasks of those that have not ended.
 const (
-	jobBytes      = 1536
-	endedJobBytes = 768
-	stepBytes     = 256
-	taskBytes     = 208
+	jobBytes  = 1536
+	stepBytes = 256
+	taskBytes = 208
+)
+
+// CancellationBytes is the memory of a cancellation whose job is not stored. Every node keeps
+// it in case that the job is stored later. It counts for Cancellations, as for a team.
+const (
+	CancellationBytes = 256
+	Cancellations     = "cancellations of unknown jobs"
 )
 
 // JobMemory is the memory that the known jobs of each team take. It answers a load of jobs
@@ -27,11 +33,11 @@
 
 // Footprint returns the memory of a job in bytes.
 func Footprint(spec *job.Spec, ended bool) int64 {
-	bytes := int64(len(spec.Payload) + stepBytes*len(spec.Steps))
-	if ended {
-		return bytes + endedJobBytes
+	bytes := int64(jobBytes + len(spec.Payload) + stepBytes*len(spec.Steps))
+	if !ended {
+		bytes += taskBytes * int64(spec.OpenTasks())
 	}
-	return bytes + jobBytes + taskBytes*int64(spec.OpenTasks())
+	return bytes
 }
 
 // Add adds the memory of a job.
--- a/internal/ingress/admit_by_memory_test.go
+++ b/internal/ingress/admit_by_memory_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 )
 
 // floodedControl is a control thread whose view has no memory left for jobs.
@@ -64,3 +65,53 @@
 		t.Error("no job is admitted after the windows")
 	}
 }
+
+// countingStore counts the cancellations that are written.
+type countingStore struct {
+	fakeStore
+	cancellations int
+}
+
+func (s *countingStore) Cancel(job.ID, int64, time.Time) WriteResult {
+	s.cancellations++
+	return Stored
+}
+
+// Read implements Store: no job is stored.
+func (s *countingStore) Read(id job.ID, _ time.Time) (scheduler.JobView, error) {
+	return scheduler.JobView{ID: id}, nil
+}
+
+// TestCancellationsOfUnknownJobsAreLimited guards against cancellations of jobs that don't
+// exist, which every node keeps.
+func TestCancellationsOfUnknownJobsAreLimited(t *testing.T) {
+	const limit = 100 * admission.CancellationBytes
+	store := &countingStore{}
+	m := admission.NewJobMemory(limit)
+	s := New(limitedControl{memory: m}, store, func() time.Time { return testNow }, time.Second)
+	refused := 0
+	for range 200 {
+		switch a := s.Cancel(t.Context(), Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"}); a.Code {
+		case NotRun:
+			refused++
+		case NoJob:
+		default:
+			t.Fatalf("%v: %s", a.Code, a.Reason)
+		}
+	}
+	if store.cancellations != 50 || refused != 150 {
+		t.Errorf("%d cancellations are stored and %d refused, want 50 and 150", store.cancellations, refused)
+	}
+}
+
+// limitedControl is a control thread that knows no job and has a limit of memory.
+type limitedControl struct {
+	fakeControl
+	memory *admission.JobMemory
+}
+
+func (c limitedControl) View() View {
+	v := c.fakeControl.View()
+	v.JobMemory = c.memory
+	return v
+}
--- a/internal/ingress/cancel.go
+++ b/internal/ingress/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 )
 
@@ -29,6 +30,10 @@
 			a.answer.Code, a.answer.State = Withdrawn, view.State
 			return a.answer
 		}
+		if !view.Known && !s.recentJobs.admit(a.memory, admission.Cancellations, admission.CancellationBytes, now) {
+			a.answer.RetryAfter = memoryRetryAfter
+			return a.refuse(NotRun, "the cancellations of unknown jobs take too much memory; this one was not stored")
+		}
 		switch s.store.Cancel(view.ID, view.Revision, r.deadline(now)) {
 		case Stored:
 			if !view.Known {
--- a/internal/scheduler/job_memory.go
+++ b/internal/scheduler/job_memory.go
@@ -31,5 +31,6 @@
 	for _, j := range s.jobs.all() {
 		m.current.Add(j.Terms.Team, admission.Footprint(&j.Spec, j.State().Final()))
 	}
+	m.current.Add(admission.Cancellations, admission.CancellationBytes*int64(len(s.earlyCancels)))
 	s.counts.JobBytes = m.current.Used()
 }
--- a/test/clients/attacks_test.go
+++ b/test/clients/attacks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -28,6 +29,8 @@
 	header, body string
 	// maxBody is the length of the longest legal body.
 	maxBody int
+	// method is that of an ordinary request without a body, GET if it is empty.
+	method string
 }
 
 // head returns the start of a request, without the empty line at its end.
@@ -46,7 +49,7 @@
 func (to target) ordinary() string {
 	number := int(requestNumber.Add(1)) + clientCount
 	if to.body == "" {
-		return to.head("GET", number, "\r\n")
+		return to.head(cmp.Or(to.method, "GET"), number, "\r\n")
 	}
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", to.head("POST", number, ""), len(to.body), to.body)
 }
--- a/test/clients/crowds_test.go
+++ b/test/clients/crowds_test.go
@@ -226,3 +226,16 @@
 		})
 	}
 }
+
+// TestFloodOfCancellations guards against cancellations of jobs that don't exist, which
+// every node keeps in case that the job is stored later.
+func TestFloodOfCancellations(t *testing.T) {
+	n := startNode(t)
+	to := n.target(n.front)
+	to.method, to.body = "DELETE", ""
+	leave := n.join(to, floodingCrowd)
+	time.Sleep(2 * floodTime)
+	leave()
+	n.checkBounds()
+	n.checkServes()
+}
