--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -10,8 +10,7 @@
 
 // queryControl sends an event that asks for a reply to the control thread and
 // returns the reply. When none arrives within statusTimeout, it writes the error
-// reply and returns false. It does not use the request's context, because that is
-// cancelled at a planned stop while the request is still being served.
+// reply and returns false.
 func queryControl[T any](s *Server, x *exchange, newEvent func(reply chan<- T) fleet.Event) (T, bool) {
 	queryCtx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
