--- a/review/_rig3/cases2.go
+++ b/review/_rig3/cases2.go
@@ -12,7 +12,8 @@
 	"github.com/crocusjunction/crocusjunction/internal/standin/site"
 )
 
-// playAdvice: a queue with advice, whose service answers as the manifest says.
+// playAdvice: a queue with advice, whose service answers as the manifest says. Rule LOST: a
+// submission has nothing running while its turn has come and the service is empty.
 func playAdvice(f *fleet, trouble bool) (bool, error) {
 	decision, perItem, validity := 400*time.Millisecond, 80*time.Millisecond, 3*time.Second
 	if !trouble {
@@ -35,7 +36,7 @@
 		for _, id := range call.Workers {
 			good = append(good, []string{id, "t-" + id})
 		}
-		f.record.log("advice for %s about %d workers answered", call.Step, len(call.Workers))
+		f.record.log("advice for %s about %d workers answered, tickets valid for %v from now", call.Step, len(call.Workers), validity)
 		replyJSON(c, map[string]any{"good": good, "validity-ms": validity.Milliseconds()})
 	}
 	var err error
@@ -57,9 +58,9 @@
 	if !f.submit(nodes, jobPrefix, id, step{Count: 4, CPU: 3600, MB: 256, EstMS: 1300}) {
 		return false, fmt.Errorf("not accepted")
 	}
-	time.Sleep(60 * time.Second)
+	time.Sleep(40 * time.Second)
 	status, state := f.state(nodes[0], jobPrefix, id)
-	f.record.log("GET %s after 60 s: %d %s; %d runs", id, status, state, len(f.allRuns()))
+	f.record.log("GET %s after 40 s: %d %s; %d runs", id, status, state, len(f.allRuns()))
 	return len(f.allRuns()) == 0, nil
 }
 
