contract/policy: jobs keep their queue when it gets another name

Callers saw: after a version of the configuration that gives a queue another name, with the same host, prefix and service, every node answers 410 to GET of running jobs and 0 pending jobs for the queue.

Cause: a job belongs to the name that its queue had at its acceptance. The name is the operators'; callers know host and prefix.

TestRenamedQueueKeepsItsCycle failed without the renaming of cycles: 0 of 40,000 millicores expected.

Change: a job stores the address of its queue, and Configuration.Resolve finds the queue in any version by the address, or else by the name. Everything that looked the name up asks it. A job whose queue was removed answers in every queue, because 410 would be untrue. The record of pending jobs has the address; that of earlier versions is read. The tests of ingress and of takeovers pass the queue as policy.QueueRef instead of its name, with the same checks.

Why it works: the address is what callers use to name the queue, and it is stored with the job, so that a node which starts after the change resolves it like one that has seen both versions.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -19,6 +19,10 @@
 	RequiresAdvice bool          `cbor:"8,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration by which the job was accepted.
 	ConfigVersion int64 `cbor:"9,keyasint,omitempty"`
+	// Host and Prefix are the queue's address, empty in jobs that earlier versions of the
+	// program stored.
+	Host   string `cbor:"10,keyasint,omitempty"`
+	Prefix string `cbor:"11,keyasint,omitempty"`
 }
 
 // Job is one accepted job. It is owned by the control thread and is not safe
--- a/internal/contract/policy/policy.go
+++ b/internal/contract/policy/policy.go
@@ -18,10 +18,12 @@
 	Version     int64
 	queues      []Queue
 	queueByName map[string]*Queue
-	teams       map[string]*Team
-	teamByKey   map[string]string
-	services    map[string]Service
-	limits      RequestLimits
+	// queueByAddress is by host and prefix.
+	queueByAddress map[[2]string]*Queue
+	teams          map[string]*Team
+	teamByKey      map[string]string
+	services       map[string]Service
+	limits         RequestLimits
 }
 
 // Queue accepts jobs for the workers of one service.
@@ -47,6 +49,17 @@
 	RequiresAdvice bool
 }
 
+// QueueRef identifies a queue across versions of the configuration. Operators may give a
+// queue another name or another address. Callers know its address only.
+type QueueRef struct {
+	Name string
+	// Host and Prefix are empty if only the name is known.
+	Host, Prefix string
+}
+
+// Ref returns the reference to the queue.
+func (q *Queue) Ref() QueueRef { return QueueRef{q.Name, q.Host, q.Prefix} }
+
 // Team is a customer of the fleet.
 type Team struct {
 	Name string
@@ -80,19 +93,21 @@
 // slices; the caller must not use them afterwards.
 func New(version int64, queues []Queue, teams []Team, services []Service, limits RequestLimits) *Configuration {
 	c := &Configuration{
-		Version:     version,
-		queues:      queues,
-		queueByName: make(map[string]*Queue, len(queues)),
-		teams:       make(map[string]*Team, len(teams)),
-		teamByKey:   make(map[string]string),
-		services:    make(map[string]Service, len(services)),
-		limits:      limits,
+		Version:        version,
+		queues:         queues,
+		queueByName:    make(map[string]*Queue, len(queues)),
+		queueByAddress: make(map[[2]string]*Queue, len(queues)),
+		teams:          make(map[string]*Team, len(teams)),
+		teamByKey:      make(map[string]string),
+		services:       make(map[string]Service, len(services)),
+		limits:         limits,
 	}
 	slices.SortStableFunc(c.queues, func(a, b Queue) int {
 		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
 	})
 	for i := range c.queues {
-		c.queueByName[c.queues[i].Name] = &c.queues[i]
+		q := &c.queues[i]
+		c.queueByName[q.Name], c.queueByAddress[[2]string{q.Host, q.Prefix}] = q, q
 	}
 	for i := range teams {
 		c.teams[teams[i].Name] = &teams[i]
@@ -124,6 +139,22 @@
 	return q, ok
 }
 
+// Resolve returns the queue that a reference to a queue of any version means in this one:
+// the queue at the same address, or else the one with the same name. It returns false if
+// there is neither.
+func (c *Configuration) Resolve(ref QueueRef) (*Queue, bool) {
+	named := c.queueByName[ref.Name]
+	if named != nil && named.Host == ref.Host && named.Prefix == ref.Prefix {
+		return named, true
+	}
+	if ref.Host != "" || ref.Prefix != "" {
+		if q := c.queueByAddress[[2]string{ref.Host, ref.Prefix}]; q != nil {
+			return q, true
+		}
+	}
+	return named, named != nil
+}
+
 // Queues returns all queues; the caller must not change them.
 func (c *Configuration) Queues() []Queue { return c.queues }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -125,7 +125,7 @@
 	Job(ctx context.Context, id job.ID) (scheduler.JobView, error)
 	// Pending queries the control thread for the number of jobs in a queue that
 	// have not started.
-	Pending(ctx context.Context, queue string) (int, error)
+	Pending(ctx context.Context, queue policy.QueueRef) (int, error)
 }
 
 // WriteResult is the outcome of a write to the store.
@@ -291,7 +291,7 @@
 
 func jobTerms(q *policy.Queue, team string, configVersion int64) job.Terms {
 	return job.Terms{
-		Queue: q.Name, Service: q.Service, Team: team, Priority: q.Priority, Attempts: q.Attempts,
+		Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, Team: team, Priority: q.Priority, Attempts: q.Attempts,
 		Stretch: q.Stretch, Objective: q.Objective, RequiresAdvice: q.RequiresAdvice,
 		ConfigVersion: configVersion,
 	}
@@ -314,7 +314,7 @@
 		return a.answer
 	}
 	if a.jobPath == "" {
-		n, err := s.control.Pending(ctx, a.queue.Name)
+		n, err := s.control.Pending(ctx, a.queue.Ref())
 		if err != nil {
 			return a.refuse(Unavailable, err.Error())
 		}
@@ -365,7 +365,9 @@
 	if !view.Known {
 		return scheduler.JobView{ID: id}, nil
 	}
-	if view.Queue != a.queue.Name {
+	// A job of a queue that was removed is known in every queue: "no such job" would be
+	// untrue, and a cancellation that is answered so has no effect.
+	if own, ok := a.config.Resolve(view.Queue); ok && own != a.queue {
 		return refuseWith(NoJob, noJobReason)
 	}
 	if view.Team != a.team && view.Team != "" {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -32,7 +32,7 @@
 
 func (c fakeControl) Job(context.Context, job.ID) (scheduler.JobView, error) { return c.view, nil }
 
-func (c fakeControl) Pending(context.Context, string) (int, error) { return 0, nil }
+func (c fakeControl) Pending(context.Context, policy.QueueRef) (int, error) { return 0, nil }
 
 // fakeStore holds a job in one state and counts the reads.
 type fakeStore struct {
@@ -51,7 +51,7 @@
 
 func (s *fakeStore) Read(id job.ID, _ time.Time) (scheduler.JobView, error) {
 	s.reads++
-	return scheduler.JobView{ID: id, Known: true, StateKnown: true, Queue: "q", Team: "team", State: s.state}, s.err
+	return scheduler.JobView{ID: id, Known: true, StateKnown: true, Queue: policy.QueueRef{Name: "q"}, Team: "team", State: s.state}, s.err
 }
 
 func (s *fakeStore) ReadState(job.ID, time.Time) (job.State, error) {
@@ -65,7 +65,7 @@
 // the store for what the copy shows.
 func TestShowIsNeverBehindTheStore(t *testing.T) {
 	view := func(state job.State, known bool, age time.Duration) scheduler.JobView {
-		return scheduler.JobView{ID: testJob, Known: true, StateKnown: known, Queue: "q", Team: "team", State: state, AsOf: testNow.Add(-age)}
+		return scheduler.JobView{ID: testJob, Known: true, StateKnown: known, Queue: policy.QueueRef{Name: "q"}, Team: "team", State: state, AsOf: testNow.Add(-age)}
 	}
 	for name, c := range map[string]struct {
 		view              scheduler.JobView
@@ -91,7 +91,7 @@
 // could not be read.
 func TestUnknownStateIsNotGuessed(t *testing.T) {
 	store := &fakeStore{err: errors.New("down")}
-	view := scheduler.JobView{ID: testJob, Known: true, Queue: "q", Team: "team", State: job.Queued, AsOf: testNow}
+	view := scheduler.JobView{ID: testJob, Known: true, Queue: policy.QueueRef{Name: "q"}, Team: "team", State: job.Queued, AsOf: testNow}
 	s := New(fakeControl{view: view}, store, func() time.Time { return testNow }, 5*time.Second)
 	if a := s.Show(t.Context(), Request{Host: "h", Path: "/q/" + string(testJob), Key: "key"}); a.Code != Unavailable || a.State != "" {
 		t.Errorf("%v %q", a.Code, a.State)
@@ -142,7 +142,7 @@
 	if !s.stored {
 		return scheduler.JobView{ID: id}, nil
 	}
-	return scheduler.JobView{ID: id, Known: true, StateKnown: true, Queue: "q", Team: "team", State: job.Queued, Revision: 7}, nil
+	return scheduler.JobView{ID: id, Known: true, StateKnown: true, Queue: policy.QueueRef{Name: "q"}, Team: "team", State: job.Queued, Revision: 7}, nil
 }
 
 func (s *racingStore) Cancel(_ job.ID, revision int64, _ time.Time) WriteResult {
--- a/internal/machine/pools/turns/turns.go
+++ b/internal/machine/pools/turns/turns.go
@@ -80,6 +80,15 @@
 	maps.DeleteFunc(f.cycles, func(queue string, _ *cycle) bool { return !keep(queue) })
 }
 
+// Rename continues the cycle of each queue under the name that rename returns.
+func (f *Forecaster) Rename(rename func(queue string) string) {
+	cycles := make(map[string]*cycle, len(f.cycles))
+	for queue, c := range f.cycles {
+		cycles[rename(queue)] = c
+	}
+	f.cycles = cycles
+}
+
 // Advance brings all cycles up to now and returns what has changed. The other methods
 // refer to the time of the last Advance.
 func (f *Forecaster) Advance(now time.Time) []Change {
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -38,7 +38,7 @@
 func (openControl) Job(context.Context, job.ID) (scheduler.JobView, error) {
 	return scheduler.JobView{}, nil
 }
-func (openControl) Pending(context.Context, string) (int, error) { return 0, nil }
+func (openControl) Pending(context.Context, policy.QueueRef) (int, error) { return 0, nil }
 
 func (openStore) Accept(*job.Job, time.Time) ingress.WriteResult { return ingress.Stored }
 func (openStore) Cancel(job.ID, int64, time.Time) ingress.WriteResult {
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
@@ -87,10 +90,42 @@
 	Completed bool     `json:"completed"`
 }
 
-// pendingRecord is the stored form of scheduler.PendingRead.
+// pendingRecord is the stored form of scheduler.PendingRead. Every node reads it up to twice
+// a second, so that the names of its fields are short.
 type pendingRecord struct {
-	Counts map[string]int `json:"counts"`
-	AsOf   int64          `json:"as_of"`
+	Queues []pendingQueueRecord `json:"q"`
+	AsOf   int64                `json:"as_of"`
+	// LegacyCounts are the numbers by name, which earlier versions wrote.
+	LegacyCounts map[string]int `json:"counts,omitempty"`
+}
+
+type pendingQueueRecord struct {
+	Name   string `json:"q"`
+	Host   string `json:"h,omitempty"`
+	Prefix string `json:"p,omitempty"`
+	Jobs   int    `json:"n"`
+}
+
+func newPendingRecord(a scheduler.StorePending) pendingRecord {
+	r := pendingRecord{AsOf: a.AsOf, Queues: make([]pendingQueueRecord, 0, len(a.Counts))}
+	for queue, jobs := range a.Counts {
+		r.Queues = append(r.Queues, pendingQueueRecord{queue.Name, queue.Host, queue.Prefix, jobs})
+	}
+	slices.SortFunc(r.Queues, func(a, b pendingQueueRecord) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	return r
+}
+
+func (r pendingRecord) counts() map[policy.QueueRef]int {
+	counts := make(map[policy.QueueRef]int, len(r.Queues)+len(r.LegacyCounts))
+	for name, jobs := range r.LegacyCounts {
+		counts[policy.QueueRef{Name: name}] = jobs
+	}
+	for _, q := range r.Queues {
+		counts[policy.QueueRef{Name: q.Name, Host: q.Host, Prefix: q.Prefix}] = q.Jobs
+	}
+	return counts
 }
 
 // useRecord is the stored form of scheduler.UseRead. It is written often while teams
@@ -293,7 +328,7 @@
 	case pendingKey:
 		var pending pendingRecord
 		err := json.Unmarshal(item.Value, &pending)
-		return scheduler.PendingRead{Counts: pending.Counts, AsOf: pending.AsOf, Revision: item.Revision}, err
+		return scheduler.PendingRead{Counts: pending.counts(), AsOf: pending.AsOf, Revision: item.Revision}, err
 	case roomKey:
 		return decodeRooms(item)
 	case machineOrdersKey:
--- a/internal/node/codec_test.go
+++ b/internal/node/codec_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/admission"
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/machine/pools/turns"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
@@ -110,3 +111,25 @@
 		}
 	}
 }
+
+// TestPendingCountsRoundTrip guards against a queue that other nodes show as empty because
+// they don't find its address in the record, or read the record of an earlier version.
+func TestPendingCountsRoundTrip(t *testing.T) {
+	full := map[policy.QueueRef]int{{Name: "q", Host: "h", Prefix: "/p/"}: 3, {Name: "q", Host: "h", Prefix: "/r/"}: 1}
+	byName := map[policy.QueueRef]int{{Name: "q"}: 3}
+	for _, c := range []struct {
+		value []byte
+		want  map[policy.QueueRef]int
+	}{
+		{encodeJSON(newPendingRecord(scheduler.StorePending{Counts: full, AsOf: 7})), full},
+		{[]byte(`{"counts":{"q":3},"as_of":7}`), byName},
+	} {
+		change, err := decodeJobsItem(platform.Item{Key: pendingKey, Value: c.value, Revision: 9})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(scheduler.PendingRead{Counts: c.want, AsOf: 7, Revision: 9}, change); diff != "" {
+			t.Errorf("%s: %s", c.value, diff)
+		}
+	}
+}
--- a/internal/node/job_store.go
+++ b/internal/node/job_store.go
@@ -146,7 +146,7 @@
 		return scheduler.JobView{}, err
 	}
 	view := scheduler.JobView{
-		ID: id, Known: true, Queue: j.Terms.Queue, Team: j.Terms.Team,
+		ID: id, Known: true, Queue: scheduler.QueueRefOf(&j.Terms), Team: j.Terms.Team,
 		State: job.Queued, Revision: item.Revision, AsOf: sentAt,
 	}
 	if _, cancelled, err := s.client.Get(cancelKey+string(id), timeout); err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/ingress"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 )
@@ -184,6 +185,6 @@
 }
 
 // Pending implements ingress.Control.
-func (l *controlLoop) Pending(ctx context.Context, queue string) (int, error) {
+func (l *controlLoop) Pending(ctx context.Context, queue policy.QueueRef) (int, error) {
 	return query(ctx, l, func(reply chan<- int) scheduler.Event { return scheduler.PendingQuery{Queue: queue, Reply: reply} })
 }
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -119,7 +119,7 @@
 }
 
 func (r *runner) storePending(a scheduler.StorePending) scheduler.Event {
-	put := platform.Put{Key: pendingKey, Value: encodeJSON(pendingRecord{a.Counts, a.AsOf})}
+	put := platform.Put{Key: pendingKey, Value: encodeJSON(newPendingRecord(a))}
 	return scheduler.PendingStored{Fence: a.Fence, Result: r.writeRecord(a.Fence, "numbers of pending jobs", a.Expected, put)}
 }
 
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -109,7 +109,7 @@
 // requiresAdvice reports whether the job's queue requires advice. If the queue was
 // removed, the terms at the job's acceptance decide.
 func (s *Scheduler) requiresAdvice(j *job.Job) bool {
-	if q, ok := s.config.Queue(j.Terms.Queue); ok {
+	if q, ok := s.queueOf(j); ok {
 		return q.RequiresAdvice
 	}
 	return j.Terms.RequiresAdvice
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -69,6 +69,7 @@
 	if s.config != nil && c.Config.Version <= s.config.Version {
 		return
 	}
+	s.renameQueues(s.config, c.Config)
 	s.config = c.Config
 	s.place.roundNeeded = true
 	s.log("configuration applied", "version", c.Config.Version, "queues", len(c.Config.Queues()))
--- a/internal/scheduler/explain_where.go
+++ b/internal/scheduler/explain_where.go
@@ -151,9 +151,9 @@
 	case j.Ended():
 		return Where{Problem: fmt.Sprintf("job: %s has ended as %s", q.ID, j.State())}
 	}
-	_, queued := s.config.Queue(j.Terms.Queue)
+	_, queued := s.queueOf(j)
 	a := Where{
-		Job: j.ID, Queue: j.Terms.Queue, Service: s.serviceOf(j), QueueRemoved: !queued, ConfigVersion: s.config.Version,
+		Job: j.ID, Queue: s.queueName(j), Service: s.serviceOf(j), QueueRemoved: !queued, ConfigVersion: s.config.Version,
 		Team: s.whereTeam(j), ObjectiveMS: j.CompletionObjective().Milliseconds(),
 		ConfigAgeMS: s.fresh[OperatorPart].Age(now).Milliseconds(), JobsAgeMS: s.fresh[JobsPart].Age(now).Milliseconds(),
 		WorkersAgeMS: s.fresh[WorkersPart].Age(now).Milliseconds(),
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -196,7 +196,7 @@
 // recordArrival adds a job to the arrivals from which expectedDemand extrapolates.
 func (s *Scheduler) recordArrival(j *job.Job, now time.Time) {
 	if !j.LongRunning() && !j.Ended() {
-		s.machineOps.arrivals[s.serviceOf(j)] = append(s.machineOps.arrivals[s.serviceOf(j)], arrival{now, j.Terms.Queue, j.InitialNeed()})
+		s.machineOps.arrivals[s.serviceOf(j)] = append(s.machineOps.arrivals[s.serviceOf(j)], arrival{now, s.queueName(j), j.InitialNeed()})
 		s.recordWork(j, now)
 	}
 }
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -86,7 +86,7 @@
 // serviceOf returns the service that serves the job's queue in the configuration
 // in force. If the queue was removed, it is the service at the job's acceptance.
 func (s *Scheduler) serviceOf(j *job.Job) string {
-	if q, ok := s.config.Queue(j.Terms.Queue); ok {
+	if q, ok := s.queueOf(j); ok {
 		return q.Service
 	}
 	return j.Terms.Service
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 )
 
 // TestProgressOfEarlierVersionIsKept guards against done tasks that run again because
@@ -44,7 +45,7 @@
 		t.Helper()
 		for _, n := range w.nodes {
 			reply := make(chan int, 1)
-			n.apply(PendingQuery{Queue: "q", Reply: reply})
+			n.apply(PendingQuery{Queue: policy.QueueRef{Name: "q"}, Reply: reply})
 			if got := <-reply; got != want {
 				w.fail("%s: %s counts %d pending jobs, want %d", when, n.name, got, want)
 			}
@@ -90,7 +91,7 @@
 		w.runFor(5 * time.Second)
 		for _, n := range w.nodes {
 			reply := make(chan int, 1)
-			n.apply(PendingQuery{Queue: "q", Reply: reply})
+			n.apply(PendingQuery{Queue: policy.QueueRef{Name: "q"}, Reply: reply})
 			if got := <-reply; got != jobs {
 				w.fail("%s counts %d pending jobs, want %d", n.name, got, jobs)
 			}
--- a/internal/scheduler/turns.go
+++ b/internal/scheduler/turns.go
@@ -61,7 +61,7 @@
 	}
 	for _, j := range s.jobs.all() {
 		accepted := time.UnixMilli(j.AcceptedAt)
-		if end, ok := ends[j.Terms.Queue]; ok && !accepted.Before(end) && !accepted.After(now) {
+		if end, ok := ends[s.queueName(j)]; ok && !accepted.Before(end) && !accepted.After(now) {
 			s.recordWork(j, accepted)
 		}
 	}
@@ -74,7 +74,7 @@
 // job does not begin when it arrives.
 func (s *Scheduler) recordWork(j *job.Job, at time.Time) {
 	if !j.LongRunning() && j.Spec.Times == 0 {
-		s.turns.forecaster.Record(j.Terms.Queue, j.EstimatedWork(), at)
+		s.turns.forecaster.Record(s.queueName(j), j.EstimatedWork(), at)
 		s.turns.arrived = true
 	}
 }
--- a/internal/scheduler/turns_test.go
+++ b/internal/scheduler/turns_test.go
@@ -126,3 +126,31 @@
 		t.Errorf("%d moves are planned for the peak, want one; %d without it", len(moves), before)
 	}
 }
+
+// TestRenamedQueueKeepsItsCycle guards against a known cycle of demand that is lost because
+// operators gave the queue another name.
+func TestRenamedQueueKeepsItsCycle(t *testing.T) {
+	s, now := newLoadedScheduler(4, 2, 0)
+	configure := func(name string) {
+		queues := []policy.Queue{{Name: name, Host: "h", Prefix: "/p/", Service: "s0"}}
+		ConfigChanged{policy.New(s.config.Version+1, queues, nil, []policy.Service{{Name: "s0"}}, policy.RequestLimits{})}.apply(s, now)
+	}
+	expected := func(name string) int64 {
+		return s.turns.forecaster.Need(name, now, now.Add(forecastLead)).MilliCores
+	}
+	configure("s0")
+	TurnsRead{WrittenAt: now, Histories: cyclicHistory(now), Revision: 7}.apply(s, now)
+	s.startTurns(now)
+	s.stepTurns(now)
+	before := expected("s0")
+	configure("renamed")
+	s.stepTurns(now)
+	if after := expected("renamed"); after != before || before == 0 {
+		t.Errorf("%d millicores expected under the new name, want %d", after, before)
+	}
+	s.startTurns(now)
+	s.stepTurns(now)
+	if after := expected("renamed"); after != before {
+		t.Errorf("%d millicores expected under the new name after a takeover, want %d", after, before)
+	}
+}
