scheduler: tickets of slow advice are used

Callers saw: a job of a queue with advice stays queued for ever while all its workers stand empty (review/14: 30 workers, calls of 2.8 s, tickets valid for 3 s).

Cause: the validity of tickets was counted from the sending of the call, which leaves out the time that the service itself needs, and 200 ms of it were kept for the start. The same class on related paths: a call had 3 s whatever the service needs, and the 200 ms were kept of tickets with less, too.

Ruled out: refused starts and placements that the store holds up. The record of review/14 has no start, and the log no placement.

Change: tickets count from the sending plus the time of the service by its figures in the configuration, at the latest from the arrival; one that would have expired on its way is tried once. The timeout of a call follows the figures. A request names fewer workers if it would take more than half of the validity, and after calls without an answer. The log line advice has the times.

Why it works: the service answers no earlier than its figures say, so that the bound stays cautious about answers that are held up, and every answer leads to a start or to a refusal by a worker.

--- a/internal/contract/policy/policy.go
+++ b/internal/contract/policy/policy.go
@@ -45,8 +45,22 @@
 	Stretch   float64
 	Objective time.Duration
 	// RequiresAdvice means that tasks start only on workers that the advice
-	// service names.
+	// service names. Advice is how it answers.
 	RequiresAdvice bool
+	Advice         Advice
+}
+
+// Advice describes the answers of the advice service for a queue.
+type Advice struct {
+	// A call takes Decision, and PerWorker for each worker that it names.
+	Decision, PerWorker time.Duration
+	// Validity is how long the tickets of an answer are valid.
+	Validity time.Duration
+}
+
+// ServiceTime returns how long the service takes for a call that names a number of workers.
+func (a Advice) ServiceTime(workers int) time.Duration {
+	return a.Decision + time.Duration(workers)*a.PerWorker
 }
 
 // QueueRef identifies a queue across versions of the configuration. Operators may give a
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -24,9 +24,10 @@
 	// leaseTimeout bounds calls that acquire or renew the lease. A later answer is
 	// of no use, because too little of the lease's TTL remains.
 	leaseTimeout = 600 * time.Millisecond
-	// adviceTimeout bounds a call to the advice service, which needs time for each
-	// worker in the request and serves its callers one after another.
-	adviceTimeout = 3 * time.Second
+	// adviceMargin is how much longer than the time that the advice service takes for it a
+	// call may last. The service handles the calls of one machine in turn, also those whose
+	// answers were lost.
+	adviceMargin = 3 * time.Second
 	// machineOrderTimeout bounds an order for a machine.
 	machineOrderTimeout = time.Second
 	// leaseClaimAttempts is how often the claim of the lease is sent while the
--- a/internal/node/worker_calls.go
+++ b/internal/node/worker_calls.go
@@ -80,8 +80,8 @@
 }
 
 func (r *runner) requestAdvice(a scheduler.RequestAdvice) scheduler.Event {
-	e := scheduler.AdviceAnswered{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: r.clock.Now()}
-	advice, err := r.client.Advise(a.Step, a.Workers, adviceTimeout)
+	e := scheduler.AdviceAnswered{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: r.clock.Now(), ServiceTime: a.ServiceTime}
+	advice, err := r.client.Advise(a.Step, a.Workers, a.ServiceTime+adviceMargin)
 	r.logFailure("advice not received", err)
 	e.OK, e.Tickets, e.Validity = err == nil, advice.Tickets, advice.Validity
 	return e
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -7,20 +7,21 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
+	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/machine/worker"
 )
 
 // Limits of requests to the advice service.
 const (
-	// adviceBatch is the largest number of workers in a request. The service needs
-	// time for each worker; the completion objective of a job leaves time for one
-	// request with 30 workers.
-	adviceBatch = 30
+	// maxAdviceBatch is the largest number of workers in a request. The completion
+	// objective of a job leaves time for one request with 30 workers.
+	maxAdviceBatch = 30
 	// adviceRetryDelay is the delay after a request that failed.
 	adviceRetryDelay = 150 * time.Millisecond
-	// minTicketValidity is the least remaining validity of a ticket when the start
-	// that carries it is ordered.
-	minTicketValidity = 200 * time.Millisecond
+	// maxTicketReserve and reserveShare limit the part of a ticket's validity that is left
+	// for the start to arrive: to 200 ms, and to a quarter of the validity.
+	maxTicketReserve = 200 * time.Millisecond
+	reserveShare     = 4
 )
 
 // stepName returns the name of a step of an occurrence in requests to the advice
@@ -32,11 +33,14 @@
 // permission is the answer of the advice service about one worker for a step:
 // whether the step may run there and, if so, the ticket for its starts.
 type permission struct {
-	approved   bool
-	ticket     string
-	validUntil time.Time
+	approved bool
+	ticket   string
+	// usableUntil is until when a start with the ticket may be ordered.
+	usableUntil time.Time
 }
 
+func (p *permission) usable(now time.Time) bool { return p.approved && now.Before(p.usableUntil) }
+
 // adviceState holds the answers of the advice service for jobs that have not ended.
 type adviceState struct {
 	// steps maps a step's name to permissions by worker. Whether a worker is
@@ -44,6 +48,8 @@
 	steps      map[string]map[string]permission
 	requesting bool
 	nextAt     time.Time
+	// failures counts the last requests, which were not answered.
+	failures int
 }
 
 // RequestAdvice asks the advice service which workers a step may run on. The
@@ -52,6 +58,8 @@
 	Step    string
 	Workers []string
 	Fence   int64
+	// ServiceTime is how long the service takes for the request.
+	ServiceTime time.Duration
 }
 
 func (RequestAdvice) isAction() {}
@@ -63,10 +71,25 @@
 	Fence   int64
 	OK      bool
 	// Tickets maps the approved workers to their tickets, which are valid for
-	// Validity from SentAt on.
+	// Validity from the answer on.
 	Tickets  map[string]string
 	Validity time.Duration
-	SentAt   time.Time
+	// The request was sent at SentAt and took the service at least ServiceTime.
+	SentAt      time.Time
+	ServiceTime time.Duration
+}
+
+// usableUntil returns until when starts with the tickets may be ordered. The answer may be
+// older than its arrival, but not than the time that the service takes for it.
+func (e *AdviceAnswered) usableUntil(now time.Time) time.Time {
+	usable := e.Validity - min(maxTicketReserve, e.Validity/reserveShare)
+	answeredAt := e.SentAt.Add(e.ServiceTime)
+	if until := answeredAt.Add(usable); answeredAt.Before(now) && now.Before(until) {
+		return until
+	}
+	// Tickets that would have expired on their way are tried too: the next answer may take
+	// as long, and a worker refuses a start whose ticket has expired.
+	return now.Add(usable)
 }
 
 // Apply implements Event.
@@ -77,19 +100,23 @@
 	s.advice.requesting = false
 	s.place.roundNeeded = true
 	if !e.OK {
+		s.advice.failures++
 		s.advice.nextAt = now.Add(adviceRetryDelay)
 		return
 	}
+	s.advice.failures = 0
 	permissions := s.advice.steps[e.Step]
 	if permissions == nil {
 		permissions = make(map[string]permission)
 		s.advice.steps[e.Step] = permissions
 	}
+	usableUntil := e.usableUntil(now)
 	for _, id := range e.Workers {
 		ticket, approved := e.Tickets[id]
-		permissions[id] = permission{approved, ticket, e.SentAt.Add(e.Validity)}
+		permissions[id] = permission{approved, ticket, usableUntil}
 	}
-	s.log("advice", "step", e.Step, "asked", len(e.Workers), "good", len(e.Tickets), "validity_ms", e.Validity.Milliseconds())
+	s.log("advice", "step", e.Step, "asked", len(e.Workers), "good", len(e.Tickets), "validity_ms", e.Validity.Milliseconds(),
+		"took_ms", now.Sub(e.SentAt).Milliseconds(), "service_ms", e.ServiceTime.Milliseconds(), "usable_ms", usableUntil.Sub(now).Milliseconds())
 }
 
 // allowedWorkers returns a filter for the workers on which a task of the step may
@@ -102,7 +129,7 @@
 	permissions := s.advice.steps[stepName(o, step)]
 	return func(w *worker.Worker) bool {
 		p := permissions[w.ID]
-		return p.approved && now.Add(minTicketValidity).Before(p.validUntil)
+		return p.usable(now)
 	}
 }
 
@@ -134,23 +161,41 @@
 		s.requestTick(s.advice.nextAt)
 		return
 	}
-	name := stepName(o, step)
-	ids := s.adviceCandidates(s.advice.steps[name], &o.Job.Spec.Steps[step], workers, now)
+	name, spec := stepName(o, step), &o.Job.Spec.Steps[step]
+	var advice policy.Advice
+	if q, ok := s.queueOf(o.Job); ok {
+		advice = q.Advice
+	}
+	ids := s.adviceCandidates(s.advice.steps[name], spec, workers, now)
 	if len(ids) == 0 {
 		return
 	}
+	ids = ids[:min(len(ids), adviceBatch(advice, spec.Gang, s.advice.failures))]
 	s.advice.requesting = true
-	s.act(RequestAdvice{Step: name, Workers: ids, Fence: s.fence()})
+	s.act(RequestAdvice{Step: name, Workers: ids, Fence: s.fence(), ServiceTime: advice.ServiceTime(len(ids))})
+}
+
+// adviceBatch returns how many workers to name in a request. A request takes at most half
+// of the validity of its tickets if that is possible, so that those of one answer are
+// usable until the next; but no less time is spent on the workers than on the decision. A
+// gang needs its tickets at the same time. After failures a request names fewer workers,
+// as the service may take longer than its figures say.
+func adviceBatch(a policy.Advice, gang bool, failures int) int {
+	batch := maxAdviceBatch
+	if a.PerWorker > 0 && !gang {
+		batch = int(min(maxAdviceBatch, max(a.Decision, a.Validity/2-a.Decision)/a.PerWorker))
+	}
+	return max(1, batch>>min(failures, maxAdviceBatch))
 }
 
-// adviceCandidates returns the ids of the workers to ask about: approved workers
-// whose ticket has expired, then workers not asked about yet, each in order of
+// adviceCandidates returns the ids of the workers that may be asked about: approved
+// workers whose ticket has expired, then workers not asked about yet, each in order of
 // descending free processor capacity.
 func (s *Scheduler) adviceCandidates(permissions map[string]permission, spec *job.Step, workers []*worker.Worker, now time.Time) []string {
 	var list []*worker.Worker
 	for _, w := range workers {
 		p, asked := permissions[w.ID]
-		if asked && (!p.approved || now.Add(minTicketValidity).Before(p.validUntil)) || !w.Fits(spec) || !w.HasLabel(spec.Label) {
+		if asked && (!p.approved || p.usable(now)) || !w.Fits(spec) || !w.HasLabel(spec.Label) {
 			continue
 		}
 		list = append(list, w)
@@ -164,8 +209,8 @@
 		}
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Free().MilliCores, a.Free().MilliCores))
 	})
-	ids := make([]string, 0, adviceBatch)
-	for _, w := range list[:min(len(list), adviceBatch)] {
+	ids := make([]string, 0, maxAdviceBatch)
+	for _, w := range list[:min(len(list), maxAdviceBatch)] {
 		ids = append(ids, w.ID)
 	}
 	return ids
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -43,7 +43,7 @@
 	case PublishWave:
 		return WavePublished{Wave: a.Wave, Fence: a.Fence, Completed: a.Completed, Begun: len(a.Begun), Result: RecordResult{Outcome: StoreFailed}}
 	case RequestAdvice:
-		return AdviceAnswered{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: sentAt}
+		return AdviceAnswered{Step: a.Step, Workers: a.Workers, Fence: a.Fence, SentAt: sentAt, ServiceTime: a.ServiceTime}
 	}
 	return nil
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -23,6 +23,7 @@
 	Name, Host, Prefix, Service string
 	Public                      bool
 	Priority, Attempts          int
+	Advice                      Advice
 }
 
 // Team is a team in the configuration that Site.Configure writes.
@@ -73,9 +74,11 @@
 	configVersion int64
 	lastWorkerID  int
 	servers       []*fasthttp.Server
-	// storeAddress and machinesAddress are the "ip:port" of the two servers.
+	advice        adviceService
+	// storeAddress, machinesAddress and adviceAddress are the "ip:port" of the servers.
 	storeAddress    string
 	machinesAddress string
+	adviceAddress   string
 }
 
 // Start starts a site on loopback ports. It runs until ctx ends.
@@ -85,6 +88,7 @@
 		workers: make(map[string]*Worker), addresses: make(map[string]string), draining: make(map[string]bool),
 	}
 	s.Machines.startNextWorker = s.replaceWorker
+	s.advice.validUntil = make(map[string]time.Time)
 	var err error
 	if s.storeAddress, err = s.startServer(s.Store.Serve); err != nil {
 		return nil, err
@@ -92,6 +96,9 @@
 	if s.machinesAddress, err = s.startServer(s.Machines.Serve); err != nil {
 		return nil, err
 	}
+	if s.adviceAddress, err = s.startServer(s.advice.Serve); err != nil {
+		return nil, err
+	}
 	machineCount := 0
 	for _, service := range slices.Sorted(maps.Keys(o.Workers)) {
 		for range o.Workers[service] {
@@ -143,6 +150,7 @@
 	s.mu.Unlock()
 	w := NewWorker(id, m.pool, m.zone, m.rack, s.options.CPU, s.options.MemoryMB, s.options.RunBehavior, s.recordRun)
 	w.Machine = m.name
+	w.admits = s.advice.admits
 	address, err := s.startServer(w.Serve)
 	if err != nil {
 		return err
@@ -250,11 +258,16 @@
 	version := s.configVersion
 	s.mu.Unlock()
 	routes, services, tenants := []map[string]any{}, []map[string]any{}, []map[string]any{}
+	s.advice.configure(queues)
 	for _, q := range queues {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": q.Name, "host": q.Host, "prefix": q.Prefix, "kind": "non_idempotent", "timeout-ms": 3000,
 			"target-duration-ms": 600, "priority": q.Priority, "service": q.Service, "attempts": max(1, q.Attempts), "stretch": 1.6, "public": q.Public,
-		})
+		}
+		if a := q.Advice; a != (Advice{}) {
+			route["advice"] = map[string]int64{"decision-ms": a.Decision.Milliseconds(), "per-item-ms": a.PerWorker.Milliseconds(), "validity-ms": a.Validity.Milliseconds()}
+		}
+		routes = append(routes, route)
 	}
 	for name := range s.options.Workers {
 		services = append(services, map[string]any{"name": name, "admission-check": true, "headroom": name == s.options.SparePool})
@@ -288,6 +301,7 @@
 		"port-range":   []int{firstPort, firstPort + NodePorts - 1},
 		"platform":     map[string]any{"address": s.storeAddress, "form": "kv"},
 		"cloud-api":    map[string]any{"address": s.machinesAddress},
+		"advice":       s.adviceAddress,
 		"bounds":       map[string]any{"lease-ms": 300, "grace-s": 3},
 	})
 	if err != nil {
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -95,6 +95,8 @@
 	fault     WorkerFault
 	behavior  RunBehavior
 	reportEnd func(RunRecord)
+	// admits reports whether a task may start with a ticket, nil for always.
+	admits func(worker, task, ticket string) bool
 }
 
 // NewWorker returns a worker that passes each ended run to reportEnd, which must
@@ -168,6 +170,7 @@
 	Fence    int64  `json:"fencing-token"`
 	LastSeen int64  `json:"last-seen"`
 	WaitMS   int64  `json:"wait-ms"`
+	Ticket   string `json:"ticket"`
 }
 
 // Serve handles one HTTP call to the worker, with the injected fault.
@@ -266,7 +269,8 @@
 
 // startRun starts a run. A repeated start of a running run has no effect. The
 // start is rejected if the run was closed before, if another run of the task is
-// active, or if the lease in the call has already expired. The caller holds w.mu.
+// active, if the lease in the call has already expired, or without a valid ticket of the
+// advice service. The caller holds w.mu.
 func (w *Worker) startRun(c *fasthttp.RequestCtx, call workerCall) {
 	if running := w.running[call.Task]; running != nil && running.record.Run == call.Run {
 		w.replyClock(c)
@@ -281,6 +285,10 @@
 		w.replyConflict(c, "late")
 		return
 	}
+	if w.admits != nil && !w.admits(w.ID, call.Task, call.Ticket) {
+		w.replyConflict(c, "ticket")
+		return
+	}
 	w.extendLease(call.UntilMS)
 	duration, outcome := w.behavior(call.Spec, call.Task, call.Run)
 	run := &activeRun{record: RunRecord{Worker: w.ID, Task: call.Task, Payload: call.Spec, Run: call.Run, Start: time.Now(), Fence: call.Fence}}
