scheduler: no order for a machine while one of the predecessor is held up

Callers saw: tasks end because a machine is moved by an order of a scheduler that was killed in a cut.

Cause: a successor waited for the timeout of its predecessor's orders. That is enough if the predecessor lives to reset their connections; a killed one doesn't, and its bytes arrive when the cut is over. It still gave orders in the cut because the machines of a whole plan were stored at once and then waited for the rate of orders.

Change: the stored list names the effect of each order, and a machine is not ordered while the list of machines or the progress of the wave doesn't show it, for up to 15 s. An order counts towards the rate before it is stored. Orders that are refused or not given are taken from the list.

Evidence: TestOrdersHeldUpByCutComeFirst fails before on its first seed (an order under fence 8 after 26). The simulation now checks the token of every order, also of one without effect.

Why it works: the effect shows that the order has arrived, and an order is carried out once.

Tests: the lists of ordered machines are lists of orders now, compared in full.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -168,11 +168,39 @@
 	return use, nil
 }
 
-// machineOrdersRecord is the stored list of machines that the scheduler of an epoch,
-// or those before it, may have ordered lately.
+// machineOrdersRecord is the stored form of scheduler.MachineOrdersRead.
 type machineOrdersRecord struct {
 	Epoch    int      `json:"epoch"`
 	Machines []string `json:"machines"`
+	// Effects has a row for each of Machines. Earlier versions of the program wrote none.
+	Effects []machineEffectRecord `json:"effects,omitempty"`
+}
+
+type machineEffectRecord struct {
+	Pool   string `json:"p,omitempty"`
+	Wave   int64  `json:"w,omitempty"`
+	Worker string `json:"i,omitempty"`
+}
+
+func newMachineOrdersRecord(a scheduler.StoreMachineOrders) machineOrdersRecord {
+	r := machineOrdersRecord{Epoch: a.Epoch, Machines: make([]string, 0, len(a.Orders))}
+	for _, o := range a.Orders {
+		r.Machines = append(r.Machines, o.Machine)
+		r.Effects = append(r.Effects, machineEffectRecord{o.Pool, o.Wave, o.Worker})
+	}
+	return r
+}
+
+func (r machineOrdersRecord) orders() []scheduler.MachineOrder {
+	list := make([]scheduler.MachineOrder, len(r.Machines))
+	for i, name := range r.Machines {
+		list[i].Machine = name
+		if i < len(r.Effects) {
+			e := r.Effects[i]
+			list[i].Pool, list[i].Wave, list[i].Worker = e.Pool, e.Wave, e.Worker
+		}
+	}
+	return list
 }
 
 // silencesRecord is the stored form of scheduler.SilencesRead, in milliseconds by worker.
@@ -334,7 +362,7 @@
 	case machineOrdersKey:
 		var orders machineOrdersRecord
 		err := json.Unmarshal(item.Value, &orders)
-		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Machines: orders.Machines, Revision: item.Revision}, err
+		return scheduler.MachineOrdersRead{Epoch: orders.Epoch, Orders: orders.orders(), Revision: item.Revision}, err
 	case turnsKey:
 		var turns turnsRecord
 		if err := cbor.Unmarshal(item.Value, &turns); err != nil {
--- a/internal/node/codec_test.go
+++ b/internal/node/codec_test.go
@@ -133,3 +133,24 @@
 		}
 	}
 }
+
+// TestMachineOrdersRoundTrip guards against a successor that does not know which effects of
+// stored orders to await, or can't read the list of an earlier version.
+func TestMachineOrdersRoundTrip(t *testing.T) {
+	orders := []scheduler.MachineOrder{{Machine: "a", Pool: "s"}, {Machine: "b", Wave: 3, Worker: "i-1"}, {Machine: "c"}}
+	for _, c := range []struct {
+		value []byte
+		want  []scheduler.MachineOrder
+	}{
+		{encodeJSON(newMachineOrdersRecord(scheduler.StoreMachineOrders{Epoch: 4, Orders: orders})), orders},
+		{[]byte(`{"epoch":4,"machines":["a"]}`), []scheduler.MachineOrder{{Machine: "a"}}},
+	} {
+		change, err := decodeJobsItem(platform.Item{Key: machineOrdersKey, Value: c.value, Revision: 9})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(scheduler.MachineOrdersRead{Epoch: 4, Orders: c.want, Revision: 9}, change); diff != "" {
+			t.Errorf("%s: %s", c.value, diff)
+		}
+	}
+}
--- a/internal/node/store_calls.go
+++ b/internal/node/store_calls.go
@@ -134,8 +134,8 @@
 }
 
 func (r *runner) storeMachineOrders(a scheduler.StoreMachineOrders) scheduler.Event {
-	put := platform.Put{Key: machineOrdersKey, Value: encodeJSON(machineOrdersRecord{a.Epoch, a.Machines})}
-	return scheduler.MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
+	put := platform.Put{Key: machineOrdersKey, Value: encodeJSON(newMachineOrdersRecord(a))}
+	return scheduler.MachineOrdersStored{Fence: a.Fence, Orders: a.Orders, Result: r.writeRecord(a.Fence, "machine orders", a.Expected, put)}
 }
 
 func (r *runner) storeTurns(a scheduler.StoreTurns) scheduler.Event {
--- a/internal/scheduler/fault_test.go
+++ b/internal/scheduler/fault_test.go
@@ -26,13 +26,18 @@
 // in pool "spare".
 func newFleet(t *testing.T, seed uint64, nodes, machines, spares int) *simulation {
 	w := newSimulation(t, seed, nodes)
+	w.addMachines(machines, spares)
+	return w
+}
+
+// addMachines adds machines to the pool of service s and to the spare pool.
+func (w *simulation) addMachines(machines, spares int) {
 	for i := range machines {
 		w.addMachine(i, "s")
 	}
 	for i := range spares {
 		w.addMachine(machines+i, "spare")
 	}
-	return w
 }
 
 // submitLoad submits count random jobs, one per gap, and cancels some of them.
--- a/internal/scheduler/machine_orders.go
+++ b/internal/scheduler/machine_orders.go
@@ -6,11 +6,16 @@
 	"time"
 
 	"github.com/crocusjunction/crocusjunction/internal/link/lease"
+	"github.com/crocusjunction/crocusjunction/internal/machine/upkeep"
 )
 
-// The machines that a scheduler may have ordered lately are stored before the orders
+// The orders that a scheduler may have given for machines lately are stored before they
 // are sent. After a takeover only these machines have to wait until the least time
 // between the orders of two schedulers has passed; all others may be ordered at once.
+//
+// A cut can hold up the orders of a scheduler that was killed before it closed their
+// connections, and they are carried out when the cut is over. So a machine is not ordered
+// while the list of machines does not show the effect of the order that it may still get.
 
 const (
 	// orderEffectMargin is the time after an order was decided within which it can
@@ -20,15 +25,48 @@
 	// orderReach is the time after the end of a scheduler's term within which its last
 	// order takes effect: the timeout of an order, and a margin for clocks.
 	orderReach = 1200 * time.Millisecond
+	// heldOrderLimit is how long a new scheduler waits for the effect of an order of its
+	// predecessor: longer than the cuts of nodes and data centres that users expect, 12 s.
+	// An order whose effect is missing is usually one that was not sent, and its machine
+	// can't be used elsewhere meanwhile.
+	heldOrderLimit = 15 * time.Second
 	// machineOrdersRetryDelay is the delay after a write that failed.
 	machineOrdersRetryDelay = 100 * time.Millisecond
+	// machineOrdersInterval is the least time between two writes, so that one names several
+	// machines while orders wait for their rate.
+	machineOrdersInterval = 50 * time.Millisecond
 )
 
-// MachineOrdersRead carries the stored list of machines that the scheduler of Epoch,
-// or those before it, may have ordered lately.
+// MachineOrder is an order for a machine: to move to Pool, or the upkeep of Wave. With
+// neither, the order is not known, or it has no effect later.
+type MachineOrder struct {
+	Machine string
+	Pool    string
+	Wave    int64
+	// Worker is the machine's worker before its upkeep.
+	Worker string
+}
+
+// settled returns the order for which nothing is awaited any longer.
+func (o MachineOrder) settled() MachineOrder { return MachineOrder{Machine: o.Machine} }
+
+// mayTakeEffect reports whether the order may still be carried out, as far as the list of
+// machines shows.
+func (o MachineOrder) mayTakeEffect(m upkeep.Machine) bool {
+	switch {
+	case o.Pool != "":
+		return m.Pool != o.Pool
+	case o.Wave != 0:
+		return m.State != upkeep.MachineUpkeep && m.Worker == o.Worker
+	}
+	return false
+}
+
+// MachineOrdersRead carries the stored list of the orders that the scheduler of Epoch,
+// or those before it, may have given lately, one for each machine.
 type MachineOrdersRead struct {
 	Epoch    int
-	Machines []string
+	Orders   []MachineOrder
 	Revision int64
 }
 
@@ -38,12 +76,12 @@
 	}
 }
 
-// StoreMachineOrders stores the machines that may have been ordered lately. The result
-// is MachineOrdersStored.
+// StoreMachineOrders stores the orders that may have been given lately. The result is
+// MachineOrdersStored.
 type StoreMachineOrders struct {
-	Fence    int64
-	Epoch    int
-	Machines []string
+	Fence  int64
+	Epoch  int
+	Orders []MachineOrder
 	// Expected is the revision that the list must have in the store, 0 for none.
 	Expected int64
 }
@@ -52,9 +90,9 @@
 
 // MachineOrdersStored is the result of StoreMachineOrders.
 type MachineOrdersStored struct {
-	Fence    int64
-	Machines []string
-	Result   RecordResult
+	Fence  int64
+	Orders []MachineOrder
+	Result RecordResult
 }
 
 // Apply implements Event.
@@ -66,89 +104,159 @@
 	if !s.finishRecordWrite(&o.writes, e.Result, machineOrdersRetryDelay, now) {
 		return
 	}
-	o.stored = make(map[string]bool, len(e.Machines))
-	for _, name := range e.Machines {
-		o.stored[name] = true
+	o.stored = make(map[string]MachineOrder, len(e.Orders))
+	for _, order := range e.Orders {
+		o.stored[order.Machine] = order
 	}
 	// The orders that waited for this are sent in the step that follows.
 	s.slowStepAt = time.Time{}
 }
 
-// machineOrders are the machines that may have been ordered lately.
+// machineOrders are the orders that may have been given lately, by machine.
 type machineOrders struct {
-	// inherited are the machines that earlier schedulers may have ordered shortly
-	// before this scheduler's term. All machines count as such if inheritedAll is set.
-	inherited    map[string]bool
+	// inherited are the orders that earlier schedulers may have given shortly before this
+	// scheduler's term. If inheritedAll is set, they may have given any.
+	inherited    map[string]MachineOrder
 	inheritedAll bool
-	// decidedAt is when this scheduler last decided to order a machine.
-	decidedAt map[string]time.Time
-	// stored are the machines in the stored list, nil before the first write.
-	stored map[string]bool
-	writes recordWrites
+	// held are those of the inherited orders that may still be carried out.
+	held map[string]MachineOrder
+	// decided are the last decisions of this scheduler.
+	decided map[string]machineDecision
+	// stored are the orders in the stored list, nil before the first write.
+	stored  map[string]MachineOrder
+	writes  recordWrites
+	writeAt time.Time
 }
 
-// inheritMachineOrders returns the machines that earlier schedulers may have ordered
+// machineDecision is the decision to give an order. Admitted is set from the time when it
+// was counted towards the rate of orders until it is given.
+type machineDecision struct {
+	order    MachineOrder
+	at       time.Time
+	admitted bool
+}
+
+// inheritMachineOrders returns the orders that earlier schedulers may have given
 // shortly before this term. If the last one has not written the list, it may be of a
 // version without it, and every machine is taken as ordered.
 func (s *Scheduler) inheritMachineOrders() machineOrders {
-	o := machineOrders{inherited: make(map[string]bool), decidedAt: make(map[string]time.Time), writes: recordWrites{revision: s.storedOrders.Revision}}
+	o := machineOrders{
+		inherited: make(map[string]MachineOrder), held: make(map[string]MachineOrder), decided: make(map[string]machineDecision),
+		writes: recordWrites{revision: s.storedOrders.Revision},
+	}
 	epoch := s.election.authority.Epoch
 	o.inheritedAll = epoch > 0 && s.storedOrders.Epoch != epoch-1
-	for _, name := range s.storedOrders.Machines {
-		o.inherited[name] = true
+	for _, order := range s.storedOrders.Orders {
+		o.inherited[order.Machine] = order
+		if order != order.settled() {
+			o.held[order.Machine] = order
+		}
 	}
 	return o
 }
 
+// settleHeldOrders drops the inherited orders whose effect the list of machines or the
+// stored progress of a wave shows.
+func (s *Scheduler) settleHeldOrders() {
+	maps.DeleteFunc(s.machineOps.orders.held, func(name string, order MachineOrder) bool {
+		m, ok := s.machineOps.machines[name]
+		return ok && !order.mayTakeEffect(m) || order.Wave != 0 && slices.Contains(s.waveProgress[order.Wave].Begun, name)
+	})
+}
+
 // heldBack reports whether a machine may not be ordered yet, because an earlier
 // scheduler may have ordered it.
 func (s *Scheduler) heldBack(name string, now time.Time) bool {
 	ops := &s.machineOps
-	if !now.Before(ops.notBefore) || !ops.orders.inheritedAll && !ops.orders.inherited[name] {
+	_, held := ops.orders.held[name]
+	_, inherited := ops.orders.inherited[name]
+	until := time.Time{}
+	switch {
+	case held:
+		until = s.heldUntil()
+	case inherited || ops.orders.inheritedAll:
+		until = ops.notBefore
+	}
+	if !now.Before(until) {
 		return false
 	}
-	s.requestTick(ops.notBefore)
+	s.requestTick(until)
 	return true
 }
 
+// heldUntil returns until when this scheduler waits for the effects of inherited orders.
+func (s *Scheduler) heldUntil() time.Time { return s.election.authority.Since.Add(heldOrderLimit) }
+
 // orderMayBeInFlight reports whether an order of an earlier scheduler for a machine may
 // take effect after the last list of machines was read.
 func (s *Scheduler) orderMayBeInFlight(name string) bool {
-	o := &s.machineOps.orders
-	return (o.inheritedAll || o.inherited[name]) && !s.machineOps.listedAt.After(s.election.authority.Since.Add(orderReach))
+	o, listedAt := &s.machineOps.orders, s.machineOps.listedAt
+	if _, held := o.held[name]; held {
+		return !listedAt.After(s.heldUntil())
+	}
+	_, inherited := o.inherited[name]
+	return (inherited || o.inheritedAll) && !listedAt.After(s.election.authority.Since.Add(orderReach))
 }
 
-// mayOrderMachine reports whether a machine may be ordered now, and counts the order
-// towards the rate of orders if so. If the machine is not in the stored list yet, the
-// next stepMachineOrders stores it.
-func (s *Scheduler) mayOrderMachine(name string, now time.Time) bool {
-	if s.heldBack(name, now) {
+// mayOrderMachine reports whether an order may be given now. It counts the order towards
+// the rate of orders first. Only then stepMachineOrders stores it, so that the list has few
+// orders that were not sent, whose effect a successor would await.
+func (s *Scheduler) mayOrderMachine(order MachineOrder, now time.Time) bool {
+	if s.heldBack(order.Machine, now) {
 		return false
 	}
-	s.machineOps.orders.decidedAt[name] = now
-	return s.machineOps.orders.stored[name] && s.machineOps.orderRate.Take(now)
+	o := &s.machineOps.orders
+	d := o.decided[order.Machine]
+	if d.order != order || !d.admitted {
+		if !s.machineOps.orderRate.Take(now) {
+			return false
+		}
+		d = machineDecision{order: order, admitted: true}
+	}
+	given := o.stored[order.Machine] == order
+	d.at, d.admitted = now, !given
+	o.decided[order.Machine] = d
+	return given
+}
+
+// dropMachineOrder records that the last order that this scheduler decided to give was
+// refused, or is not given.
+func (s *Scheduler) dropMachineOrder(name string) {
+	o := &s.machineOps.orders
+	if d, ok := o.decided[name]; ok {
+		d.order = d.order.settled()
+		o.decided[name] = d
+	}
 }
 
-// stepMachineOrders stores the list of machines if one is missing from it, and at the
-// beginning of a term.
+// stepMachineOrders stores the list of orders if it lacks one or has one that was dropped,
+// and at the beginning of a term.
 func (s *Scheduler) stepMachineOrders(now time.Time) {
 	o := &s.machineOps.orders
 	if !s.machineOrdersMissing() || !s.mayWriteRecord(&o.writes, now) {
 		return
 	}
-	keep := s.options.MachineOpGap + orderEffectMargin + lease.SafetyMargin
-	maps.DeleteFunc(o.decidedAt, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
-	names := make(map[string]bool, len(o.decidedAt))
-	for name := range o.decidedAt {
-		names[name] = true
+	if now.Before(o.writeAt) {
+		s.requestTick(o.writeAt)
+		return
 	}
+	keep := s.options.MachineOpGap + orderEffectMargin + lease.SafetyMargin
+	maps.DeleteFunc(o.decided, func(_ string, d machineDecision) bool { return now.Sub(d.at) > keep })
+	orders := make(map[string]MachineOrder, len(o.decided))
 	if now.Before(s.machineOps.notBefore) {
-		maps.Copy(names, o.inherited)
+		maps.Copy(orders, o.inherited)
+	} else if now.Before(s.heldUntil()) {
+		maps.Copy(orders, o.held)
 	}
-	o.writes.writing = true
-	s.act(StoreMachineOrders{
-		Fence: s.fence(), Epoch: s.election.authority.Epoch, Machines: slices.Sorted(maps.Keys(names)), Expected: o.writes.revision,
-	})
+	for name, d := range o.decided {
+		orders[name] = d.order
+	}
+	list := make([]MachineOrder, 0, len(orders))
+	for _, name := range slices.Sorted(maps.Keys(orders)) {
+		list = append(list, orders[name])
+	}
+	o.writes.writing, o.writeAt = true, now.Add(machineOrdersInterval)
+	s.act(StoreMachineOrders{Fence: s.fence(), Epoch: s.election.authority.Epoch, Orders: list, Expected: o.writes.revision})
 }
 
 func (s *Scheduler) machineOrdersMissing() bool {
@@ -156,8 +264,8 @@
 	if o.stored == nil {
 		return true
 	}
-	for name := range o.decidedAt {
-		if !o.stored[name] {
+	for name, d := range o.decided {
+		if o.stored[name] != d.order {
 			return true
 		}
 	}
--- a/internal/scheduler/machine_orders_test.go
+++ b/internal/scheduler/machine_orders_test.go
@@ -114,3 +114,43 @@
 		}
 	}
 }
+
+// TestOrdersHeldUpByCutComeFirst guards against a new scheduler that orders machines while
+// orders of its predecessor are held up by a cut: they arrive after its own, because the
+// predecessor was killed before it could close their connections.
+func TestOrdersHeldUpByCutComeFirst(t *testing.T) {
+	const cut, untilKill = 8 * time.Second, 850 * time.Millisecond
+	for seed := range uint64(40) {
+		w := newEmptySimulation(t, seed)
+		w.machineOrdersPerSecond = 10
+		w.addNodes(3)
+		w.addMachines(3, 12)
+		w.teamLimit.MilliCores = 1_000_000
+		w.store.put("config", w.config(2), 0)
+		w.runFor(2 * time.Second)
+		var ids []job.ID
+		submit := func() {
+			for range 4 {
+				ids = append(ids, w.submit(len(ids)+1, job.Spec{Steps: []job.Step{newStep(6, 3000, 1500)}}))
+			}
+		}
+		submit()
+		before := w.now
+		for w.movedSince("s", before) == 0 && w.now.Sub(before) < 5*time.Second {
+			w.runFor(time.Millisecond)
+		}
+		w.runFor(time.Duration(seed%10) * 100 * time.Millisecond)
+		w.powerLoss = true
+		w.withLeader(func(n *simNode) {
+			n.cutOff, n.ordersHeldUntil = true, w.now.Add(cut)
+			w.after(untilKill, func() { n.kill(3 * time.Second) })
+			w.after(cut, func() { n.cutOff = false })
+		})
+		for range 6 {
+			submit()
+			w.runFor(1500 * time.Millisecond)
+		}
+		w.runFor(20 * time.Second)
+		w.expectEnded(ids)
+	}
+}
--- a/internal/scheduler/moves.go
+++ b/internal/scheduler/moves.go
@@ -69,7 +69,7 @@
 	case m.done || m.inFlight:
 	case now.Before(m.retryAt):
 		s.requestTick(m.retryAt)
-	case s.mayOrderMachine(m.Machine, now):
+	case s.mayOrderMachine(MachineOrder{Machine: m.Machine, Pool: m.To}, now):
 		m.inFlight = true
 		s.act(OrderMove{Machine: m.Machine, Pool: m.To, Fence: s.fence(), NotAfter: s.election.authority.MachineOpsUntil()})
 	}
@@ -107,6 +107,7 @@
 		m.done, m.since = true, now
 		s.machineOps.listAt = now
 	case MachineOpNotDone:
+		s.dropMachineOrder(e.Machine)
 		s.log("move refused", "machine", e.Machine, "to", e.Pool, "reason", e.Refusal)
 		if e.Refusal == upkeep.RefusedUnknown {
 			s.machineOps.planner.RecordRefusal(m.Move)
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -357,6 +357,7 @@
 	outcome, refusal := MachineOpDone, upkeep.Refusal("")
 	effect := func() {
 		m := w.machines[name]
+		w.checkMachineFence(m, fence)
 		switch {
 		case pool == "" && m.waves[wave] || pool == m.pool:
 			return
@@ -367,8 +368,12 @@
 		w.checkMachineOp(m, n.name, wave, fence)
 		w.takeDown(m, pool, wave)
 	}
-	// The platform never carries out machine operations late, but their answers may
-	// be lost.
+	if w.now.Before(n.ordersHeldUntil) {
+		n.holdMachineOp(effect, func() { n.apply(event(MachineOpUnknown, "")) })
+		return
+	}
+	// Beside that, the platform never carries out machine operations late, but their
+	// answers may be lost.
 	lost := w.random.Float64() < w.lossRate
 	w.after(w.latency(), func() {
 		effect()
@@ -380,6 +385,21 @@
 	})
 }
 
+// holdMachineOp carries out an order when the cut that holds it up is over. A process that
+// is still there when the order times out resets its connection, and the order is lost.
+func (n *simNode) holdMachineOp(effect, timedOut func()) {
+	lost := false
+	n.later(time.Second, func() {
+		lost = true
+		timedOut()
+	})
+	n.w.after(n.ordersHeldUntil.Sub(n.w.now)+n.w.latency(), func() {
+		if !lost {
+			effect()
+		}
+	})
+}
+
 func (w *simulation) takeDown(m *simMachine, pool string, wave int64) {
 	w.log("machine %s goes down, pool %q wave %d", m.name, pool, wave)
 	if old := w.workers[m.worker]; old != nil {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -78,6 +78,8 @@
 	lateRecord string
 	// ignoreCycles sets Options.IgnoreCycles of the nodes that are added later.
 	ignoreCycles bool
+	// machineOrdersPerSecond sets the option of this name of nodes that boot later.
+	machineOrdersPerSecond float64
 }
 
 const lateRecordDelay = 3 * time.Second
--- a/internal/scheduler/unanswered.go
+++ b/internal/scheduler/unanswered.go
@@ -29,7 +29,7 @@
 	case StoreProgress:
 		return ProgressStored{Fence: a.Fence, Writes: a.Writes, Outcome: StoreFailed}
 	case StoreMachineOrders:
-		return MachineOrdersStored{Fence: a.Fence, Machines: a.Machines, Result: RecordResult{Outcome: StoreFailed}}
+		return MachineOrdersStored{Fence: a.Fence, Orders: a.Orders, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreRoster:
 		return RosterStored{Fence: a.Fence, Members: a.Members, Result: RecordResult{Outcome: StoreFailed}}
 	case StoreSilences:
--- a/internal/scheduler/upkeep_orders.go
+++ b/internal/scheduler/upkeep_orders.go
@@ -20,7 +20,7 @@
 		s.resumeDraining(m, wk, now)
 		return
 	}
-	if !s.mayOrderMachine(m.Name, now) {
+	if !s.mayOrderMachine(MachineOrder{Machine: m.Name, Wave: w.Order.Wave, Worker: s.machineOps.machines[m.Name].Worker}, now) {
 		return
 	}
 	m.InFlight, m.OrderSent = true, true
@@ -32,6 +32,7 @@
 // for the store or for the rate of orders, and tasks elsewhere have become unavailable
 // meanwhile.
 func (s *Scheduler) resumeDraining(m *upkeep.Member, wk *worker.Worker, now time.Time) {
+	s.dropMachineOrder(m.Name)
 	s.log("upkeep put off", "machine", m.Name, "worker", wk.ID, "waited_ms", now.Sub(m.Since).Milliseconds())
 	for _, r := range wk.Runs() {
 		if r.StopSentAt.IsZero() {
@@ -80,6 +81,9 @@
 	listed := s.machineOps.machines[m.Name]
 	m.RetryAt = now.Add(machineOpRetryDelay)
 	s.machineOps.listAt = now
+	if e.Outcome == MachineOpNotDone {
+		s.dropMachineOrder(m.Name)
+	}
 	switch {
 	case e.Outcome == MachineOpDone:
 		// The answer may repeat an earlier one, so the worker's runs are not removed
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -84,6 +84,7 @@
 			s.retireWorker(old, "machine was moved, maintained or given to another worker", now)
 		}
 	}
+	s.settleHeldOrders()
 }
 
 // stepWaves publishes the progress of each wave and advances those that are not
