scheduler: runs of ended jobs count for their team after a takeover

Cause: a new scheduler counts what its predecessor has placed only for jobs that have not ended. The final progress of a job didn't name its placements, and a job that was cancelled during or after the takeover lost them at once.

Change: the last progress of a job keeps the placements of tasks that were not done. On workers that have not reported yet they count as runs that are being stopped, until the worker reports or its lease has certainly expired.

Why it works: a worker that reports names its runs, and one that doesn't runs nothing after its lease.

--- a/internal/contract/job/job.go
+++ b/internal/contract/job/job.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -136,6 +137,29 @@
 	return n.Occurrence*j.tasksPerOccurrence + j.stepOffsets[n.Step] + n.Index
 }
 
+// taskName returns the task with an ordinal, and false if the job has no such task.
+func (j *Job) taskName(ordinal int) (TaskName, bool) {
+	if ordinal < 0 || j.tasksPerOccurrence == 0 || ordinal/j.tasksPerOccurrence >= j.Occurrences() {
+		return TaskName{}, false
+	}
+	rest := ordinal % j.tasksPerOccurrence
+	step, found := slices.BinarySearch(j.stepOffsets, rest)
+	if !found {
+		step--
+	}
+	return TaskName{j.ID, ordinal / j.tasksPerOccurrence, step, rest - j.stepOffsets[step]}, true
+}
+
+// EachStoredPlacement calls f for each task with the workers on which one of its runs may be
+// alive, according to the stored progress.
+func (j *Job) EachStoredPlacement(f func(name TaskName, workers []string)) {
+	for ordinal, workers := range j.Stored.Placed {
+		if name, ok := j.taskName(ordinal); ok && len(workers) > 0 {
+			f(name, workers)
+		}
+	}
+}
+
 // DueAt returns when an occurrence is due, in Unix milliseconds.
 func (j *Job) DueAt(occurrence int) int64 {
 	if j.Spec.Times == 0 {
@@ -258,10 +282,11 @@
 func (j *Job) Durable(version int64) bool { return j.flushed >= version }
 
 // Unflushed returns a copy of the progress to write to the store, and its
-// version. The progress of an ended job consists of its final state only.
+// version. The progress of an ended job consists of its final state and of the placements of
+// tasks that were not done, whose runs may still be alive.
 func (j *Job) Unflushed() (Progress, int64) {
 	if j.Ended() {
-		return Progress{State: j.progress.State, EndedAt: j.progress.EndedAt}, j.version
+		return Progress{State: j.progress.State, EndedAt: j.progress.EndedAt, Placed: maps.Clone(j.progress.Placed)}, j.version
 	}
 	return j.progress.clone(), j.version
 }
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -325,6 +325,7 @@
 		s.trackJob(j)
 	}
 	s.subject = Record{}
+	s.inheritEndedRuns(now)
 	s.log("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinished.len(), "workers", s.workers.len(), "unsettled", s.unreconciled, "held_machine_orders", len(s.machineOps.orders.held))
 }
 
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -193,6 +193,9 @@
 	s.log("job ended", "job", j.ID, "state", state, "age_ms", now.UnixMilli()-j.AcceptedAt)
 	j.EachTask(func(t *job.Task) {
 		s.stopTask(t, now)
+		if t.Unreconciled {
+			s.countEndedRuns(t.Name(), t.PlacedWorkers())
+		}
 		s.markReconciled(t)
 	})
 	s.unfinished.delete(j.ID)
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
 	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
+	"github.com/crocusjunction/crocusjunction/internal/machine"
 )
 
 // TestProgressOfEarlierVersionIsKept guards against done tasks that run again because
@@ -120,3 +121,39 @@
 	}
 	return rest
 }
+
+// TestRunsOfEndedJobsCountAfterTakeover guards against a team that runs more than its limit
+// because runs of its ended jobs, on a worker that does not answer a new scheduler, don't
+// count. The simulation checks the limit at each start.
+func TestRunsOfEndedJobsCountAfterTakeover(t *testing.T) {
+	for name, cancelBefore := range map[string]time.Duration{"cancelled after the kill": -100 * time.Millisecond, "ended before the kill": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				w := newFleet(t, seed, 3, 4, 0)
+				w.teamLimit = machine.Resources{MilliCores: 16_000}
+				w.store.put("config", w.config(2), 0)
+				w.runFor(2 * time.Second)
+				long := newStep(8, 2000, 30_000)
+				first := w.submit(1, job.Spec{Steps: []job.Step{long}})
+				w.runFor(time.Second)
+				lost, _ := w.runningOn(job.TaskName{Job: first})
+				lost.silent = true
+				kill := func() { w.withLeader(func(n *simNode) { n.kill(10 * time.Second) }) }
+				if cancelBefore > 0 {
+					w.cancel(first)
+					w.runFor(cancelBefore)
+					kill()
+				} else {
+					kill()
+					w.runFor(-cancelBefore)
+					w.cancel(first)
+				}
+				second := w.submit(2, job.Spec{Steps: []job.Step{newStep(8, 2000, 500)}})
+				w.runFor(20 * time.Second)
+				if state := w.state(second); state != job.Completed {
+					w.fail("the second job is %s", state)
+				}
+			}
+		})
+	}
+}
