scheduler: evidence against tasks follows the rate of crashes

Cause: three workers lost within a second of starts of one task counted as proof against it, however often workers crash without a cause. One in ten starts is lost so in the case, and of 4,400 tasks some lose three in a row.

Ruled out: four or five workers as a fixed number. Tasks that do crash their workers are then started three times more after three crashes (TestTaskThatCrashesWorkersIsGivenUp and the two beside it fail).

Change: the scheduler remembers the crashes of the last minute with the tasks that may have caused them. A crash whose tasks have all run since had no cause. From their rate follows how many workers a task must lose, three to five. While that is open for other crashes, the task is not started and judged later.

Why it works: it bounds the probability that a sound task is given up, which a fixed number leaves to the rate of crashes.

--- a/internal/contract/job/crash.go
+++ b/internal/contract/job/crash.go
@@ -12,13 +12,13 @@
 // Proven reports whether the worker has listed the run after its probation.
 func (r *Run) Proven() bool { return r.ReportedAt.Sub(r.OrderedAt) >= startProbation }
 
-// clearedAfter is how long after its start a run must be listed by its worker to be no
+// CrashSuspicion is how long after its start a run must be listed by its worker to be no
 // suspect when the worker crashes later.
-const clearedAfter = time.Second
+const CrashSuspicion = time.Second
 
 // Cleared reports whether the run is no suspect if its worker crashes. Any task may be
 // running on a machine that fails.
-func (r *Run) Cleared() bool { return r.ReportedAt.Sub(r.OrderedAt) >= clearedAfter }
+func (r *Run) Cleared() bool { return r.ReportedAt.Sub(r.OrderedAt) >= CrashSuspicion }
 
 // Crash is the crash of a worker under a run of a task that was not cleared.
 type Crash struct {
@@ -59,9 +59,9 @@
 	// lateCrashesForIsolation is the number of late crashes after which a task is kept
 	// apart for longer, which takes a worker out of use for all others.
 	lateCrashesForIsolation = 2
-	// maxUncertainCrashes is the number of crashes at which a task is given up as the single
-	// suspect, although its starts were not confirmed.
-	maxUncertainCrashes = 4
+	// furtherUncertainCrashes is how many more crashes are needed if a task is given up as
+	// the single suspect, although its starts were not confirmed.
+	furtherUncertainCrashes = 1
 )
 
 // Evidence that a task crashes its workers, by the addresses of these.
@@ -71,11 +71,12 @@
 	// lostStartWeight is that of a worker that was lost right after a start and did not
 	// come back at its address. It may be cut off.
 	lostStartWeight = 1
-	// crashEvidence is what a task is given up for: the loss of three workers, two of which
-	// have certainly crashed. The users forbid a third start after three crashes.
-	crashEvidence = 5
 )
 
+// crashEvidence is what a task is given up for: the loss of a number of workers, all but
+// one of which have certainly crashed.
+func crashEvidence(workers int) int { return certainCrashWeight*(workers-1) + lostStartWeight }
+
 // RecordCrash records a crash under a run of the task. A repeated report of a run is not
 // counted again.
 func (t *Task) RecordCrash(c Crash) {
@@ -158,7 +159,8 @@
 // task was kept apart there. Beside proven runs, one of which may be the cause, two workers
 // must have crashed with the task as the single suspect. Crashes of one worker may be the
 // fault of that worker. Without a certain crash, nothing shows that workers have crashed.
-func (t *Task) CrashesWorkers(alone bool) bool {
+// Workers is how many must be lost right after starts of the task.
+func (t *Task) CrashesWorkers(alone bool, workers int) bool {
 	certain, single, lost := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, address := range t.lostStarts {
 		lost[address] = true
@@ -184,7 +186,7 @@
 		}
 	}
 	shown := len(certain) > 0 && (alone || singles > 1)
-	return shown && evidence >= crashEvidence || last.Single && len(crashes) >= maxUncertainCrashes
+	return shown && evidence >= crashEvidence(workers) || last.Single && len(crashes) >= workers+furtherUncertainCrashes
 }
 
 // SameSuspect reports whether a crash cannot distinguish two tasks: they are the same
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -25,6 +25,7 @@
 	})
 	s.recordPlacedCrash(w, now)
 	suspects := slices.DeleteFunc(runs, (*job.Run).Cleared)
+	s.crashLog.record(suspects, now)
 	unproven := slices.DeleteFunc(slices.Clone(suspects), (*job.Run).Proven)
 	for _, r := range suspects {
 		t := r.Task
@@ -61,17 +62,6 @@
 	s.giveUpIfCause(t, alone && c.Certain, now)
 }
 
-// giveUpIfCause ends the job of a task that is shown to crash its workers.
-func (s *Scheduler) giveUpIfCause(t *job.Task, alone bool, now time.Time) {
-	j := t.Occurrence.Job
-	if j.Ended() || !t.CrashesWorkers(alone) {
-		return
-	}
-	s.counts.GivenUp++
-	s.log("job given up", "job", j.ID, "task", t.Name().String(), "crashes", len(t.Crashes()))
-	s.endJob(j, job.Failed, now)
-}
-
 // recordPlacedCrash makes the tasks suspects that an earlier scheduler has placed on a
 // worker which has crashed: only that scheduler knew which of their runs were proven.
 func (s *Scheduler) recordPlacedCrash(w *worker.Worker, now time.Time) {
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -144,3 +144,54 @@
 		}
 	}
 }
+
+// TestSoundJobsOutliveSeriesOfCrashes guards against sound jobs that are given up because
+// workers crash so often that a few tasks lose three of them right after their starts. The
+// simulation checks each job that is stored as failed.
+func TestSoundJobsOutliveSeriesOfCrashes(t *testing.T) {
+	const workers, crashes, every, jobsEach = 8, 40, 1300 * time.Millisecond, 300 * time.Millisecond
+	for seed := range 8 * faultSeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newSimulation(t, seed, 3)
+			w.downtime, w.teamLimit.MilliCores = time.Second, 1_000_000
+			w.store.put("config", w.config(2), 0)
+			for i := range workers {
+				w.addWorker(fmt.Sprintf("w%d", i), "s", "z", "r")
+			}
+			w.runFor(3 * time.Second)
+			step := job.Step{Count: 24, Need: machine.Resources{MilliCores: 300, MemoryMB: 50}, Estimate: 1300 * time.Millisecond}
+			for i := range int(crashes * every / jobsEach) {
+				w.submit(i+1, job.Spec{Steps: []job.Step{step}})
+				if time.Duration(i)*jobsEach/every != time.Duration(i+1)*jobsEach/every {
+					if id := fmt.Sprintf("w%d", w.random.IntN(workers)); !w.workers[id].dead {
+						w.crash(id)
+					}
+				}
+				w.runFor(jobsEach)
+			}
+			w.runFor(14 * time.Second)
+		})
+	}
+}
+
+// TestEvidenceFollowsRateOfCrashes guards against sound jobs that are given up while workers
+// often crash by themselves, and against more crashes by a task than needed while few do.
+func TestEvidenceFollowsRateOfCrashes(t *testing.T) {
+	since := time.UnixMilli(1_700_000_000_000)
+	for _, c := range []struct {
+		crashes, workers int
+		term             time.Duration
+		want             int
+	}{
+		{0, 8, time.Hour, 3},
+		{7, 48, 40 * time.Second, 3},
+		{2, 8, time.Second, 4},
+		{40, 8, 52 * time.Second, 5},
+		{40, 8, time.Hour, 5},
+		{1000, 0, time.Hour, 5},
+	} {
+		if got := crashedWorkersNeeded(c.crashes, c.workers, since, since.Add(c.term)); got != c.want {
+			t.Errorf("%d crashes of %d workers in a term of %v: %d needed, want %d", c.crashes, c.workers, c.term, got, c.want)
+		}
+	}
+}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -303,6 +303,7 @@
 	s.unreconciled, s.awaitedWorkers = 0, nil
 	s.deferredStarts = make(map[job.ID][]*job.Run)
 	s.lostStarts = make(map[string][]lostStart)
+	s.crashLog = crashLog{}
 	// The previous scheduler sent no order after its lease had ended. The effect of
 	// each of its orders has ended by this time, even on workers whose clock rate
 	// is off by up to worker.ClockError percent.
@@ -326,7 +327,7 @@
 	}
 	s.subject = Record{}
 	s.inheritEndedRuns(now)
-	s.log("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinished.len(), "workers", s.workers.len(), "unsettled", s.unreconciled, "held_machine_orders", len(s.machineOps.orders.held))
+	s.log("scheduling begins", "fence", s.fence(), "epoch", s.election.authority.Epoch, "jobs", s.unfinished.len(), "workers", s.workers.len(), "unsettled", s.unreconciled)
 }
 
 // machineOpsFrom returns from when this scheduler may order machines that its
--- a/internal/scheduler/machine_orders.go
+++ b/internal/scheduler/machine_orders.go
@@ -120,6 +120,8 @@
 	inheritedAll bool
 	// held are those of the inherited orders that may still be carried out.
 	held map[string]MachineOrder
+	// heldLogged is set when the list of machines was first compared with them.
+	heldLogged bool
 	// decided are the last decisions of this scheduler.
 	decided map[string]machineDecision
 	// stored are the orders in the stored list, nil before the first write.
@@ -158,10 +160,15 @@
 // settleHeldOrders drops the inherited orders whose effect the list of machines or the
 // stored progress of a wave shows.
 func (s *Scheduler) settleHeldOrders() {
-	maps.DeleteFunc(s.machineOps.orders.held, func(name string, order MachineOrder) bool {
+	o := &s.machineOps.orders
+	maps.DeleteFunc(o.held, func(name string, order MachineOrder) bool {
 		m, ok := s.machineOps.machines[name]
 		return ok && !order.mayTakeEffect(m) || order.Wave != 0 && slices.Contains(s.waveProgress[order.Wave].Begun, name)
 	})
+	if !o.heldLogged && len(o.held) > 0 {
+		s.log("machine orders of an earlier scheduler awaited", "machines", len(o.held))
+	}
+	o.heldLogged = true
 }
 
 // heldBack reports whether a machine may not be ordered yet, because an earlier
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -106,6 +106,7 @@
 	deferredStarts map[job.ID][]*job.Run
 	// lostStarts are, by address, the unproven runs that were lost with silent workers.
 	lostStarts map[string][]lostStart
+	crashLog   crashLog
 	unfinished *orderedMap[job.ID, *job.Job]
 	flush      flushState
 	place      placeState
@@ -241,6 +242,7 @@
 	s.stepWorkers(now)
 	s.stepUnreconciled(now)
 	s.stepJobs(now)
+	s.stepJudgements(now)
 	s.stepPlace(now)
 	s.flushProgress(now)
 }
