scheduler: tasks that an earlier scheduler may be stopping don't count as serving

Cause: the earlier scheduler had ordered the stop of another task of the step, which takes up to 0.9 s there. Until it is over the worker lists the run, and the new scheduler counted it as serving.

Ruled out: an upkeep that was not checked again, and a task that counted before it was at work.

Change: an adopted run counts as serving when its worker still lists it after every stop that an earlier scheduler may have ordered is over: 0.5 s for the order and stop-timeout-ms of the settings, from the beginning of the term.

Why it works: no scheduler before can order a stop after that, and one ordered before has ended the run by then.

--- a/internal/contract/job/task.go
+++ b/internal/contract/job/task.go
@@ -236,6 +236,9 @@
 	Succeeded bool
 	// EndPlanned is set when the scheduler itself decided to end the run.
 	EndPlanned bool
+	// Adopted is set if an earlier scheduler has ordered the run. It may have ordered its
+	// stop, too.
+	Adopted bool
 	// Isolation is how the run is kept apart from others on its worker.
 	Isolation Isolation
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 	longest := min(b.MaxTaskLease, maxTaskLease)
 	return scheduler.Options{
 		NodeName: s.Instance, ProcessID: process, CPUShare: s.CPUShare,
-		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest,
+		TaskLease: longest - taskLeaseReserve, MaxTaskLease: longest, StopTimeout: b.StopTimeout,
 		StatusRetention: b.StatusRetention, MachineOpGap: b.MachineOpGap, RemoteFactor: b.RemoteFactor,
 		MachineOrdersPerSecond: s.MachineOrdersPerSecond,
 		ShareHalfLife:          s.ShareHalfLife,
--- a/internal/scheduler/evictions.go
+++ b/internal/scheduler/evictions.go
@@ -51,14 +51,25 @@
 }
 
 // serving reports whether a long-running task serves. A run on a worker that does
-// not answer is not counted, because it may have ended long ago.
+// not answer is not counted, because it may have ended long ago, nor one that may be about
+// to end by an order of an earlier scheduler.
 func (s *Scheduler) serving(t *job.Task) bool {
 	return slices.ContainsFunc(t.Runs, func(r *job.Run) bool {
 		w := s.workers.get(r.Worker)
-		return r.Serving() && w != nil && !w.Silent
+		return r.Serving() && w != nil && !w.Silent && !s.mayBeStopping(r)
 	})
 }
 
+// stopReach is the time after the end of a scheduler's term within which its last stop
+// reaches a worker: the timeout of an order, with a margin.
+const stopReach = 500 * time.Millisecond
+
+// mayBeStopping reports whether an earlier scheduler may have ordered the stop of a run. Its
+// worker lists the run until the stop is over.
+func (s *Scheduler) mayBeStopping(r *job.Run) bool {
+	return r.Adopted && r.ReportedAt.Before(s.election.authority.Since.Add(stopReach+s.options.StopTimeout))
+}
+
 // mayStopRun reports whether a run may be stopped by itself. For a long-running one
 // this means that, without it, no more than Step.MaxUnavailable tasks of its
 // step are unavailable.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,8 @@
 	TaskLease time.Duration
 	// MaxTaskLease is the longest task lease that any order can grant.
 	MaxTaskLease time.Duration
+	// StopTimeout is how long a worker may take to stop a run.
+	StopTimeout time.Duration
 	// StatusRetention is how long the state of an ended job must stay readable.
 	StatusRetention time.Duration
 	// MachineOpGap is the least time between the machine operations of two
--- a/internal/scheduler/worker_reports.go
+++ b/internal/scheduler/worker_reports.go
@@ -135,7 +135,7 @@
 		s.act(StopRun{Target: w.Target(), Run: worker.RunKey{Task: report.Task, Number: report.Run}, Fence: s.fence(), NotAfter: s.notAfter()})
 		return nil
 	}
-	r := &job.Run{Task: t, Number: report.Run, OrderedAt: now, ProgressAt: now, PacePercent: fullPace}
+	r := &job.Run{Task: t, Number: report.Run, OrderedAt: now, ProgressAt: now, PacePercent: fullPace, Adopted: true}
 	if t.Spec().Filler {
 		r.PacePercent = assumedPace
 	}
