--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"encoding/json"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,7 +11,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusjunction/crocusjunction/internal/contract/job"
-	"github.com/crocusjunction/crocusjunction/internal/contract/policy"
 	"github.com/crocusjunction/crocusjunction/internal/scheduler"
 	"github.com/crocusjunction/crocusjunction/platform"
 )
@@ -90,44 +87,6 @@
 	Completed bool     `json:"completed"`
 }
 
-// pendingRecord is the stored form of scheduler.PendingRead. Every node reads it up to twice
-// a second, so that the names of its fields are short.
-type pendingRecord struct {
-	Queues []pendingQueueRecord `json:"q"`
-	AsOf   int64                `json:"as_of"`
-	// LegacyCounts are the numbers by name, which earlier versions wrote.
-	LegacyCounts map[string]int `json:"counts,omitempty"`
-}
-
-type pendingQueueRecord struct {
-	Name   string `json:"q"`
-	Host   string `json:"h,omitempty"`
-	Prefix string `json:"p,omitempty"`
-	Jobs   int    `json:"n"`
-}
-
-func newPendingRecord(a scheduler.StorePending) pendingRecord {
-	r := pendingRecord{AsOf: a.AsOf, Queues: make([]pendingQueueRecord, 0, len(a.Counts))}
-	for queue, jobs := range a.Counts {
-		r.Queues = append(r.Queues, pendingQueueRecord{queue.Name, queue.Host, queue.Prefix, jobs})
-	}
-	slices.SortFunc(r.Queues, func(a, b pendingQueueRecord) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
-	})
-	return r
-}
-
-func (r pendingRecord) counts() map[policy.QueueRef]int {
-	counts := make(map[policy.QueueRef]int, len(r.Queues)+len(r.LegacyCounts))
-	for name, jobs := range r.LegacyCounts {
-		counts[policy.QueueRef{Name: name}] = jobs
-	}
-	for _, q := range r.Queues {
-		counts[policy.QueueRef{Name: q.Name, Host: q.Host, Prefix: q.Prefix}] = q.Jobs
-	}
-	return counts
-}
-
 // useRecord is the stored form of scheduler.UseRead. It is written often while teams
 // compete, and read by every node, so it is CBOR with short values.
 type useRecord struct {
@@ -168,41 +127,6 @@
 	return use, nil
 }
 
-// machineOrdersRecord is the stored form of scheduler.MachineOrdersRead.
-type machineOrdersRecord struct {
-	Epoch    int      `json:"epoch"`
-	Machines []string `json:"machines"`
-	// Effects has a row for each of Machines. Earlier versions of the program wrote none.
-	Effects []machineEffectRecord `json:"effects,omitempty"`
-}
-
-type machineEffectRecord struct {
-	Pool   string `json:"p,omitempty"`
-	Wave   int64  `json:"w,omitempty"`
-	Worker string `json:"i,omitempty"`
-}
-
-func newMachineOrdersRecord(a scheduler.StoreMachineOrders) machineOrdersRecord {
-	r := machineOrdersRecord{Epoch: a.Epoch, Machines: make([]string, 0, len(a.Orders))}
-	for _, o := range a.Orders {
-		r.Machines = append(r.Machines, o.Machine)
-		r.Effects = append(r.Effects, machineEffectRecord{o.Pool, o.Wave, o.Worker})
-	}
-	return r
-}
-
-func (r machineOrdersRecord) orders() []scheduler.MachineOrder {
-	list := make([]scheduler.MachineOrder, len(r.Machines))
-	for i, name := range r.Machines {
-		list[i].Machine = name
-		if i < len(r.Effects) {
-			e := r.Effects[i]
-			list[i].Pool, list[i].Wave, list[i].Worker = e.Pool, e.Wave, e.Worker
-		}
-	}
-	return list
-}
-
 // silencesRecord is the stored form of scheduler.SilencesRead, in milliseconds by worker.
 type silencesRecord struct {
 	LeftMillis map[string]int64 `json:"left_ms"`
