--- a/internal/scheduler/crash_rate.go
+++ b/internal/scheduler/crash_rate.go
@@ -81,8 +81,8 @@
 	return t.Done() || t.Occurrence.Job.Ended() || slices.ContainsFunc(t.Runs, (*job.Run).Cleared)
 }
 
-// others returns the crashes that no task has caused, and those of which another task than t
-// may be the cause.
+// others counts the crashes without t among their suspects: those that no task has caused
+// (causeless), and those of which another task may still prove to be the cause (open).
 func (l *crashLog) others(t *job.Task, now time.Time) (causeless, open int) {
 	for i := range l.crashes {
 		c := &l.crashes[i]
@@ -98,8 +98,8 @@
 }
 
 // crashedWorkersNeeded returns how many workers must be lost right after starts of a task to
-// show that it is the cause, if workers crash by themselves as often as in a part of the
-// window since the beginning of the term.
+// show that it is the cause. Crashes is the number of crashes without a cause in the last
+// crashWindow, or in the term since its beginning, and workers the size of the fleet.
 func crashedWorkersNeeded(crashes, workers int, since, now time.Time) int {
 	window := min(crashWindow, max(minCrashWindow, now.Sub(since)))
 	perStart := 1 - math.Exp(-float64(crashes)*job.CrashSuspicion.Seconds()/(window.Seconds()*float64(max(1, workers))))
@@ -116,6 +116,7 @@
 	s.judge(judgement{task: t, alone: alone}, now)
 }
 
+// judge makes a decision, or puts it off if it depends on the crashes whose cause is open.
 func (s *Scheduler) judge(d judgement, now time.Time) {
 	t, alone, j := d.task, d.alone, d.task.Occurrence.Job
 	if j.Ended() || t.Done() {
